Set down the folders, the core types and the interfaces of the packages

Cause: every part is written against the same values and the same layout, so these come before any part.

Conclusion: the packages can be written independently of each other.

--- /dev/null
+++ b/cmake/catchmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/scheduling/include/primrosebridge/Policy/pass.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "primrosebridge/Placement/zonestate.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// Which rule decided.
+enum class DecisionRule {
+    Placed, ///< Placed on free capacity.
+    PlacedBackfill, ///< Placed ahead of an older job that it does not delay.
+    PlacedReclaim, ///< Placed on capacity reclaimed for the organisation's guarantee.
+    WaitsForCapacity,
+    WaitsForReclaim, ///< Capacity is being reclaimed for it.
+    WaitsForReservation, ///< Would delay an older job that holds a reservation.
+    WaitsForQuota,
+    WaitsForGuarantee, ///< Would break another organisation's guarantee.
+    WaitsBehindOthers, ///< Another organisation or an older job has precedence.
+    NeverRunnable, ///< No worker of the configured fleet can hold it.
+};
+
+/// The name in lower_snake_case. Thread-safe.
+std::string_view decisionRuleName(DecisionRule rule);
+
+/// Why a request was placed, waits or was refused.
+struct Explanation {
+    const RequestKey m_key;
+    const DecisionRule m_rule;
+    const std::string m_text; ///< One sentence that names the deciding guarantee, limit or job.
+
+    bool operator==(const Explanation &) const = default;
+};
+
+/// A decision to start one attempt of a request.
+struct Placement {
+    const RequestKey m_key;
+    const int m_attempt;
+    const std::vector<Member> m_members;
+
+    bool operator==(const Placement &) const = default;
+};
+
+/// How a running attempt gives up its resources.
+enum class ReleaseMode {
+    Checkpoint,
+    Stop, ///< Stopped and run again later from the start.
+};
+
+/// A decision to take the resources of a running attempt back.
+struct Release {
+    const RequestKey m_key;
+    const int m_attempt;
+    const ReleaseMode m_mode;
+    const std::string m_reason;
+
+    bool operator==(const Release &) const = default;
+};
+
+/// How one guarantee stands, in units of its shape.
+struct GuaranteeStatus {
+    const Guarantee m_guarantee;
+    const int m_held; ///< In use by the organisation itself.
+    const int m_free; ///< Can be formed from free accelerators.
+    const int m_reclaimable; ///< Lent, and back within the reclaim time.
+    const int m_short; ///< Cannot be met because the fleet is too small.
+
+    bool operator==(const GuaranteeStatus &) const = default;
+};
+
+/// Everything that one scheduling pass decided.
+struct PassResult {
+    const std::vector<Placement> m_placements;
+    const std::vector<Release> m_releases;
+    const std::vector<Explanation> m_explanations; ///< One for each queued job.
+    const std::vector<GuaranteeStatus> m_guarantees;
+    const double m_fragmentation; ///< Share of free accelerators that cannot form the largest guaranteed shape, 0 to 1.
+
+    bool operator==(const PassResult &) const = default;
+};
+
+/// Settings of the pass.
+struct PassSettings {
+    const Duration m_agingPeriod; ///< Each period of waiting raises a job's precedence by one step.
+    const Duration m_longestWait; ///< A job that waited this long gets the next reservation.
+    const int m_maxPlacements; ///< Most placements in one pass, which bounds its time.
+
+    bool operator==(const PassSettings &) const = default;
+};
+
+/// Settings used unless the caller has measured better ones. Thread-safe.
+PassSettings defaultPassSettings();
+
+/// Decides which queued jobs start where and which running jobs give up their resources.
+///
+/// Pure: the same arguments give the same result. Thread-safe.
+/// Preconditions: allocations do not overlap; queued keys are unique and hold no allocation.
+PassResult runPass(const ZoneState &state, const PassSettings &settings, Instant now);
+
+/// Why no worker of the zone, empty and with all declared accelerators, could hold @p shape; empty if one could. Thread-safe.
+std::optional<std::string> whyNeverRunnable(const std::vector<WorkerState> &workers, const Shape &shape);
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/include/primrosebridge/Pipeline/boundedqueue.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cassert>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// A bounded queue that joins two stages of the pipeline.
+///
+/// Thread-safe: any number of producers and consumers.
+template<class T>
+class BoundedQueue
+{
+public:
+    /// Precondition: capacity > 0.
+    explicit BoundedQueue(std::size_t capacity)
+        : m_capacity(capacity)
+    {
+        assert(capacity > 0 && "a queue without places never passes anything on");
+    }
+
+    /// Appends @p item; false if the queue is full or closed. Never blocks.
+    bool tryPush(T item)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_closed || m_items.size() >= m_capacity) {
+                return false;
+            }
+            m_items.push_back(std::move(item));
+        }
+        m_notEmpty.notify_one();
+        return true;
+    }
+
+    /// Appends @p item, waiting for a free place; false if the queue is closed.
+    bool push(T item)
+    {
+        {
+            std::unique_lock lock(m_mutex);
+            m_notFull.wait(lock, [this] { return m_closed || m_items.size() < m_capacity; });
+            if (m_closed) {
+                return false;
+            }
+            m_items.push_back(std::move(item));
+        }
+        m_notEmpty.notify_one();
+        return true;
+    }
+
+    /// Takes the oldest item, waiting for one; empty once the queue is closed and drained.
+    std::optional<T> pop()
+    {
+        std::unique_lock lock(m_mutex);
+        m_notEmpty.wait(lock, [this] { return m_closed || !m_items.empty(); });
+        return takeLocked(lock);
+    }
+
+    /// Takes up to @p limit items, waiting for the first one; empty once the queue is closed and drained.
+    std::vector<T> popBatch(std::size_t limit)
+    {
+        std::vector<T> batch;
+        std::unique_lock lock(m_mutex);
+        m_notEmpty.wait(lock, [this] { return m_closed || !m_items.empty(); });
+        while (!m_items.empty() && batch.size() < limit) {
+            batch.push_back(std::move(m_items.front()));
+            m_items.pop_front();
+        }
+        lock.unlock();
+        m_notFull.notify_all();
+        return batch;
+    }
+
+    /// Refuses further items and wakes every waiting thread; items already queued are still taken.
+    void close()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_closed = true;
+        }
+        m_notEmpty.notify_all();
+        m_notFull.notify_all();
+    }
+
+    /// Items waiting now.
+    [[nodiscard]] std::size_t size() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_items.size();
+    }
+
+private:
+    std::optional<T> takeLocked(std::unique_lock<std::mutex> &lock)
+    {
+        if (m_items.empty()) {
+            return std::nullopt;
+        }
+        std::optional<T> item(std::move(m_items.front()));
+        m_items.pop_front();
+        lock.unlock();
+        m_notFull.notify_one();
+        return item;
+    }
+
+    const std::size_t m_capacity;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_notEmpty;
+    std::condition_variable m_notFull;
+    std::deque<T> m_items;
+    bool m_closed = false;
+};
+
+} // namespace PrimroseBridge
