Identify tasks by the fence of the owner that placed them

Cause: a new owner that does not know of an unrecorded attempt could number its own attempt the same, and a worker would answer its hold with the state of the old task.

Conclusion: attempts of different owners never share an identity.

--- a/core/include/primrosebridge/Model/request.h
+++ b/core/include/primrosebridge/Model/request.h
@@ -75,6 +75,7 @@
 /// Identity of a task: one member of one attempt of one request.
 struct TaskId {
     const RequestKey m_key;
+    const std::int64_t m_fence; ///< Fence of the owner that placed the attempt; keeps attempts of different owners apart.
     const int m_attempt; ///< 1 for the first.
     const int m_member; ///< Index in the allocation's members.
 
