--- a/core/include/primrosebridge/Model/request.h
+++ b/core/include/primrosebridge/Model/request.h
@@ -105,7 +105,7 @@
     const std::int64_t m_usedMemoryMb;
     const std::string m_result;
     const std::uint64_t m_resultLength; ///< As stated by the worker; compared with the bytes that arrived.
-    const std::uint64_t m_resultDigest; ///< As stated by the worker; see digestOf().
+    const std::uint64_t m_resultDigest; ///< As stated by the worker; see answerDigest().
 
     bool operator==(const TaskReport &) const = default;
 };
@@ -113,4 +113,8 @@
 /// 64-bit FNV-1a of @p bytes. Detects truncated and crossed results; it is no protection against tampering. Thread-safe.
 std::uint64_t digestOf(std::string_view bytes);
 
+/// Digest of a result together with the task that it belongs to, so that a result delivered for another task is detected.
+/// Computed over `key/fence/attempt/member/result`. Thread-safe.
+std::uint64_t answerDigest(const TaskId &task, std::string_view result);
+
 } // namespace PrimroseBridge
--- a/core/lib/Model/request.cpp
+++ b/core/lib/Model/request.cpp
@@ -62,4 +62,12 @@
     return digest;
 }
 
+std::uint64_t answerDigest(const TaskId &task, std::string_view result)
+{
+    std::string text
+        = task.m_key.text() + '/' + std::to_string(task.m_fence) + '/' + std::to_string(task.m_attempt) + '/' + std::to_string(task.m_member) + '/';
+    text += result;
+    return digestOf(text);
+}
+
 } // namespace PrimroseBridge
--- /dev/null
+++ b/recovery/lib/Routing/routing.cpp
@@ -0,0 +1,97 @@
+#include "primrosebridge/Routing/routing.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace PrimroseBridge {
+
+struct ZoneFleet {
+    int m_accelerators = 0;
+    int m_largestWorker = 0;
+    std::map<RackId, int> m_rackAccelerators;
+    int m_workers = 0;
+};
+
+// A zone's place in the order; smaller is better.
+struct ZoneRank {
+    bool m_ownerUnknown;
+    bool m_noGuarantee;
+    bool m_noFreeCapacity;
+    bool m_otherZone;
+    int m_queued;
+    ZoneId m_zone;
+
+    auto operator<=>(const ZoneRank &) const = default;
+};
+
+static std::map<ZoneId, ZoneFleet> fleetsOf(const Configuration &configuration)
+{
+    std::map<ZoneId, ZoneFleet> fleets;
+    for (const auto &worker : configuration.m_workers) {
+        auto &fleet = fleets[worker.m_zone];
+        fleet.m_accelerators += worker.m_accelerators;
+        fleet.m_largestWorker = std::max(fleet.m_largestWorker, worker.m_accelerators);
+        fleet.m_rackAccelerators[worker.m_rack] += worker.m_accelerators;
+        ++fleet.m_workers;
+    }
+    return fleets;
+}
+
+static int largestRack(const ZoneFleet &fleet)
+{
+    int largest = 0;
+    for (const auto &[rack, accelerators] : fleet.m_rackAccelerators) {
+        largest = std::max(largest, accelerators);
+    }
+    return largest;
+}
+
+static bool canEverHold(const ZoneFleet &fleet, const Shape &shape)
+{
+    switch (shape.m_adjacency) {
+    case Adjacency::SameWorker:
+        return fleet.m_largestWorker >= shape.m_accelerators;
+    case Adjacency::SameRack:
+        return largestRack(fleet) >= shape.m_accelerators;
+    case Adjacency::Nearest:
+        return fleet.m_accelerators >= shape.m_accelerators;
+    }
+    return false;
+}
+
+static bool hasGuarantee(const Configuration &configuration, const ZoneId &zone, const OrganisationId &organisation, const Shape &shape)
+{
+    return std::any_of(configuration.m_guarantees.begin(), configuration.m_guarantees.end(), [&](const Guarantee &guarantee) {
+        return guarantee.m_zone == zone && guarantee.m_organisation == organisation && guarantee.m_shape.m_accelerators >= shape.m_accelerators;
+    });
+}
+
+std::vector<ZoneId> rankZones(const Configuration &configuration, const MembershipView &view, const OrganisationId &organisation, const JobClass &jobClass)
+{
+    std::vector<ZoneRank> ranks;
+    for (const auto &[zone, fleet] : fleetsOf(configuration)) {
+        if (!canEverHold(fleet, jobClass.m_shape)) {
+            continue;
+        }
+        const auto summary = view.m_zones.find(zone);
+        const bool known = summary != view.m_zones.end() && !summary->second.m_owner.empty();
+        ranks.push_back(ZoneRank{
+            .m_ownerUnknown = !known,
+            .m_noGuarantee = !hasGuarantee(configuration, zone, organisation, jobClass.m_shape),
+            .m_noFreeCapacity = known && summary->second.m_freeAccelerators < jobClass.m_shape.m_accelerators,
+            .m_otherZone = zone != view.m_selfZone,
+            .m_queued = known ? summary->second.m_queued : 0,
+            .m_zone = zone,
+        });
+    }
+    std::sort(ranks.begin(), ranks.end());
+    std::vector<ZoneId> zones;
+    zones.reserve(ranks.size());
+    for (const auto &rank : ranks) {
+        zones.push_back(rank.m_zone);
+    }
+    return zones;
+}
+
+} // namespace PrimroseBridge
