Add the zone scheduler: collect, pass and record stages

Cause: the owner of a zone has to carry out what the pure steps decide.

Change: Workers is the asynchronous client of the workers; Runtime holds the zone shard, the interpretation of reports, the record writer, the pass stage and the table in which callers wait.

--- a/core/include/primrosebridge/Model/result.h
+++ b/core/include/primrosebridge/Model/result.h
@@ -38,6 +38,15 @@
         return *std::get_if<0>(&m_state);
     }
 
+    /// Moves the value out. Throws the Error if there is none. Not thread-safe; the value is left moved-from.
+    [[nodiscard]] T take()
+    {
+        if (const auto *error = std::get_if<1>(&m_state)) {
+            throw *error;
+        }
+        return std::move(*std::get_if<0>(&m_state));
+    }
+
     /// The error. Precondition: !ok(). Thread-safe.
     [[nodiscard]] const Error &error() const
     {
--- a/recovery/include/primrosebridge/Records/lifecycle.h
+++ b/recovery/include/primrosebridge/Records/lifecycle.h
@@ -38,7 +38,7 @@
 enum class JobAction {
     WriteAcceptance,
     WriteIntent,
-    SendHold, ///< Hold every member; a single member is held and started by one message.
+    SendHold, ///< Hold every member. The single member of an idempotent job may be held and started by one message.
     SendStart, ///< Start the members that are held.
     SendStop, ///< Stop every member that may still occupy its worker.
     SendCheckpoint, ///< Checkpoint every running member.
--- /dev/null
+++ b/service/include/primrosebridge/Observe/metrics.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace PrimroseBridge {
+
+/// What the process counts. Names and help texts are in metrics.cpp.
+enum class Counter {
+    RequestsSubmitted, ///< Label: job class.
+    Outcomes, ///< Label: outcome.
+    Decisions, ///< Label: rule.
+    AnswersDropped, ///< Label: check that failed.
+    AttemptsStarted, ///< Label: job class.
+    Retries, ///< Label: tier.
+    AdmissionRefused, ///< Label: organisation.
+    Takeovers,
+    StoreCalls, ///< Label: kind.
+};
+
+/// What the process measures as of now.
+enum class Gauge {
+    QueuedJobs,
+    RunningJobs,
+    FreeAccelerators,
+    Fragmentation,
+    ConfigurationVersion,
+    OwnsZone,
+    StoreReachable,
+    PeersAlive,
+    ResidentMemoryBytes,
+    HeartbeatBytes,
+};
+
+/// Durations whose distribution is kept, in seconds.
+enum class Histogram {
+    WaitSeconds, ///< From submission to the start of the first attempt. Label: job class.
+    PassSeconds,
+    ReclaimSeconds, ///< From the command to give capacity back until it is free.
+};
+
+/// The metrics of this process.
+///
+/// Thread-safe.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    /// Adds one to the counter with this label value; pass an empty label for counters without one.
+    void count(Counter counter, std::string_view label = {});
+    /// Sets the gauge.
+    void set(Gauge gauge, double value);
+    /// Adds an observation in seconds; pass an empty label for histograms without one.
+    void observe(Histogram histogram, double seconds, std::string_view label = {});
+    /// Everything in Prometheus's text format.
+    [[nodiscard]] std::string serialize() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_private;
+};
+
+} // namespace PrimroseBridge
--- a/service/include/primrosebridge/Pipeline/boundedqueue.h
+++ b/service/include/primrosebridge/Pipeline/boundedqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cassert>
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
@@ -65,16 +66,24 @@
     /// Takes up to @p limit items, waiting for the first one; empty once the queue is closed and drained.
     std::vector<T> popBatch(std::size_t limit)
     {
-        std::vector<T> batch;
         std::unique_lock lock(m_mutex);
         m_notEmpty.wait(lock, [this] { return m_closed || !m_items.empty(); });
-        while (!m_items.empty() && batch.size() < limit) {
-            batch.push_back(std::move(m_items.front()));
-            m_items.pop_front();
-        }
-        lock.unlock();
-        m_notFull.notify_all();
-        return batch;
+        return takeBatchLocked(lock, limit);
+    }
+
+    /// Like popBatch(), but returns an empty batch after @p timeout without an item.
+    std::vector<T> popBatchFor(std::size_t limit, std::chrono::milliseconds timeout)
+    {
+        std::unique_lock lock(m_mutex);
+        m_notEmpty.wait_for(lock, timeout, [this] { return m_closed || !m_items.empty(); });
+        return takeBatchLocked(lock, limit);
+    }
+
+    /// True once close() was called.
+    [[nodiscard]] bool closed() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_closed;
     }
 
     /// Refuses further items and wakes every waiting thread; items already queued are still taken.
@@ -108,6 +117,18 @@
         return item;
     }
 
+    std::vector<T> takeBatchLocked(std::unique_lock<std::mutex> &lock, std::size_t limit)
+    {
+        std::vector<T> batch;
+        while (!m_items.empty() && batch.size() < limit) {
+            batch.push_back(std::move(m_items.front()));
+            m_items.pop_front();
+        }
+        lock.unlock();
+        m_notFull.notify_all();
+        return batch;
+    }
+
     const std::size_t m_capacity;
     mutable std::mutex m_mutex;
     std::condition_variable m_notEmpty;
--- /dev/null
+++ b/service/lib/Runtime/outcometable.cpp
@@ -0,0 +1,82 @@
+#include "primrosebridge/Runtime/outcometable.h"
+
+namespace PrimroseBridge {
+
+using Pointer = std::shared_ptr<const KnownOutcome>;
+
+static bool isSettled(const Pointer &known)
+{
+    return known && (known->m_moved || known->m_otherZone || isFinal(known->m_outcome.m_kind));
+}
+
+static Pointer asMoved(const KnownOutcome &known, Instant now)
+{
+    return std::make_shared<const KnownOutcome>(KnownOutcome{
+        .m_organisation = known.m_organisation,
+        .m_fingerprint = known.m_fingerprint,
+        .m_outcome = known.m_outcome,
+        .m_moved = true,
+        .m_otherZone = known.m_otherZone,
+        .m_at = now,
+    });
+}
+
+const OutcomeTable::Shard &OutcomeTable::shardOf(const RequestKey &key) const
+{
+    return m_shards[std::hash<RequestKey>()(key) % shardCount];
+}
+
+void OutcomeTable::publish(const RequestKey &key, const KnownOutcome &outcome)
+{
+    auto &shard = m_shards[std::hash<RequestKey>()(key) % shardCount];
+    {
+        const std::lock_guard lock(shard.m_mutex);
+        shard.m_outcomes[key] = std::make_shared<const KnownOutcome>(outcome);
+    }
+    shard.m_changed.notify_all();
+}
+
+Pointer OutcomeTable::find(const RequestKey &key) const
+{
+    const auto &shard = shardOf(key);
+    const std::lock_guard lock(shard.m_mutex);
+    const auto found = shard.m_outcomes.find(key);
+    return found == shard.m_outcomes.end() ? nullptr : found->second;
+}
+
+Pointer OutcomeTable::wait(const RequestKey &key, Duration timeout) const
+{
+    const auto &shard = shardOf(key);
+    const auto current = [&shard, &key]() -> Pointer {
+        const auto found = shard.m_outcomes.find(key);
+        return found == shard.m_outcomes.end() ? nullptr : found->second;
+    };
+    std::unique_lock lock(shard.m_mutex);
+    shard.m_changed.wait_for(lock, timeout, [&current] { return isSettled(current()); });
+    return current();
+}
+
+void OutcomeTable::moveAll(Instant now)
+{
+    for (auto &shard : m_shards) {
+        {
+            const std::lock_guard lock(shard.m_mutex);
+            for (auto &[key, known] : shard.m_outcomes) {
+                if (!isSettled(known)) {
+                    known = asMoved(*known, now);
+                }
+            }
+        }
+        shard.m_changed.notify_all();
+    }
+}
+
+void OutcomeTable::forget(Instant before)
+{
+    for (auto &shard : m_shards) {
+        const std::lock_guard lock(shard.m_mutex);
+        std::erase_if(shard.m_outcomes, [before](const auto &entry) { return isSettled(entry.second) && entry.second->m_at < before; });
+    }
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Runtime/zonescheduler.cpp
@@ -0,0 +1,492 @@
+#include "primrosebridge/Runtime/zonescheduler.h"
+
+#include "schedulercore.h"
+
+#include "primrosebridge/Observe/log.h"
+
+#include <algorithm>
+#include <bit>
+#include <cassert>
+
+namespace PrimroseBridge {
+
+struct ZoneScheduler::Private {
+    Private(
+        const SchedulerSettings &settings, const std::shared_ptr<StoreClient> &store, EventLog &events, Metrics &metrics, const SchedulerCallbacks &callbacks)
+        : m_core(settings, store, events, metrics, callbacks)
+    {
+    }
+
+    SchedulerCore m_core;
+    std::unique_ptr<TimerSubscription> m_tick;
+    std::thread m_collect;
+    std::thread m_pass;
+};
+
+static Error notOwner()
+{
+    return Error(
+        ErrorKind::Unavailable, "this VM does not own the availability zone now", "send the request again; another VM takes over within 4.5 s", Duration(500));
+}
+
+static Error stillRecovering()
+{
+    return Error(ErrorKind::Unavailable, "the new owner of the availability zone is still reading its records", "send the request again", Duration(200));
+}
+
+static Error storeUnreachable()
+{
+    return Error(ErrorKind::Unavailable,
+                 "the store cannot be reached, so the request cannot be recorded; it was not run",
+                 "submit it again when the platform's store is back",
+                 Duration(2000));
+}
+
+static Error keyConflict(const RequestKey &key)
+{
+    return Error(ErrorKind::Conflict, "the key '" + key.text() + "' names a different request", "use a new key for a new request");
+}
+
+static Error unknownKey(const RequestKey &key)
+{
+    return Error(ErrorKind::NotFound, "no request with the key '" + key.text() + "' is known", "check the key, or submit the request");
+}
+
+Result<std::unique_ptr<ZoneScheduler>> ZoneScheduler::create(const SchedulerSettings &settings,
+                                                             const std::shared_ptr<StoreClient> &store,
+                                                             const std::shared_ptr<TimerService> &timers,
+                                                             EventLog &events,
+                                                             Metrics &metrics,
+                                                             const SchedulerCallbacks &callbacks)
+{
+    auto state = std::make_unique<Private>(settings, store, events, metrics, callbacks);
+    auto &core = state->m_core;
+    // An answer that does not fit the inbox is lost, which the next poll or tick makes good.
+    const auto deliver = [&core](InboxMessage message) {
+        if (!core.m_inbox.tryPush(std::move(message))) {
+            logEvent(LogLevel::Error, "inbox_full", {});
+        }
+    };
+    auto workers = WorkerClient::create(settings.m_vm.text(), WorkerClientCallbacks{.m_executed = deliver, .m_polled = deliver});
+    if (!workers.ok()) {
+        return workers.error();
+    }
+    core.m_workers = workers.take();
+    auto records = RecordWriter::create(
+        RecordWriterSettings{.m_zone = settings.m_zone, .m_queueCapacity = inboxCapacity}, store, [deliver](const RecordAnswer &answer) { deliver(answer); });
+    if (!records.ok()) {
+        return records.error();
+    }
+    core.m_records = records.take();
+    state->m_collect = std::thread([&core] { collectMessages(core); });
+    state->m_pass = std::thread([&core] { runPasses(core); });
+    state->m_tick = timers->subscribe(retryPause, [deliver](Instant now) { deliver(TickMessage{now}); });
+    return std::unique_ptr<ZoneScheduler>(new ZoneScheduler(std::move(state)));
+}
+
+ZoneScheduler::ZoneScheduler(std::unique_ptr<Private> state)
+    : m_private(std::move(state))
+{
+}
+
+ZoneScheduler::~ZoneScheduler()
+{
+    auto &core = m_private->m_core;
+    m_private->m_tick.reset();
+    stopOwning();
+    {
+        const std::lock_guard lock(core.m_shard.m_mutex);
+        core.m_shard.m_stopping = true;
+    }
+    core.m_shard.m_passDue.notify_all();
+    m_private->m_pass.join();
+    core.m_inbox.close();
+    m_private->m_collect.join();
+    core.m_records.reset();
+    core.m_workers.reset();
+}
+
+static WorkerEntry entryFor(const Worker &worker, Instant now)
+{
+    WorkerEntry entry;
+    entry.m_worker = std::make_shared<const Worker>(worker);
+    entry.m_usable = firstAccelerators(worker.m_accelerators);
+    entry.m_heardAt = now;
+    entry.m_nextPollAt = now;
+    entry.m_nextExecuteAt = now;
+    return entry;
+}
+
+void ZoneScheduler::applyConfiguration(const Configuration &configuration)
+{
+    auto &core = m_private->m_core;
+    const auto now = TimerService::now();
+    const std::lock_guard lock(core.m_shard.m_mutex);
+    assert((!core.m_shard.m_configuration || core.m_shard.m_configuration->m_version <= configuration.m_version) && "configurations never go backwards");
+    core.m_shard.m_configuration = std::make_shared<const Configuration>(configuration);
+    std::map<WorkerId, WorkerEntry> workers;
+    for (const auto &worker : configuration.m_workers) {
+        if (worker.m_zone != core.m_settings.m_zone) {
+            continue;
+        }
+        const auto known = core.m_shard.m_workers.find(worker.m_id);
+        const bool same = known != core.m_shard.m_workers.end() && *known->second.m_worker == worker;
+        workers.emplace(worker.m_id, same ? known->second : entryFor(worker, now));
+    }
+    core.m_shard.m_workers.swap(workers);
+    requestPass(core);
+}
+
+void ZoneScheduler::startOwning(Fence fence)
+{
+    auto &core = m_private->m_core;
+    const auto now = TimerService::now();
+    {
+        const std::lock_guard lock(core.m_shard.m_mutex);
+        core.m_shard.m_fence.emplace(fence);
+        core.m_shard.m_recovering = true;
+        core.m_shard.m_jobs.clear();
+        core.m_shard.m_orphans.clear();
+        for (auto &[id, entry] : core.m_shard.m_workers) {
+            entry = entryFor(*entry.m_worker, now);
+        }
+    }
+    core.m_inbox.push(OwnMessage{fence});
+}
+
+void ZoneScheduler::stopOwning()
+{
+    auto &core = m_private->m_core;
+    {
+        const std::lock_guard lock(core.m_shard.m_mutex);
+        if (!core.m_shard.m_fence) {
+            return;
+        }
+        core.m_shard.m_fence.reset();
+        core.m_shard.m_recovering = false;
+        core.m_shard.m_jobs.clear();
+        core.m_shard.m_orphans.clear();
+        core.m_shard.m_explanations.clear();
+        core.m_shard.m_lastEvents.clear();
+        core.m_shard.m_releasedAt.clear();
+    }
+    core.m_outcomes.moveAll(TimerService::now());
+    logEvent(LogLevel::Info, "zone_given_up", {{"zone", core.m_settings.m_zone.text()}});
+}
+
+void ZoneScheduler::setLeaving(const std::vector<std::string> &workers)
+{
+    auto &core = m_private->m_core;
+    const std::lock_guard lock(core.m_shard.m_mutex);
+    for (auto &[id, entry] : core.m_shard.m_workers) {
+        entry.m_listedLeaving = std::find(workers.begin(), workers.end(), id.text()) != workers.end();
+    }
+    requestPass(core);
+}
+
+// A known outcome that answers the submission, or nothing if it has to be accepted.
+static std::shared_ptr<const KnownOutcome> earlierOutcome(const SchedulerCore &core, const RequestKey &key)
+{
+    const auto known = core.m_outcomes.find(key);
+    if (!known || known->m_moved || known->m_outcome.m_kind == OutcomeKind::NotRun) {
+        return nullptr;
+    }
+    return known;
+}
+
+static std::optional<Error> refusal(SchedulerCore &core, const Organisation &organisation, const JobClass &jobClass, Instant now)
+{
+    if (const auto reason = whyNeverRunnable(makeWorkerStates(core.m_shard, now), jobClass.m_shape)) {
+        return Error(ErrorKind::NeverRunnable, *reason, "submit a class whose shape the zone's workers can hold, or ask the operator to add such workers");
+    }
+    const AdmissionLoad load{.m_queued = queuedByOrganisation(core.m_shard), .m_startsPerSecond = startsPerSecond(core.m_shard, now)};
+    if (auto error = admissionError(load, organisation)) {
+        core.m_metrics.count(Counter::AdmissionRefused, organisation.m_id.text());
+        return error;
+    }
+    if (jobClass.m_durable && (!core.m_callbacks.m_storeReachable() || core.m_records->backlog() > acceptanceBacklog)) {
+        return storeUnreachable();
+    }
+    return std::nullopt;
+}
+
+static Request requestFor(const SchedulerCore &core, const SubmitCall &call, const JobClass &jobClass, Instant now)
+{
+    return Request{
+        .m_key = call.m_key,
+        .m_organisation = call.m_organisation,
+        .m_jobClass = call.m_jobClass,
+        .m_zone = core.m_settings.m_zone,
+        .m_payload = call.m_payload,
+        .m_declaredRunTime = call.m_declaredRunTime > Duration(0) ? call.m_declaredRunTime : jobClass.m_expectedRunTime,
+        .m_submittedAt = now,
+    };
+}
+
+static void acceptJob(SchedulerCore &core, Outgoing &outgoing, const Request &request, const JobClass &jobClass, Instant now)
+{
+    const auto job = std::make_shared<const Job>(newJob(request, jobClass));
+    core.m_shard.m_jobs.emplace(request.m_key, job);
+    outgoing.m_outcomes.emplace_back(request.m_key, knownOutcomeOf(*job, now));
+    core.m_metrics.count(Counter::RequestsSubmitted, jobClass.m_id.text());
+    recordJobEvent(core, request.m_key, "submitted", formatFields({{"class", jobClass.m_id.text()}, {"organisation", request.m_organisation.text()}}), now);
+    if (jobClass.m_durable) {
+        const auto writer
+            = core.m_settings.m_vm.text() + '/' + std::to_string(core.m_settings.m_incarnation) + '/' + std::to_string(core.m_shard.m_nextOperation++);
+        outgoing.m_records.push_back(RecordWrite{.m_kind = RecordKind::Acceptance, .m_job = job, .m_fence = *core.m_shard.m_fence, .m_writer = writer});
+        return;
+    }
+    if (!adoptOrphan(core, outgoing, request.m_key, now)) {
+        applyEvent(core, outgoing, AddressedEvent{.m_key = request.m_key, .m_event = JobEvent{.m_kind = JobEventKind::Accepted}}, now);
+    }
+}
+
+// Accepts the call or joins an earlier request with the same key; an error means that nothing was changed.
+static std::optional<Error> beginSubmit(SchedulerCore &core, Outgoing &outgoing, const SubmitCall &call, Instant now)
+{
+    const std::lock_guard lock(core.m_shard.m_mutex);
+    if (!core.m_shard.m_fence || !core.m_shard.m_configuration) {
+        return notOwner();
+    }
+    if (core.m_shard.m_recovering) {
+        return stillRecovering();
+    }
+    const auto *jobClass = findJobClass(*core.m_shard.m_configuration, call.m_jobClass);
+    const auto *organisation = findOrganisation(*core.m_shard.m_configuration, call.m_organisation);
+    if (!jobClass || !organisation) {
+        return Error(ErrorKind::InvalidArgument,
+                     "job class '" + call.m_jobClass.text() + "' or organisation '" + call.m_organisation.text() + "' is not configured",
+                     "use one that 'primrosectl config show' lists");
+    }
+    const auto request = requestFor(core, call, *jobClass, now);
+    const auto existing = core.m_shard.m_jobs.find(call.m_key);
+    if (existing != core.m_shard.m_jobs.end()) {
+        return requestFingerprint(existing->second->m_request) == requestFingerprint(request) ? std::nullopt : std::optional(keyConflict(call.m_key));
+    }
+    if (const auto known = earlierOutcome(core, call.m_key)) {
+        return known->m_fingerprint == requestFingerprint(request) ? std::nullopt : std::optional(keyConflict(call.m_key));
+    }
+    if (auto error = refusal(core, *organisation, *jobClass, now)) {
+        return error;
+    }
+    acceptJob(core, outgoing, request, *jobClass, now);
+    flushWorkers(core, outgoing, now);
+    return std::nullopt;
+}
+
+static Result<SchedulerAnswer> awaitOutcome(const SchedulerCore &core, const RequestKey &key, const OrganisationId &organisation, Duration wait)
+{
+    const auto known = core.m_outcomes.wait(key, wait);
+    if (!known || known->m_organisation != organisation) {
+        return unknownKey(key);
+    }
+    if (known->m_moved) {
+        return notOwner();
+    }
+    return SchedulerAnswer{.m_outcome = known->m_outcome, .m_otherZone = known->m_otherZone};
+}
+
+Result<SchedulerAnswer> ZoneScheduler::submit(const SubmitCall &call, Duration wait)
+{
+    auto &core = m_private->m_core;
+    Outgoing outgoing;
+    const auto error = beginSubmit(core, outgoing, call, TimerService::now());
+    dispatch(core, outgoing);
+    if (error) {
+        return *error;
+    }
+    const auto known = core.m_outcomes.wait(call.m_key, wait);
+    // The record may have shown that the key belongs to a request that another zone accepted.
+    const auto fingerprint = digestOf(call.m_organisation.text() + '/' + call.m_jobClass.text() + '/' + call.m_payload);
+    if (known && known->m_fingerprint != fingerprint) {
+        return keyConflict(call.m_key);
+    }
+    return awaitOutcome(core, call.m_key, call.m_organisation, Duration(0));
+}
+
+static std::optional<Error> checkOwning(SchedulerCore &core)
+{
+    const std::lock_guard lock(core.m_shard.m_mutex);
+    if (!core.m_shard.m_fence) {
+        return notOwner();
+    }
+    if (core.m_shard.m_recovering) {
+        return stillRecovering();
+    }
+    return std::nullopt;
+}
+
+Result<SchedulerAnswer> ZoneScheduler::get(const RequestKey &key, const OrganisationId &organisation, Duration wait)
+{
+    auto &core = m_private->m_core;
+    const auto known = core.m_outcomes.find(key);
+    const bool answered = known && !known->m_moved;
+    if (!answered) {
+        if (const auto error = checkOwning(core)) {
+            return *error;
+        }
+        return unknownKey(key);
+    }
+    return awaitOutcome(core, key, organisation, wait);
+}
+
+Result<SchedulerAnswer> ZoneScheduler::cancel(const RequestKey &key, const OrganisationId &organisation, Duration wait)
+{
+    auto &core = m_private->m_core;
+    if (const auto error = checkOwning(core)) {
+        return *error;
+    }
+    Outgoing outgoing;
+    {
+        const auto now = TimerService::now();
+        const std::lock_guard lock(core.m_shard.m_mutex);
+        const auto found = core.m_shard.m_jobs.find(key);
+        if (found != core.m_shard.m_jobs.end() && found->second->m_request.m_organisation == organisation) {
+            recordJobEvent(core, key, "cancel_requested", {}, now);
+            applyEvent(core, outgoing, AddressedEvent{.m_key = key, .m_event = JobEvent{.m_kind = JobEventKind::Cancel}}, now);
+            flushWorkers(core, outgoing, now);
+        }
+    }
+    dispatch(core, outgoing);
+    return get(key, organisation, wait);
+}
+
+static std::vector<Member> membersOf(const Job &job)
+{
+    std::vector<Member> members;
+    members.reserve(job.m_members.size());
+    for (const auto &member : job.m_members) {
+        members.push_back(member.m_member);
+    }
+    return members;
+}
+
+Result<JobReport> ZoneScheduler::explain(const RequestKey &key, const OrganisationId &organisation)
+{
+    auto &core = m_private->m_core;
+    {
+        const std::lock_guard lock(core.m_shard.m_mutex);
+        const auto found = core.m_shard.m_jobs.find(key);
+        if (found != core.m_shard.m_jobs.end() && found->second->m_request.m_organisation == organisation) {
+            const auto &job = *found->second;
+            const auto explained = core.m_shard.m_explanations.find(key);
+            const bool known = explained != core.m_shard.m_explanations.end();
+            return JobReport{
+                .m_phase = std::string(jobPhaseName(job.m_phase)),
+                .m_outcome = job.m_outcome,
+                .m_members = membersOf(job),
+                .m_rule = known ? std::string(decisionRuleName(explained->second->m_rule)) : std::string(),
+                .m_text = known ? explained->second->m_text : std::string(),
+            };
+        }
+    }
+    const auto answer = get(key, organisation, Duration(0));
+    if (!answer.ok()) {
+        return answer.error();
+    }
+    return JobReport{.m_phase = "finished", .m_outcome = answer.value().m_outcome, .m_members = {}, .m_rule = {}, .m_text = answer.value().m_outcome.m_reason};
+}
+
+static int countPhase(const ZoneShard &shard, bool running)
+{
+    return static_cast<int>(std::count_if(shard.m_jobs.begin(), shard.m_jobs.end(), [running](const auto &entry) {
+        return running ? occupiesWorkers(*entry.second) : entry.second->m_phase == JobPhase::Queued;
+    }));
+}
+
+// Free accelerators of every worker in one walk over the jobs.
+static std::map<WorkerId, AcceleratorSet> freeByWorker(const ZoneShard &shard)
+{
+    std::map<WorkerId, AcceleratorSet> free;
+    for (const auto &[id, entry] : shard.m_workers) {
+        free.emplace(id, freeAccelerators(shard, id));
+    }
+    return free;
+}
+
+std::optional<ZoneSummary> ZoneScheduler::summary(const std::string &peerAddress)
+{
+    auto &core = m_private->m_core;
+    const std::lock_guard lock(core.m_shard.m_mutex);
+    if (!core.m_shard.m_fence) {
+        return std::nullopt;
+    }
+    int free = 0;
+    for (const auto &[id, accelerators] : freeByWorker(core.m_shard)) {
+        const auto &entry = core.m_shard.m_workers.at(id);
+        free += entry.m_fenced && !entry.m_lost ? std::popcount(accelerators) : 0;
+    }
+    core.m_metrics.set(Gauge::FreeAccelerators, free);
+    return ZoneSummary{
+        .m_zone = core.m_settings.m_zone,
+        .m_owner = core.m_settings.m_vm.text(),
+        .m_ownerAddress = peerAddress,
+        .m_fence = core.m_shard.m_fence->m_number,
+        .m_sequence = ++core.m_shard.m_summarySequence,
+        .m_freeAccelerators = free,
+        .m_queued = countPhase(core.m_shard, false),
+    };
+}
+
+static std::string statusText(const WorkerEntry &entry)
+{
+    if (entry.m_lost) {
+        return "lost";
+    }
+    if (!entry.m_fenced || !entry.m_answering) {
+        return "recovering";
+    }
+    return entry.m_leaving || entry.m_listedLeaving ? "leaving" : "live";
+}
+
+static int tasksOn(const ZoneShard &shard, const WorkerId &worker)
+{
+    int tasks = 0;
+    for (const auto &[key, job] : shard.m_jobs) {
+        for (const auto &member : job->m_members) {
+            tasks += occupiesWorkers(*job) && member.m_member.m_worker == worker ? 1 : 0;
+        }
+    }
+    return tasks;
+}
+
+ZoneReport ZoneScheduler::report()
+{
+    auto &core = m_private->m_core;
+    const auto now = TimerService::now();
+    const std::lock_guard lock(core.m_shard.m_mutex);
+    std::vector<WorkerSummary> workers;
+    const auto free = freeByWorker(core.m_shard);
+    for (const auto &[id, entry] : core.m_shard.m_workers) {
+        workers.push_back(WorkerSummary{
+            .m_worker = *entry.m_worker,
+            .m_status = statusText(entry),
+            .m_ejected = entry.m_score && isEjected(*entry.m_score, now),
+            .m_usable = entry.m_usable,
+            .m_free = free.at(id),
+            .m_tasks = tasksOn(core.m_shard, id),
+        });
+    }
+    const auto &pass = core.m_shard.m_lastPass;
+    return ZoneReport{
+        .m_owned = core.m_shard.m_fence.has_value(),
+        .m_fence = core.m_shard.m_fence ? core.m_shard.m_fence->m_number : 0,
+        .m_workers = workers,
+        .m_guarantees = pass ? pass->m_guarantees : std::vector<GuaranteeStatus>{},
+        .m_fragmentation = pass ? pass->m_fragmentation : 0.0,
+        .m_queued = countPhase(core.m_shard, false),
+        .m_running = countPhase(core.m_shard, true),
+    };
+}
+
+bool ZoneScheduler::drained()
+{
+    auto &core = m_private->m_core;
+    if (core.m_records->backlog() > 0) {
+        return false;
+    }
+    const std::lock_guard lock(core.m_shard.m_mutex);
+    return std::none_of(core.m_shard.m_jobs.begin(), core.m_shard.m_jobs.end(), [](const auto &entry) { return !entry.second->m_recorded; });
+}
+
+} // namespace PrimroseBridge
