Read, check and write the configuration document and the process settings

Cause: the daemon, the console and primrosectl all need the same checked document, and the other packages wait for its reader and the two examples.

Change: core/lib/Config parses JSON with comments into a small tree that keeps the JSON library out of headers, reads every section, and reports all faults of a document at once with JSON pointer, problem and remedy. It checks references, duplicates and whether shapes and guarantees fit the declared fleet. examples/ holds the documents of Zwolle and Stara Zagora.

--- /dev/null
+++ b/core/unittests/Config/faults.cpp
@@ -0,0 +1,108 @@
+#include "configtestdata.h"
+
+#include <catch2/catch.hpp>
+
+using namespace PrimroseBridge;
+using namespace PrimroseBridge::Test;
+
+struct BadChange {
+    const std::string m_from;
+    const std::string m_to;
+    const std::string m_path;
+    const std::string m_text; ///< Expected in the problem or the remedy.
+};
+
+// Each row is an operator's mistake that must be refused with the place, the value or the limit, and the remedy.
+static const std::vector<BadChange> badChanges = {
+    {"\"rack\": \"r1\"", "\"rakc\": \"r1\"", "/workers/0/rakc", "write rack"},
+    {"\"rack\": \"r1\"", "\"rakc\": \"r1\"", "/workers/0/rack", "is missing"},
+    {"\"deployment\"", "\"shoe size\"", "/shoe size", "remove it"},
+    {"\"cores\": 32", "\"cores\": \"32\"", "/workers/0/cores", "is '32', not a whole number"},
+    {"\"cores\": 32", "\"cores\": 0", "/workers/0/cores", "is 0, not a whole number from 1 to 4096"},
+    {"\"cores\": 32", "\"cores\": 1.5", "/workers/0/cores", "is 1.5"},
+    {"\"cores\": 32", "\"cores\": 18446744073709551615", "/workers/0/cores", "4096"},
+    {"\"cores\": 32", "\"cores\": null", "/workers/0/cores", "is null"},
+    {"\"accelerators\": 8", "\"accelerators\": 33", "/workers/0/accelerators", "32"},
+    {"\"accelerators\": 2}", "\"accelerators\": 2, \"accelerators\": 1}", "/jobClasses/0/shape/accelerators", "more than once"},
+    {"\"id\": \"w2\"", "\"id\": \"w1\"", "/workers/1/id", "/workers/0/id already uses"},
+    {"\"id\": \"w2\"", "\"id\": \"w/2\"", "/workers/1/id", "a-z A-Z"},
+    {"\"zones\": [\"z1\"]", "\"zones\": [\"z1\", \"z1\"]", "/regions/0/zones/1", "already uses"},
+    {"\"zones\": [\"z1\"]", "\"zones\": [\"z1\", 7]", "/regions/0/zones/1", "not a text"},
+    {"\"zone\": \"z1\"", "\"zone\": \"z9\"", "/workers/0/zone", "'z9', which is not a declared availability zone"},
+    {"\"organisation\": \"org\"", "\"organisation\": \"gro\"", "/guarantees/0/organisation", "not a declared organisation"},
+    {"\"1111", "\"AAAA", "/organisations/0/tokenSha256", "64 lower-case"},
+    {std::string(64, '1'), std::string(64, '0'), "/organisations/0/tokenSha256", "same token as /operatorTokenSha256"},
+    {"\"count\": 1", "\"count\": 3", "/guarantees/0/count", "holds only 2"},
+    {"\"cores\": 16", "\"cores\": 33", "/guarantees/0/count", "holds only 0"},
+    {"{\"accelerators\": 2}", "{\"accelerators\": 9}", "/jobClasses/0/shape", "no worker of the declared fleet"},
+    {"{\"accelerators\": 2}", "{\"accelerators\": 17, \"adjacency\": \"SameRack\"}", "/jobClasses/0/shape", "no rack of the declared fleet"},
+    {"{\"accelerators\": 2}", "{\"accelerators\": 2, \"adjacency\": \"Close\"}", "/jobClasses/0/shape/adjacency", "SameRack"},
+    {"{\"accelerators\": 2}", "7", "/jobClasses/0/shape", "is 7, not an object"},
+    {"\"id\": \"scan\"", "\"id\": \"scan\", \"durable\": false", "/jobClasses/0/durable", "set durable to true"},
+    {"\"id\": \"scan\"", "\"id\": \"scan\", \"restartable\": true", "/jobClasses/0/restartable", "set restartable to false"},
+    {"\"id\": \"scan\"", "\"id\": \"scan\", \"tier\": \"now\"", "/jobClasses/0/tier", "urgent, standard or batch"},
+    {"\"id\": \"scan\"", "\"id\": \"scan\", \"maxRunTimeMs\": 999", "/jobClasses/0/maxRunTimeMs", "less than expectedRunTimeMs"},
+    {"0.7", "0.6", "/weights", "not 1"},
+    {"0.7", "NaN", "/weights/completion", "is not JSON"},
+    {"0.7", "1e999", "/weights/completion", "is not JSON"},
+    {"127.0.0.1:7101", "localhost:7101", "/workers/0/address", "host names are not resolved"},
+    {"127.0.0.1:7101", "127.0.0.1:70000", "/workers/0/address", "IP address and port"},
+    {"127.0.0.1:7101", "::1:7101", "/workers/0/address", "[fd00::7]"},
+    {"\"workers\": [", "\"workers\": {}, \"workers\": [", "/workers", "not a list"},
+    {"\"deployment\": \"test\"", "\"deployment\": \"\"", "/deployment", "1 to 128 bytes"},
+    {"\"deployment\": \"test\"", "\"version\": -1", "/version", "is -1"},
+};
+
+TEST_CASE("each mistake is refused with its path, value and remedy")
+{
+    for (const auto &change : badChanges) {
+        const auto faults = faultsOf(changed(change.m_from, change.m_to));
+        INFO(change.m_to << " gives\n" << describeFaults(faults));
+        CHECK(hasFault(faults, change.m_path, change.m_text));
+    }
+}
+
+// Operators correct a document once, not once for each fault.
+TEST_CASE("all faults are reported at once, without faults that only follow from others")
+{
+    auto document = changed("\"zone\": \"z1\"", "\"zone\": 5");
+    document.replace(document.find("0.7"), 3, "0.2");
+    document.replace(document.find("\"scan\""), 6, "\"sc/an\"");
+    const auto faults = faultsOf(document);
+    INFO(describeFaults(faults));
+    CHECK(faults.size() == 3);
+    CHECK(hasFault(faults, "/workers/0/zone", "is 5"));
+    CHECK(hasFault(faults, "/weights", "0.5"));
+    CHECK(hasFault(faults, "/jobClasses/0/id", "'sc/an'"));
+}
+
+// Each guarantee fits alone, but both need the same worker.
+TEST_CASE("guarantees that fit alone but not together are refused")
+{
+    const std::string guarantee = R"({"organisation": "org", "zone": "z1", "shape": {"accelerators": 5}, "count": 1})";
+    const auto faults = faultsOf(changed("\"guarantees\": [", "\"guarantees\": [" + guarantee + ", " + guarantee + ", "));
+    INFO(describeFaults(faults));
+    CHECK(faults.size() == 1);
+    CHECK(hasFault(faults, "/guarantees/1/count", "beside the other guarantees the zone 'z1' holds only 0"));
+    CHECK(std::holds_alternative<Configuration>(readConfiguration(changed("\"guarantees\": [", "\"guarantees\": [" + guarantee + ", "))));
+}
+
+TEST_CASE("documents that are no object, too long or too deep are refused")
+{
+    CHECK(hasFault(faultsOf(""), "", "is not JSON"));
+    CHECK(hasFault(faultsOf("[]"), "", "not an object"));
+    CHECK(hasFault(faultsOf(std::string(maxConfigurationBytes + 1, ' ')), "", "the limit is 921600"));
+    CHECK(hasFault(faultsOf(std::string(100000, '[')), "/0/0/0/0/0/0/0/0/0/0/0/0/0/0/0/0", "levels deep"));
+}
+
+// The number of faults is bounded, or a hostile document would cost memory many times its own size.
+TEST_CASE("at most 1000 faults are listed")
+{
+    std::string document = "{\"operatorTokenSha256\": \"\"";
+    for (int i = 0; i < 3000; ++i) {
+        document += ", \"x" + std::to_string(i) + "\": 0";
+    }
+    const auto faults = faultsOf(document + "}");
+    CHECK(faults.size() == 1001);
+    CHECK(hasFault(faults, "", "2001 more faults are not shown"));
+}
--- /dev/null
+++ b/core/unittests/Config/settings.cpp
@@ -0,0 +1,37 @@
+#include "configtestdata.h"
+
+#include <catch2/catch.hpp>
+
+using namespace PrimroseBridge;
+using namespace PrimroseBridge::Test;
+
+TEST_CASE("settings have defaults for everything but VM and zone")
+{
+    const auto read = readProcessSettings("{\"vm\": \"vm1\", \"zone\": \"z1\" /* the rest has defaults */}");
+    REQUIRE(std::holds_alternative<ProcessSettings>(read));
+    const auto &settings = std::get<ProcessSettings>(read);
+    CHECK(settings.m_httpAddress == "127.0.0.1:8080");
+    CHECK(settings.m_storePort == 2379);
+    CHECK(settings.m_logLevel == "info");
+    CHECK(settings.m_peers.empty());
+}
+
+// A process with wrong settings would run in the wrong zone or never reach the store, so each of these is refused.
+TEST_CASE("faults in settings are reported together")
+{
+    const auto read = readProcessSettings(R"({"vm": "vm1", "httpAddress": "here:80", "peerAddress": "127.0.0.1:9090", "store": {"host": "etcd", "port": 0},
+        "vmlist": {}, "peers": [{"vm": "vm1", "zone": "z1", "address": "127.0.0.1:1"}, 5], "logLevel": "loud", "httpThreads": 1})");
+    REQUIRE(std::holds_alternative<std::vector<ConfigFault>>(read));
+    const auto &faults = std::get<std::vector<ConfigFault>>(read);
+    INFO(describeFaults(faults));
+    CHECK(hasFault(faults, "/zone", "is missing"));
+    CHECK(hasFault(faults, "/httpAddress", "'here:80'"));
+    CHECK(hasFault(faults, "/store/host", "'etcd', not an IP address"));
+    CHECK(hasFault(faults, "/store/port", "from 1 to 65535"));
+    CHECK(hasFault(faults, "/vmlist", "write vmList"));
+    CHECK(hasFault(faults, "/peers/0/vm", "which is this VM"));
+    CHECK(hasFault(faults, "/peers/1", "not an object"));
+    CHECK(hasFault(faults, "/logLevel", "'loud'"));
+    CHECK(hasFault(faults, "/httpThreads", "2 to 128"));
+    CHECK(faults.size() == 9);
+}
