--- /dev/null
+++ b/scheduling/lib/Policy/decide.cpp
@@ -0,0 +1,187 @@
+#include "decide.h"
+
+#include "release.h"
+#include "reservation.h"
+
+#include <algorithm>
+
+namespace PrimroseBridge {
+
+/// Most guarantee plans made for single placements in one pass; each takes as long as a hundred placements.
+constexpr int maxReplans = 4;
+
+static void explain(const PassContext &context, PassDraft &draft, int job, DecisionRule rule, std::string text)
+{
+    draft.m_explanations[job].emplace(Explanation{context.m_state.m_queue[job].m_key, rule, std::move(text)});
+}
+
+static std::string nameOf(const PassContext &context, int job)
+{
+    return "job " + context.m_state.m_queue[job].m_key.text();
+}
+
+static void place(const PassContext &context, PassDraft &draft, int job, const Slots &slots)
+{
+    const auto &queued = context.m_state.m_queue[job];
+    const int organisation = context.m_organisationOf[job];
+    draft.m_free = std::make_shared<const Capacity>(without(*draft.m_free, slots));
+    draft.m_usage[organisation] += countAccelerators(slots);
+    draft.m_placements.push_back({queued.m_key, queued.m_attempt, membersOf(context.m_fleet, slots)});
+    draft.m_placed.push_back({organisation, !isPinned(queued), slots});
+    draft.m_placedUntil.push_back(context.m_now + queued.m_expectedRunTime);
+}
+
+/// A position that breaks no guarantee though it lies where the current plan has a unit of another organisation.
+static std::optional<Slots> fitWithNewPlan(const PassContext &context, PassDraft &draft, int job, const Capacity &view)
+{
+    const auto slots = fit(context.m_fleet, view, context.m_state.m_queue[job].m_shape);
+    if (!slots || draft.m_replans >= maxReplans) {
+        return std::nullopt;
+    }
+    ++draft.m_replans;
+    auto holdings = context.m_holdings;
+    for (const auto &placed : draft.m_placed) {
+        holdings.push_back(placed);
+    }
+    holdings.push_back({context.m_organisationOf[job], false, *slots});
+    auto plan = std::make_shared<const GuaranteePlan>(planGuarantees(context.m_fleet, context.m_usable, holdings, context.m_claims));
+    if (!meetsAsMuch(*draft.m_plan, *plan)) {
+        return std::nullopt;
+    }
+    draft.m_plan = std::move(plan);
+    return slots;
+}
+
+static std::optional<Slots> findPosition(const PassContext &context, PassDraft &draft, int job, unsigned blocking)
+{
+    const auto &queued = context.m_state.m_queue[job];
+    if (auto slots = fit(context.m_fleet, viewFor(context, draft, job, blocking, true), queued.m_shape)) {
+        return slots;
+    }
+    const Capacity lent = viewFor(context, draft, job, blocking, false);
+    return isPinned(queued) ? fitWithNewPlan(context, draft, job, lent) : fit(context.m_fleet, lent, queued.m_shape);
+}
+
+/// What keeps a job waiting for which no position was found.
+static DecisionRule obstacle(const PassContext &context, const PassDraft &draft, int job)
+{
+    const auto &queued = context.m_state.m_queue[job];
+    if (!fit(context.m_fleet, *draft.m_free, queued.m_shape)) {
+        return DecisionRule::WaitsForCapacity;
+    }
+    const bool free = isPinned(queued) && !fit(context.m_fleet, viewFor(context, draft, job, 0, true), queued.m_shape);
+    return free ? DecisionRule::WaitsForGuarantee : DecisionRule::WaitsForReservation;
+}
+
+static std::string guaranteeText(const PassContext &context, int job)
+{
+    const auto &queued = context.m_state.m_queue[job];
+    for (const auto &guarantee : context.m_state.m_guarantees) {
+        if (guarantee.m_organisation != queued.m_organisation) {
+            return "the free accelerators are needed for guarantees, for example " + std::to_string(guarantee.m_count) + " x " + describe(guarantee.m_shape)
+                   + " of " + guarantee.m_organisation.text() + ", and the job can be neither checkpointed nor rerun";
+        }
+    }
+    return "the free accelerators are needed for guarantees";
+}
+
+static std::string waitText(const PassContext &context, const PassDraft &draft, int job, DecisionRule rule)
+{
+    if (rule == DecisionRule::WaitsForGuarantee) {
+        return guaranteeText(context, job);
+    }
+    const auto kept = std::find_if(draft.m_reservations.begin(), draft.m_reservations.end(), [job](const Reservation &one) { return one.m_job != job; });
+    if (rule == DecisionRule::WaitsForReservation && kept != draft.m_reservations.end()) {
+        return "would delay " + nameOf(context, kept->m_job) + ", which holds a reservation";
+    }
+    return "no position is free for " + describe(context.m_state.m_queue[job].m_shape);
+}
+
+static bool tryRelease(const PassContext &context, PassDraft &draft, int job, int level)
+{
+    const auto scope = level == EntitledLevel ? ReleaseScope::Guarantee : level == StarvingLevel ? ReleaseScope::Starving : ReleaseScope::Urgent;
+    const auto plan = planRelease(context, draft, job, scope);
+    if (!plan) {
+        return false;
+    }
+    const auto &queued = context.m_state.m_queue[job];
+    const std::string reason = level == EntitledLevel   ? "the guarantee of " + queued.m_organisation.text() + " is claimed by " + nameOf(context, job)
+                               : level == StarvingLevel ? nameOf(context, job) + " has waited beyond the limit"
+                                                        : "urgent " + nameOf(context, job) + " must start";
+    applyRelease(context, draft, job, *plan, reason);
+    explain(context, draft, job, DecisionRule::WaitsForReclaim, "capacity is kept for it: " + reason);
+    return true;
+}
+
+static bool refuse(const PassContext &context, PassDraft &draft, int job)
+{
+    const auto &queued = context.m_state.m_queue[job];
+    const int organisation = context.m_organisationOf[job];
+    if (organisation < 0) {
+        explain(context, draft, job, DecisionRule::WaitsForQuota, "organisation " + queued.m_organisation.text() + " is not configured and has no quota");
+        return true;
+    }
+    const int quota = context.m_state.m_organisations[organisation].m_quotaAccelerators;
+    if (draft.m_usage[organisation] + queued.m_shape.m_accelerators > quota) {
+        explain(context,
+                draft,
+                job,
+                DecisionRule::WaitsForQuota,
+                "organisation " + queued.m_organisation.text() + " uses " + std::to_string(draft.m_usage[organisation]) + " of its quota of "
+                    + std::to_string(quota) + " accelerators");
+        return true;
+    }
+    if (static_cast<int>(draft.m_placements.size() + draft.m_releases.size()) >= context.m_settings.m_maxPlacements) {
+        explain(context, draft, job, DecisionRule::WaitsBehindOthers, "others have precedence; the next pass considers it");
+        return true;
+    }
+    return false;
+}
+
+static void explainPlaced(const PassContext &context, PassDraft &draft, int job, int level)
+{
+    const auto &queued = context.m_state.m_queue[job];
+    const bool ahead = hasReservation(draft);
+    if (level == EntitledLevel) {
+        explain(context, draft, job, DecisionRule::PlacedReclaim, "placed under the guarantee of " + queued.m_organisation.text());
+    } else if (ahead) {
+        explain(context,
+                draft,
+                job,
+                DecisionRule::PlacedBackfill,
+                "placed ahead of " + nameOf(context, draft.m_reservations.front().m_job) + " without delaying it");
+    } else {
+        explain(context, draft, job, DecisionRule::Placed, "placed on free capacity");
+    }
+}
+
+void decideJob(const PassContext &context, int job, int level, PassDraft &draft, FailedSearches &failed)
+{
+    if (refuse(context, draft, job)) {
+        return;
+    }
+    const auto &queued = context.m_state.m_queue[job];
+    const unsigned blocking = blockingReservations(context, draft, job);
+    const int units = isPinned(queued) ? context.m_organisationOf[job] : -1;
+    const SearchKey key(shapeKey(queued.m_shape), units, std::min(level, +FirstAgingLevel), blocking);
+    if (const auto found = failed.find(key); found != failed.end() && level >= UrgentLevel) {
+        explain(context, draft, job, found->second, waitText(context, draft, job, found->second));
+        return;
+    }
+    if (const auto slots = findPosition(context, draft, job, blocking)) {
+        explainPlaced(context, draft, job, level);
+        place(context, draft, job, *slots);
+        return;
+    }
+    if (level <= UrgentLevel && tryRelease(context, draft, job, level)) {
+        return;
+    }
+    const DecisionRule rule = obstacle(context, draft, job);
+    if (!hasReservation(draft)) {
+        reserve(context, draft, job);
+    }
+    failed.emplace(key, rule);
+    explain(context, draft, job, rule, waitText(context, draft, job, rule));
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/lib/Policy/joborder.cpp
@@ -0,0 +1,148 @@
+#include "joborder.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace PrimroseBridge {
+
+/// Standard jobs start this many aging steps ahead of batch jobs.
+constexpr int levelsPerTier = 4;
+
+bool fitsUnit(const Shape &wanted, const Shape &unit)
+{
+    const bool amounts = wanted.m_accelerators <= unit.m_accelerators && wanted.m_cores <= unit.m_cores && wanted.m_memoryMb <= unit.m_memoryMb;
+    const bool adjacency = wanted.m_adjacency >= unit.m_adjacency || wanted.m_accelerators <= 1;
+    return amounts && adjacency;
+}
+
+/// Units of each claim that its organisation does not hold.
+static std::vector<int> unheldUnits(const PassContext &context, const GuaranteePlan &plan)
+{
+    std::vector<int> unheld(context.m_claims.size());
+    for (const auto &unit : plan.m_units) {
+        unheld[unit.m_claim] += unit.m_source == UnitSource::Held ? 0 : 1;
+    }
+    return unheld;
+}
+
+static int levelByAge(const PassContext &context, const QueuedJob &job)
+{
+    if (job.m_tier == Tier::Urgent) {
+        return UrgentLevel;
+    }
+    const auto steps = std::max<std::int64_t>(0, (context.m_now - job.m_submittedAt) / context.m_settings.m_agingPeriod);
+    const int first = FirstAgingLevel + static_cast<int>(job.m_tier) * levelsPerTier;
+    return static_cast<int>(std::max<std::int64_t>(FirstAgingLevel, first - steps));
+}
+
+/// The longest-waiting job beyond the limit, -1 if there is none. A job that the declared fleet cannot hold never counts.
+static int oldestStarving(const PassContext &context)
+{
+    const auto &queue = context.m_state.m_queue;
+    int oldest = -1;
+    for (int job = 0; job < static_cast<int>(queue.size()); ++job) {
+        const bool starving = context.m_now - queue[job].m_submittedAt >= context.m_settings.m_longestWait;
+        if (!starving || (oldest >= 0 && queue[oldest].m_submittedAt <= queue[job].m_submittedAt)) {
+            continue;
+        }
+        const int organisation = context.m_organisationOf[job];
+        const bool withinQuota = organisation >= 0 && queue[job].m_shape.m_accelerators <= context.m_state.m_organisations[organisation].m_quotaAccelerators;
+        if (withinQuota && fit(context.m_fleet, context.m_usable, queue[job].m_shape)) {
+            oldest = job;
+        }
+    }
+    return oldest;
+}
+
+static void markEntitled(const PassContext &context, const PassDraft &draft, std::vector<int> &levels)
+{
+    const auto &queue = context.m_state.m_queue;
+    auto unheld = unheldUnits(context, *draft.m_plan);
+    std::vector<std::vector<int>> claimsOf(context.m_state.m_organisations.size());
+    for (int claim = 0; claim < static_cast<int>(context.m_claims.size()); ++claim) {
+        if (context.m_claims[claim].m_organisation >= 0) {
+            claimsOf[context.m_claims[claim].m_organisation].push_back(claim);
+        }
+    }
+    std::vector<int> order(queue.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_sort(order.begin(), order.end(), [&queue](int left, int right) {
+        return std::tie(queue[left].m_tier, queue[left].m_submittedAt) < std::tie(queue[right].m_tier, queue[right].m_submittedAt);
+    });
+    for (const int job : order) {
+        const int organisation = context.m_organisationOf[job];
+        if (organisation < 0) {
+            continue;
+        }
+        for (const int claim : claimsOf[organisation]) {
+            if (unheld[claim] > 0 && fitsUnit(queue[job].m_shape, context.m_claims[claim].m_shape)) {
+                --unheld[claim];
+                levels[job] = EntitledLevel;
+                break;
+            }
+        }
+    }
+}
+
+static void pushHead(JobOrder &order, int organisation, const PassContext &context, const PassDraft &draft)
+{
+    const auto &jobs = order.m_jobsOf[organisation];
+    if (jobs.empty()) {
+        return;
+    }
+    const auto &job = context.m_state.m_queue[jobs.back()];
+    const bool known = organisation < static_cast<int>(context.m_state.m_organisations.size());
+    const double share = known ? draft.m_usage[organisation] / context.m_state.m_organisations[organisation].m_weight : 0;
+    order.m_heads.push_back({{order.m_levels[jobs.back()], share, job.m_submittedAt, job.m_key.text()}, organisation});
+    std::push_heap(order.m_heads.begin(), order.m_heads.end(), std::greater<>());
+}
+
+JobOrder makeJobOrder(const PassContext &context, const PassDraft &draft)
+{
+    const auto &queue = context.m_state.m_queue;
+    JobOrder order;
+    for (const auto &job : queue) {
+        order.m_levels.push_back(levelByAge(context, job));
+    }
+    if (const int starving = oldestStarving(context); starving >= 0) {
+        order.m_levels[starving] = StarvingLevel;
+    }
+    markEntitled(context, draft, order.m_levels);
+    const std::size_t organisations = context.m_state.m_organisations.size();
+    order.m_jobsOf.resize(organisations + 1);
+    for (int job = 0; job < static_cast<int>(queue.size()); ++job) {
+        const int organisation = context.m_organisationOf[job];
+        order.m_jobsOf[organisation < 0 ? organisations : organisation].push_back(job);
+    }
+    const auto later = [&](int left, int right) {
+        return std::tie(order.m_levels[left], queue[left].m_submittedAt, queue[left].m_key)
+               > std::tie(order.m_levels[right], queue[right].m_submittedAt, queue[right].m_key);
+    };
+    for (std::size_t organisation = 0; organisation <= organisations; ++organisation) {
+        std::sort(order.m_jobsOf[organisation].begin(), order.m_jobsOf[organisation].end(), later);
+        pushHead(order, static_cast<int>(organisation), context, draft);
+    }
+    return order;
+}
+
+std::optional<int> popJob(JobOrder &order, const PassContext &context, const PassDraft &draft)
+{
+    // The organisation popped last is pushed again only now, when its usage is known.
+    if (order.m_last >= 0) {
+        pushHead(order, order.m_last, context, draft);
+        order.m_last = -1;
+    }
+    if (order.m_heads.empty()) {
+        return std::nullopt;
+    }
+    std::pop_heap(order.m_heads.begin(), order.m_heads.end(), std::greater<>());
+    const int organisation = order.m_heads.back().second;
+    order.m_heads.pop_back();
+    const int job = order.m_jobsOf[organisation].back();
+    order.m_jobsOf[organisation].pop_back();
+    order.m_last = organisation;
+    return job;
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/lib/Policy/release.cpp
@@ -0,0 +1,143 @@
+#include "release.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace PrimroseBridge {
+
+ReleaseMode releaseModeOf(const Allocation &allocation)
+{
+    return allocation.m_checkpointable ? ReleaseMode::Checkpoint : ReleaseMode::Stop;
+}
+
+static bool mayRelease(const PassContext &context, const std::vector<bool> &covered, int index, int job, ReleaseScope scope)
+{
+    const auto &allocation = context.m_state.m_allocations[index];
+    const bool ownBatch = context.m_holdings[index].m_organisation == context.m_organisationOf[job] && allocation.m_tier == Tier::Batch
+                          && context.m_state.m_queue[job].m_tier == Tier::Urgent;
+    if (!isReclaimable(allocation) || (covered[index] && !ownBatch)) {
+        return false;
+    }
+    switch (scope) {
+    case ReleaseScope::Guarantee:
+        return true;
+    case ReleaseScope::Urgent:
+        return allocation.m_tier == Tier::Batch;
+    case ReleaseScope::Starving:
+        return allocation.m_tier != Tier::Urgent;
+    }
+    return false;
+}
+
+/// Work that a release loses, in accelerator milliseconds; a checkpoint loses none.
+static std::int64_t lostWork(const PassContext &context, int index)
+{
+    const auto &allocation = context.m_state.m_allocations[index];
+    if (allocation.m_checkpointable) {
+        return 0;
+    }
+    return (context.m_now - allocation.m_startedAt).count() * std::max(1, allocation.m_shape.m_accelerators);
+}
+
+/// Allocations that are being released already, then those that may be, cheapest first.
+static std::vector<int> releasableInOrder(const PassContext &context, const PassDraft &draft, int job, ReleaseScope scope)
+{
+    const auto &allocations = context.m_state.m_allocations;
+    const auto covered = coveredHoldings(*draft.m_plan, context.m_claims, context.m_holdings, static_cast<int>(context.m_fleet.m_workers.size()));
+    std::vector<std::tuple<int, std::int64_t, Instant, int>> costs;
+    for (int index = 0; index < static_cast<int>(allocations.size()); ++index) {
+        const auto &allocation = allocations[index];
+        if (allocation.m_releasing || draft.m_released[index]) {
+            costs.emplace_back(-1, 0, allocation.m_startedAt, index);
+        } else if (mayRelease(context, covered, index, job, scope)) {
+            costs.emplace_back(-static_cast<int>(allocation.m_tier) + 2, lostWork(context, index), allocation.m_startedAt, index);
+        }
+    }
+    std::sort(costs.begin(), costs.end());
+    std::vector<int> order;
+    order.reserve(costs.size());
+    for (const auto &cost : costs) {
+        order.push_back(std::get<3>(cost));
+    }
+    return order;
+}
+
+/// The allocations that are not in @p releasable, by the time of their start.
+static std::vector<int> othersByStart(const PassContext &context, const std::vector<int> &releasable)
+{
+    const auto &allocations = context.m_state.m_allocations;
+    std::vector<bool> listed(allocations.size());
+    for (const int index : releasable) {
+        listed[index] = true;
+    }
+    std::vector<int> others;
+    for (int index = 0; index < static_cast<int>(allocations.size()); ++index) {
+        if (!listed[index]) {
+            others.push_back(index);
+        }
+    }
+    std::stable_sort(
+        others.begin(), others.end(), [&allocations](int left, int right) { return allocations[left].m_startedAt < allocations[right].m_startedAt; });
+    return others;
+}
+
+static std::vector<Slots> excludedFor(const PassContext &context, const PassDraft &draft, int job)
+{
+    std::vector<Slots> excluded;
+    for (const auto &reservation : draft.m_reservations) {
+        if (reservation.m_firm && reservation.m_job != job) {
+            excluded.push_back(reservation.m_slots);
+        }
+    }
+    if (isPinned(context.m_state.m_queue[job])) {
+        auto units = unitsOfOthers(*draft.m_plan, context.m_claims, context.m_organisationOf[job]);
+        excluded.insert(excluded.end(), std::make_move_iterator(units.begin()), std::make_move_iterator(units.end()));
+    }
+    return excluded;
+}
+
+std::optional<ReleasePlan> planRelease(const PassContext &context, const PassDraft &draft, int job, ReleaseScope scope)
+{
+    const auto &wanted = context.m_state.m_queue[job];
+    auto order = releasableInOrder(context, draft, job, scope);
+    const int releasable = static_cast<int>(order.size());
+    if (scope == ReleaseScope::Starving) {
+        const auto others = othersByStart(context, order);
+        order.insert(order.end(), others.begin(), others.end());
+    }
+    std::vector<const Slots *> groups;
+    groups.reserve(order.size());
+    for (const int index : order) {
+        groups.push_back(&context.m_holdings[index].m_slots);
+    }
+    const auto excluded = excludedFor(context, draft, job);
+    const auto future = fitAfterRelease(context.m_fleet, context.m_usable, *draft.m_free, groups, excluded, wanted.m_shape);
+    if (!future) {
+        return std::nullopt;
+    }
+    std::vector<int> toRelease;
+    bool waitsForEnd = false;
+    for (const int position : future->m_released) {
+        const int index = order[position];
+        if (position >= releasable) {
+            waitsForEnd = true;
+        } else if (!context.m_state.m_allocations[index].m_releasing && !draft.m_released[index]) {
+            toRelease.push_back(index);
+        }
+    }
+    // Work is not interrupted before it helps: the last tasks in the way may still run for a long time.
+    return ReleasePlan{future->m_slots, waitsForEnd ? std::vector<int>() : toRelease, waitsForEnd};
+}
+
+void applyRelease(const PassContext &context, PassDraft &draft, int job, const ReleasePlan &plan, const std::string &reason)
+{
+    for (const int index : plan.m_toRelease) {
+        const auto &allocation = context.m_state.m_allocations[index];
+        draft.m_released[index] = true;
+        draft.m_releases.push_back({allocation.m_key, allocation.m_attempt, releaseModeOf(allocation), reason});
+    }
+    draft.m_reservations.push_back({job, plan.m_slots, context.m_now, true});
+    draft.m_free = std::make_shared<const Capacity>(without(*draft.m_free, plan.m_slots));
+}
+
+} // namespace PrimroseBridge
