--- /dev/null
+++ b/scripts/harness.py
@@ -0,0 +1,257 @@
+"""Starts real processes on loopback, sends them HTTP requests and signals, and always ends them.
+
+Used by scripts/demo, scripts/failure-proofs and the tests of the stand-ins. Standard library only.
+"""
+
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+BINARIES = ROOT / "build" / "bin"
+HOST = "127.0.0.1"
+# Below the range from which the kernel takes the ports of outgoing connections, so that none of these takes a reserved port.
+FIRST_PORT, LAST_PORT = 10000, 32000
+
+
+class HarnessError(Exception):
+    """A process did not start, stop or answer as the harness needs it to."""
+
+
+def binary(name):
+    """The path of a built binary; HarnessError if it has not been built."""
+    path = BINARIES / name
+    if not path.exists():
+        raise HarnessError(f"{path.relative_to(ROOT)} does not exist; run scripts/build")
+    return str(path)
+
+
+class Ports:
+    """Hands out loopback ports that nothing listens on. Thread-safe."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._used = set()
+
+    def take(self):
+        with self._lock:
+            for _ in range(1000):
+                port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+                if port not in self._used and _is_free(port):
+                    self._used.add(port)
+                    return port
+        raise HarnessError("no free port was found; end other test runs")
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+class Answer:
+    """Status and JSON body of an HTTP answer; body is the text if it is not JSON."""
+
+    def __init__(self, status, headers, text):
+        self.status = status
+        self.headers = headers
+        self.text = text
+        try:
+            self.body = json.loads(text) if text else {}
+        except ValueError:
+            self.body = text
+
+
+def call(port, method, path, body=None, headers=None, timeout=10.0):
+    """One HTTP call to a loopback port. Raises OSError or http.client.HTTPException if there is no whole answer."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
+    try:
+        data = json.dumps(body) if isinstance(body, (dict, list)) else body
+        connection.request(method, path, data, {"Content-Type": "application/json", **(headers or {})})
+        response = connection.getresponse()
+        return Answer(response.status, dict(response.getheaders()), response.read().decode("utf-8", "replace"))
+    finally:
+        connection.close()
+
+
+def try_call(port, method, path, body=None, headers=None, timeout=10.0):
+    """Like call(), but None if there is no whole answer."""
+    try:
+        return call(port, method, path, body, headers, timeout)
+    except (OSError, http.client.HTTPException):
+        return None
+
+
+def wait_until(condition, seconds, what, period=0.05):
+    """Waits until condition() is true and returns its value; HarnessError names @p what after @p seconds."""
+    deadline = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= deadline:
+            raise HarnessError(f"{what}: not within {seconds} s")
+        time.sleep(period)
+
+
+class Process:
+    """One running process with its log file."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.arguments = arguments
+        self.log_path = Path(folder) / f"{name}.log"
+        with open(self.log_path, "ab") as log:
+            # A group of its own keeps Ctrl-C at the terminal from reaching it before the harness has stopped its load.
+            self._child = subprocess.Popen(arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+
+    @property
+    def pid(self):
+        return self._child.pid
+
+    def running(self):
+        return self._child.poll() is None
+
+    def signal(self, number):
+        if self.running():
+            self._child.send_signal(number)
+
+    def kill(self):
+        """SIGKILL, and waits for the end."""
+        self.signal(signal.SIGKILL)
+        self._child.wait()
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def terminate(self, seconds=30):
+        """SIGTERM; returns the exit code, or None if the process has not ended in time."""
+        self.signal(signal.SIGTERM)
+        return self.wait(seconds)
+
+    def wait(self, seconds):
+        try:
+            return self._child.wait(seconds)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def log(self):
+        return self.log_path.read_text(errors="replace")
+
+
+class Processes:
+    """Every process of one run, in a temporary folder. Ends them all when the block is left, also on SIGINT and SIGTERM.
+
+    Keeps the folder with the logs if the block is left by an exception.
+    """
+
+    def __init__(self):
+        self.folder = Path(tempfile.mkdtemp(prefix="primrosebridge-"))
+        self.ports = Ports()
+        self._lock = threading.Lock()
+        self._all = []
+
+    def __enter__(self):
+        self._previous = signal.signal(signal.SIGTERM, _raise_interrupt) if _in_main_thread() else None
+        return self
+
+    def __exit__(self, kind, value, traceback):
+        self.end_all()
+        if self._previous is not None:
+            signal.signal(signal.SIGTERM, self._previous)
+        if kind is None:
+            self._remove_folder()
+        elif kind is not KeyboardInterrupt:
+            print(f"logs: {self.folder}", file=sys.stderr)
+
+    def start(self, name, arguments):
+        process = Process(name, [str(argument) for argument in arguments], self.folder)
+        with self._lock:
+            self._all.append(process)
+        return process
+
+    def write(self, name, document):
+        """Writes a JSON document into the folder and returns its path."""
+        path = self.folder / name
+        path.write_text(json.dumps(document, indent=2))
+        return path
+
+    def end_all(self):
+        """Ends everything that is still running: SIGTERM first, SIGKILL after 3 s."""
+        with self._lock:
+            running = [process for process in self._all if process.running()]
+        for process in running:
+            process.resume()
+            process.signal(signal.SIGTERM)
+        deadline = time.monotonic() + 3
+        for process in running:
+            if process.wait(max(0.0, deadline - time.monotonic())) is None:
+                process.kill()
+
+    def _remove_folder(self):
+        for path in self.folder.iterdir():
+            path.unlink()
+        os.rmdir(self.folder)
+
+
+def _in_main_thread():
+    return threading.current_thread() is threading.main_thread()
+
+
+def _raise_interrupt(_number, _frame):
+    raise KeyboardInterrupt
+
+
+class StandIn:
+    """A running primrosebridge-standin in one or both of its roles."""
+
+    def __init__(self, processes, name, store_ports=(), configuration=None, workers_address="", control_port=0):
+        arguments = [binary("primrosebridge-standin")]
+        if store_ports:
+            arguments.append("--store_ports=" + ",".join(str(port) for port in store_ports))
+        if workers_address:
+            arguments += [f"--workers_address={workers_address}", f"--workers_configuration={configuration}", f"--workers_control_port={control_port}"]
+        self.store_ports = list(store_ports)
+        self.control_port = control_port
+        self.process = processes.start(name, arguments)
+        wait_until(lambda: self._ready(name), 10, f"{name} starts")
+
+    def _ready(self, name):
+        if not self.process.running():
+            raise HarnessError(f"{name} ended: {self.process.log().strip()}")
+        return "ready" in self.process.log()
+
+    def store_faults(self, **faults):
+        _expect_ok(call(self.store_ports[0], "POST", "/standin/faults", faults))
+
+    def store_books(self):
+        return _expect_ok(call(self.store_ports[0], "GET", "/standin/books"))
+
+    def worker_faults(self, **faults):
+        """Faults of the workers named by worker=, zone= or rack=; of all workers without any of them."""
+        _expect_ok(call(self.control_port, "POST", "/standin/workers", faults))
+
+    def worker_books(self):
+        return _expect_ok(call(self.control_port, "GET", "/standin/books"))
+
+
+def _expect_ok(answer):
+    if answer.status != 200:
+        raise HarnessError(f"the stand-in refused a control call: {answer.status} {answer.text}")
+    return answer.body
