--- a/core/include/primrosebridge/Model/error.h
+++ b/core/include/primrosebridge/Model/error.h
@@ -18,6 +18,7 @@
     TooLarge, ///< A body, a document or a result exceeds its limit.
     QueueFull, ///< A bounded queue or quota is full; retry after the given time.
     Unavailable, ///< A process or the store cannot be reached now; retry after the given time.
+    StoreUnavailable, ///< The request needs a record and the store cannot be reached; it was not run.
     DeadlineExceeded, ///< The peer did not answer in time; the operation may have taken effect.
     NeverRunnable, ///< No worker of the configured fleet can ever run the job.
     Internal, ///< A fault in this system.
--- a/core/lib/Model/error.cpp
+++ b/core/lib/Model/error.cpp
@@ -10,7 +10,7 @@
     const std::string_view m_name;
 };
 
-static constexpr std::array<ErrorKindName, 11> errorKindNames = {{
+static constexpr std::array<ErrorKindName, 12> errorKindNames = {{
     {ErrorKind::InvalidArgument, "invalid_argument"},
     {ErrorKind::Unauthenticated, "unauthenticated"},
     {ErrorKind::PermissionDenied, "permission_denied"},
@@ -19,6 +19,7 @@
     {ErrorKind::TooLarge, "too_large"},
     {ErrorKind::QueueFull, "queue_full"},
     {ErrorKind::Unavailable, "unavailable"},
+    {ErrorKind::StoreUnavailable, "store_unavailable"},
     {ErrorKind::DeadlineExceeded, "deadline_exceeded"},
     {ErrorKind::NeverRunnable, "never_runnable"},
     {ErrorKind::Internal, "internal"},
--- a/service/include/primrosebridge/Runtime/zonescheduler.h
+++ b/service/include/primrosebridge/Runtime/zonescheduler.h
@@ -111,6 +111,9 @@
     ZoneScheduler(const ZoneScheduler &) = delete;
     ZoneScheduler &operator=(const ZoneScheduler &) = delete;
 
+    /// Ends the stages; calls after that are answered as if the zone were not owned. Called by the destructor as well.
+    void shutDown();
+
     /// Puts a configuration in force. Precondition: versions do not go backwards.
     void applyConfiguration(const Configuration &configuration);
     /// This process owns the zone under @p fence: reads the records and asks every worker what it runs.
@@ -135,8 +138,8 @@
     [[nodiscard]] std::optional<ZoneSummary> summary(const std::string &peerAddress);
     /// The zone as operators see it.
     [[nodiscard]] ZoneReport report();
-    /// True once nothing is left that only this process's memory holds: no unrecorded job and no unwritten record.
-    [[nodiscard]] bool drained();
+    /// True if no record waits to be written.
+    [[nodiscard]] bool recordsWritten() const;
 
 private:
     struct Private;
--- /dev/null
+++ b/service/lib/FrontEnd/access.cpp
@@ -0,0 +1,74 @@
+#include "access.h"
+
+#include "primrosebridge/FrontEnd/api.h"
+
+#include <Poco/Crypto/DigestEngine.h>
+
+#include <charconv>
+
+namespace PrimroseBridge {
+
+constexpr Duration longestWait = Duration(30000); // A waiting call holds a thread.
+
+std::string sha256Hex(const std::string &text)
+{
+    Poco::Crypto::DigestEngine engine("SHA256");
+    engine.update(text);
+    return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+static std::string bearerToken(const HttpCall &call)
+{
+    const std::string prefix = "Bearer ";
+    const auto header = headerOf(call, "authorization");
+    return header.starts_with(prefix) ? header.substr(prefix.size()) : std::string();
+}
+
+static Error missingToken()
+{
+    return Error(ErrorKind::Unauthenticated, "the call has no known token", "send 'Authorization: Bearer TOKEN' with a token that the operator gave you");
+}
+
+Result<OrganisationId> authenticateCaller(const Configuration &configuration, const HttpCall &call)
+{
+    const auto token = bearerToken(call);
+    if (token.empty()) {
+        return missingToken();
+    }
+    const auto digest = sha256Hex(token);
+    for (const auto &organisation : configuration.m_organisations) {
+        if (organisation.m_tokenSha256 == digest) {
+            return organisation.m_id;
+        }
+    }
+    return missingToken();
+}
+
+std::optional<Error> operatorError(const Configuration &configuration, const HttpCall &call)
+{
+    const auto token = bearerToken(call);
+    if (token.empty()) {
+        return missingToken();
+    }
+    if (sha256Hex(token) != configuration.m_operatorTokenSha256) {
+        return Error(ErrorKind::PermissionDenied, "the token is not the operator's", "use the operator's token");
+    }
+    return std::nullopt;
+}
+
+Result<Duration> waitOf(const HttpCall &call)
+{
+    const auto text = queryOf(call, "wait_ms");
+    if (text.empty()) {
+        return Duration(0);
+    }
+    long long milliseconds = -1;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    const bool whole = error == std::errc() && end == text.data() + text.size();
+    if (!whole || milliseconds < 0 || Duration(milliseconds) > longestWait) {
+        return Error(ErrorKind::InvalidArgument, "wait_ms is '" + text + "'", "use a whole number from 0 to " + std::to_string(longestWait.count()));
+    }
+    return Duration(milliseconds);
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/FrontEnd/api.cpp
@@ -0,0 +1,296 @@
+#include "primrosebridge/FrontEnd/api.h"
+
+#include "access.h"
+#include "operatorapi.h"
+
+#include "primrosebridge/Runtime/node.h"
+
+#include <Poco/UUIDGenerator.h>
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::json;
+
+static HttpReply jsonReply(int status, const Json &json)
+{
+    return HttpReply{.m_status = status, .m_contentType = "application/json", .m_body = json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
+}
+
+static int statusOf(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::InvalidArgument:
+        return 400;
+    case ErrorKind::Unauthenticated:
+        return 401;
+    case ErrorKind::PermissionDenied:
+        return 403;
+    case ErrorKind::NotFound:
+        return 404;
+    case ErrorKind::Conflict:
+        return 409;
+    case ErrorKind::TooLarge:
+        return 413;
+    case ErrorKind::NeverRunnable:
+        return 422;
+    case ErrorKind::QueueFull:
+        return 429;
+    case ErrorKind::Unavailable:
+    case ErrorKind::StoreUnavailable:
+        return 503;
+    case ErrorKind::DeadlineExceeded:
+        return 504;
+    case ErrorKind::Internal:
+        return 500;
+    }
+    return 500;
+}
+
+HttpReply errorReply(const Error &error)
+{
+    Json json = {{"kind", errorKindName(error.kind())}, {"message", error.message()}, {"remedy", error.remedy()}};
+    if (!error.retryAfter()) {
+        return jsonReply(statusOf(error.kind()), {{"error", json}});
+    }
+    json["retryAfterMs"] = error.retryAfter()->count();
+    const auto reply = jsonReply(statusOf(error.kind()), {{"error", json}});
+    const auto seconds = (error.retryAfter()->count() + 999) / 1000;
+    return HttpReply{
+        .m_status = reply.m_status,
+        .m_contentType = reply.m_contentType,
+        .m_body = reply.m_body,
+        .m_headers = {{"Retry-After", std::to_string(std::max<long long>(1, seconds))}},
+    };
+}
+
+HttpReply outcomeReply(const RequestKey &key, const Outcome &outcome)
+{
+    const Json json = {
+        {"key", key.text()},
+        {"outcome", outcomeKindName(outcome.m_kind)},
+        {"result", outcome.m_result},
+        {"reason", outcome.m_reason},
+        {"attempt", outcome.m_attempt},
+    };
+    return jsonReply(isFinal(outcome.m_kind) ? 200 : 202, json);
+}
+
+static HttpReply outcomeOrError(const RequestKey &key, const Result<Outcome> &result)
+{
+    return result.ok() ? outcomeReply(key, result.value()) : errorReply(result.error());
+}
+
+static Error badField(const std::string &field, const std::string &problem, const std::string &remedy)
+{
+    return Error(ErrorKind::InvalidArgument, "field '" + field + "' " + problem, remedy);
+}
+
+static Result<std::string> textField(const Json &json, const std::string &field, const std::string &fallback)
+{
+    const auto found = json.find(field);
+    if (found == json.end()) {
+        return fallback;
+    }
+    if (!found->is_string()) {
+        return badField(field, "is not a string", "send it as a JSON string");
+    }
+    return found->get<std::string>();
+}
+
+static Result<Duration> durationField(const Json &json, const std::string &field)
+{
+    constexpr long long longestMs = 30LL * 24 * 3600 * 1000;
+    const auto found = json.find(field);
+    if (found == json.end()) {
+        return Duration(0);
+    }
+    if (!found->is_number_integer() || found->get<long long>() < 1 || found->get<long long>() > longestMs) {
+        return badField(field, "is not a whole number from 1 to " + std::to_string(longestMs), "send milliseconds, or leave it out to take the class's own");
+    }
+    return Duration(found->get<long long>());
+}
+
+static std::optional<Error> unknownField(const Json &json)
+{
+    for (const auto &[name, value] : json.items()) {
+        const bool known = name == "key" || name == "class" || name == "zone" || name == "declaredRunTimeMs" || name == "payload";
+        if (!known) {
+            return badField(name, "is not known", "use key, class, zone, declaredRunTimeMs and payload");
+        }
+    }
+    return std::nullopt;
+}
+
+static Result<RoutedSubmit> decodeSubmit(const Json &json, const OrganisationId &organisation)
+{
+    if (!json.is_object()) {
+        return Error(ErrorKind::InvalidArgument, "the body is not a JSON object", "send {\"key\": ..., \"class\": ..., \"payload\": ...}");
+    }
+    if (const auto error = unknownField(json)) {
+        return *error;
+    }
+    const auto generated = Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+    const auto key = RequestKey::create(textField(json, "key", generated).value());
+    const auto jobClass = JobClassId::create(textField(json, "class", "").value());
+    const auto zoneText = textField(json, "zone", "").value();
+    const auto payload = textField(json, "payload", "").value();
+    const auto declared = durationField(json, "declaredRunTimeMs").value();
+    return RoutedSubmit{
+        .m_call =
+            SubmitCall{
+                .m_key = key.value(),
+                .m_organisation = organisation,
+                .m_jobClass = jobClass.value(),
+                .m_payload = payload,
+                .m_declaredRunTime = declared,
+            },
+        .m_zone = zoneText.empty() ? std::nullopt : std::optional<ZoneId>(ZoneId::create(zoneText).value()),
+    };
+}
+
+// Refuses what no zone's owner could accept, before it costs a call to one.
+static std::optional<Error> checkAgainst(const Configuration &configuration, const RoutedSubmit &submit)
+{
+    if (submit.m_call.m_payload.size() > maxRequestBytes) {
+        return Error(ErrorKind::TooLarge,
+                     "field 'payload' has " + std::to_string(submit.m_call.m_payload.size()) + " bytes",
+                     "send at most " + std::to_string(maxRequestBytes));
+    }
+    if (!findJobClass(configuration, submit.m_call.m_jobClass)) {
+        return badField("class", "names '" + submit.m_call.m_jobClass.text() + "', which is not configured", "use a class that the operator has configured");
+    }
+    if (!submit.m_zone) {
+        return std::nullopt;
+    }
+    for (const auto &region : configuration.m_regions) {
+        if (std::find(region.m_zones.begin(), region.m_zones.end(), *submit.m_zone) != region.m_zones.end()) {
+            return std::nullopt;
+        }
+    }
+    return badField("zone", "names '" + submit.m_zone->text() + "', which is not configured", "leave it out, or use a configured availability zone");
+}
+
+static HttpReply submit(Node &node, const Configuration &configuration, const HttpCall &call)
+{
+    const auto organisation = authenticateCaller(configuration, call);
+    if (!organisation.ok()) {
+        return errorReply(organisation.error());
+    }
+    const auto wait = waitOf(call);
+    if (!wait.ok()) {
+        return errorReply(wait.error());
+    }
+    const auto json = Json::parse(call.m_body, nullptr, false);
+    if (json.is_discarded()) {
+        return errorReply(Error(ErrorKind::InvalidArgument, "the body is not valid JSON", "send a JSON object in UTF-8"));
+    }
+    const auto decoded = decodeSubmit(json, organisation.value());
+    if (!decoded.ok()) {
+        return errorReply(decoded.error());
+    }
+    if (const auto error = checkAgainst(configuration, decoded.value())) {
+        return errorReply(*error);
+    }
+    return outcomeOrError(decoded.value().m_call.m_key, node.submit(decoded.value(), wait.value()));
+}
+
+static HttpReply askOutcome(Node &node, const OrganisationId &organisation, const RequestKey &key, const HttpCall &call)
+{
+    const auto wait = waitOf(call);
+    if (!wait.ok()) {
+        return errorReply(wait.error());
+    }
+    if (call.m_method == "GET") {
+        return outcomeOrError(key, node.get(key, organisation, wait.value()));
+    }
+    return outcomeOrError(key, node.cancel(key, organisation, wait.value()));
+}
+
+static HttpReply notAllowed()
+{
+    return jsonReply(405, {{"error", {{"kind", "invalid_argument"}, {"message", "the method is not allowed here"}, {"remedy", "see docs/api.md"}}}});
+}
+
+static HttpReply notFound()
+{
+    return errorReply(Error(ErrorKind::NotFound, "there is no such resource", "see docs/api.md"));
+}
+
+static HttpReply existingRequest(Node &node, const Configuration &configuration, const HttpCall &call)
+{
+    const auto organisation = authenticateCaller(configuration, call);
+    if (!organisation.ok()) {
+        return errorReply(organisation.error());
+    }
+    const auto key = RequestKey::create(call.m_path[2]);
+    if (!key.ok()) {
+        return errorReply(key.error());
+    }
+    const bool explain = call.m_path.size() == 4 && call.m_path[3] == "explain";
+    if (explain && call.m_method == "GET") {
+        const auto text = node.explain(key.value(), organisation.value());
+        return text.ok() ? HttpReply{.m_status = 200, .m_contentType = "application/json", .m_body = text.value() + "\n"} : errorReply(text.error());
+    }
+    if (call.m_path.size() != 3) {
+        return notFound();
+    }
+    if (call.m_method != "GET" && call.m_method != "DELETE") {
+        return notAllowed();
+    }
+    return askOutcome(node, organisation.value(), key.value(), call);
+}
+
+static HttpReply requestCall(Node &node, const Configuration &configuration, const HttpCall &call)
+{
+    if (call.m_path.size() == 2) {
+        return call.m_method == "POST" ? submit(node, configuration, call) : notAllowed();
+    }
+    return existingRequest(node, configuration, call);
+}
+
+static HttpReply health(const Node &node, const std::string &which)
+{
+    const auto problem = node.whyNotReady();
+    if (which == "healthz" || !problem) {
+        return HttpReply{.m_status = 200, .m_contentType = "text/plain", .m_body = "ok\n"};
+    }
+    return HttpReply{.m_status = 503, .m_contentType = "text/plain", .m_body = *problem + "\n"};
+}
+
+static HttpReply route(Node &node, const HttpCall &call)
+{
+    if (call.m_path.size() == 1 && (call.m_path[0] == "healthz" || call.m_path[0] == "readyz")) {
+        return health(node, call.m_path[0]);
+    }
+    if (call.m_path.size() == 1 && call.m_path[0] == "metrics") {
+        return HttpReply{.m_status = 200, .m_contentType = "text/plain; version=0.0.4", .m_body = node.metrics()};
+    }
+    if (call.m_path.size() < 2 || call.m_path[0] != "v1") {
+        return notFound();
+    }
+    const auto configuration = node.configuration();
+    if (!configuration) {
+        return errorReply(Error(ErrorKind::Unavailable, "this VM has no configuration yet", "send the call to another entry VM", Duration(1000)));
+    }
+    if (call.m_path[1] == "requests") {
+        return requestCall(node, configuration->m_configuration, call);
+    }
+    return operatorCall(node, configuration->m_configuration, call);
+}
+
+HttpReply answerCall(Node &node, const HttpCall &call)
+{
+    try {
+        return route(node, call);
+    } catch (const Error &error) {
+        return errorReply(error);
+    } catch (const std::exception &error) {
+        return errorReply(Error(ErrorKind::Internal, error.what(), "report this as a fault of primrosebridge"));
+    }
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/FrontEnd/httpserver.cpp
@@ -0,0 +1,230 @@
+#include "primrosebridge/FrontEnd/httpserver.h"
+
+#include "primrosebridge/Observe/log.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/String.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+namespace PrimroseBridge {
+
+constexpr int maxHeaderFields = 64;
+constexpr int keepAliveSeconds = 2; // An idle connection holds a thread, so it is closed soon.
+constexpr int maxCallsPerConnection = 1000;
+constexpr int requestTimeoutSeconds = 10; // For the whole request to arrive; a slow sender must not hold a thread.
+
+// Shared by the handlers, which POCO creates for each call.
+struct ServerState {
+    std::function<HttpReply(const HttpCall &)> m_handler;
+    std::size_t m_maxBodyBytes = 0;
+    std::atomic<int> m_inProgress = 0;
+    std::atomic<bool> m_draining = false;
+};
+
+std::string headerOf(const HttpCall &call, const std::string &name)
+{
+    const auto found = call.m_headers.find(name);
+    return found == call.m_headers.end() ? std::string() : found->second;
+}
+
+std::string queryOf(const HttpCall &call, const std::string &name)
+{
+    const auto found = call.m_query.find(name);
+    return found == call.m_query.end() ? std::string() : found->second;
+}
+
+// Empty if the body is longer than allowed.
+static std::optional<std::string> readBody(std::istream &stream, std::size_t limit)
+{
+    std::string body;
+    char buffer[8192];
+    while (stream.good()) {
+        stream.read(buffer, sizeof buffer);
+        body.append(buffer, static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > limit) {
+            return std::nullopt;
+        }
+    }
+    return body;
+}
+
+static std::map<std::string, std::string> headersOf(const Poco::Net::HTTPServerRequest &request)
+{
+    std::map<std::string, std::string> headers;
+    for (const auto &[name, value] : request) {
+        headers[Poco::toLower(name)] = value;
+    }
+    return headers;
+}
+
+static HttpCall decode(const Poco::Net::HTTPServerRequest &request, const std::string &body)
+{
+    const Poco::URI uri(request.getURI());
+    std::vector<std::string> path;
+    uri.getPathSegments(path);
+    std::map<std::string, std::string> query;
+    for (const auto &[name, value] : uri.getQueryParameters()) {
+        query[name] = value;
+    }
+    return HttpCall{.m_method = request.getMethod(), .m_path = path, .m_query = query, .m_headers = headersOf(request), .m_body = body};
+}
+
+static void encode(const HttpReply &reply, Poco::Net::HTTPServerResponse &response)
+{
+    response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.m_status));
+    response.setContentType(reply.m_contentType);
+    response.set("X-Content-Type-Options", "nosniff");
+    for (const auto &[name, value] : reply.m_headers) {
+        response.add(name, value);
+    }
+    response.sendBuffer(reply.m_body.data(), reply.m_body.size());
+}
+
+static HttpReply plainError(int status, const std::string &kind, const std::string &message, const std::string &remedy)
+{
+    return HttpReply{
+        .m_status = status,
+        .m_contentType = "application/json",
+        .m_body = R"({"error":{"kind":")" + kind + R"(","message":")" + message + R"(","remedy":")" + remedy + R"("}})",
+    };
+}
+
+static HttpReply serve(const ServerState &state, Poco::Net::HTTPServerRequest &request)
+{
+    const auto body = readBody(request.stream(), state.m_maxBodyBytes);
+    if (!body) {
+        return plainError(413, "too_large", "the body exceeds " + std::to_string(state.m_maxBodyBytes) + " bytes", "send a smaller body");
+    }
+    try {
+        return state.m_handler(decode(request, *body));
+    } catch (const Poco::SyntaxException &) {
+        return plainError(400, "invalid_argument", "the URI is malformed", "percent-encode the path and the query");
+    }
+}
+
+class CallHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit CallHandler(std::shared_ptr<ServerState> state)
+        : m_state(std::move(state))
+    {
+    }
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
+    {
+        ++m_state->m_inProgress;
+        try {
+            const auto reply = serve(*m_state, request);
+            if (reply.m_status == 413 || m_state->m_draining) {
+                response.setKeepAlive(false);
+            }
+            encode(reply, response);
+        } catch (const Poco::Exception &error) {
+            logEvent(LogLevel::Debug, "connection_lost", {{"error", error.displayText()}});
+        } catch (const std::exception &error) {
+            logEvent(LogLevel::Error, "call_failed", {{"error", error.what()}});
+        }
+        --m_state->m_inProgress;
+    }
+
+private:
+    std::shared_ptr<ServerState> m_state;
+};
+
+class CallHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit CallHandlerFactory(std::shared_ptr<ServerState> state)
+        : m_state(std::move(state))
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+    {
+        return new CallHandler(m_state); // POCO deletes it.
+    }
+
+private:
+    std::shared_ptr<ServerState> m_state;
+};
+
+struct HttpServer::Private {
+    explicit Private(int threads)
+        : m_pool("http", 2, threads, 60)
+    {
+    }
+
+    std::shared_ptr<ServerState> m_state = std::make_shared<ServerState>();
+    Poco::ThreadPool m_pool;
+    std::unique_ptr<Poco::Net::HTTPServer> m_server;
+};
+
+static Poco::Net::HTTPServerParams::Ptr parametersFor(const HttpServerSettings &settings)
+{
+    Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
+    parameters->setMaxThreads(settings.m_threads);
+    parameters->setMaxQueued(settings.m_maxQueuedConnections);
+    parameters->setKeepAlive(true);
+    parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
+    parameters->setMaxKeepAliveRequests(maxCallsPerConnection);
+    parameters->setTimeout(Poco::Timespan(requestTimeoutSeconds, 0));
+    return parameters;
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::create(const HttpServerSettings &settings, std::function<HttpReply(const HttpCall &)> handler)
+{
+    auto state = std::make_unique<Private>(settings.m_threads);
+    state->m_state->m_handler = std::move(handler);
+    state->m_state->m_maxBodyBytes = settings.m_maxBodyBytes;
+    try {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(settings.m_address), true);
+        socket.listen(settings.m_maxQueuedConnections);
+        state->m_server = std::make_unique<Poco::Net::HTTPServer>(new CallHandlerFactory(state->m_state), state->m_pool, socket, parametersFor(settings));
+        state->m_server->start();
+    } catch (const Poco::Exception &error) {
+        return Error(ErrorKind::Unavailable,
+                     "cannot listen on " + settings.m_address + ": " + error.displayText(),
+                     "check 'httpAddress' in the settings and that no other process uses the port");
+    }
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+HttpServer::HttpServer(std::unique_ptr<Private> state)
+    : m_private(std::move(state))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_private->m_server->stopAll(true);
+    m_private->m_pool.joinAll();
+}
+
+bool HttpServer::drain(Duration timeout)
+{
+    m_private->m_state->m_draining = true;
+    m_private->m_server->stop();
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    while (std::chrono::steady_clock::now() < until) {
+        if (m_private->m_state->m_inProgress == 0 && m_private->m_server->queuedConnections() == 0) {
+            return true;
+        }
+        std::this_thread::sleep_for(Duration(20));
+    }
+    return m_private->m_state->m_inProgress == 0;
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/FrontEnd/operatorapi.cpp
@@ -0,0 +1,201 @@
+#include "operatorapi.h"
+
+#include "access.h"
+
+#include "primrosebridge/FrontEnd/api.h"
+#include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Pipeline/timerservice.h"
+#include "primrosebridge/Runtime/node.h"
+
+#include <bit>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::json;
+
+static HttpReply jsonReply(const Json &json)
+{
+    return HttpReply{.m_status = 200, .m_contentType = "application/json", .m_body = json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
+}
+
+static std::optional<long long> wholeNumber(const std::string &text)
+{
+    long long number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = !text.empty() && error == std::errc() && end == text.data() + text.size();
+    return whole ? std::optional(number) : std::nullopt;
+}
+
+static HttpReply showConfiguration(const Node &node)
+{
+    const auto current = node.configuration();
+    return jsonReply({{"version", current->m_configuration.m_version}, {"document", current->m_document}});
+}
+
+static HttpReply publishConfiguration(Node &node, const HttpCall &call)
+{
+    auto expected = headerOf(call, "if-match");
+    std::erase(expected, '"');
+    const auto version = wholeNumber(expected);
+    if (!version) {
+        return errorReply(
+            Error(ErrorKind::InvalidArgument, "the header If-Match does not name a version", "send the version that you have seen, as 'If-Match: 7'"));
+    }
+    const auto published = node.publish(call.m_body, *version);
+    return published.ok() ? jsonReply({{"version", published.value()}}) : errorReply(published.error());
+}
+
+static HttpReply showHistory(Node &node, const HttpCall &call)
+{
+    const auto history = node.history();
+    if (!history.ok()) {
+        return errorReply(history.error());
+    }
+    if (call.m_path.size() == 3) {
+        Json versions = Json::array();
+        for (const auto &stored : history.value()) {
+            versions.push_back({{"version", stored.m_version}, {"bytes", stored.m_document.size()}});
+        }
+        return jsonReply({{"versions", versions}});
+    }
+    const auto wanted = wholeNumber(call.m_path[3]);
+    for (const auto &stored : history.value()) {
+        if (wanted && stored.m_version == *wanted) {
+            return jsonReply({{"version", stored.m_version}, {"document", stored.m_document}});
+        }
+    }
+    return errorReply(Error(ErrorKind::NotFound, "version '" + call.m_path[3] + "' is not stored", "choose one that the history lists"));
+}
+
+static HttpReply configurationCall(Node &node, const HttpCall &call)
+{
+    if (call.m_path.size() >= 3 && call.m_path[2] == "history" && call.m_path.size() <= 4 && call.m_method == "GET") {
+        return showHistory(node, call);
+    }
+    if (call.m_path.size() == 2 && call.m_method == "GET") {
+        return showConfiguration(node);
+    }
+    if (call.m_path.size() == 2 && call.m_method == "PUT") {
+        return publishConfiguration(node, call);
+    }
+    return errorReply(Error(ErrorKind::NotFound, "there is no such resource", "see docs/api.md"));
+}
+
+static Json encodeWorker(const WorkerSummary &worker)
+{
+    return {
+        {"id", worker.m_worker.m_id.text()},
+        {"rack", worker.m_worker.m_rack.text()},
+        {"status", worker.m_status},
+        {"ejected", worker.m_ejected},
+        {"accelerators", std::popcount(worker.m_usable)},
+        {"free", std::popcount(worker.m_free)},
+        {"tasks", worker.m_tasks},
+    };
+}
+
+static Json encodeGuarantee(const GuaranteeStatus &status)
+{
+    return {
+        {"organisation", status.m_guarantee.m_organisation.text()},
+        {"shape", describe(status.m_guarantee.m_shape)},
+        {"count", status.m_guarantee.m_count},
+        {"held", status.m_held},
+        {"free", status.m_free},
+        {"reclaimable", status.m_reclaimable},
+        {"short", status.m_short},
+    };
+}
+
+static HttpReply showFleet(Node &node)
+{
+    const auto report = node.zoneReport();
+    Json workers = Json::array();
+    for (const auto &worker : report.m_workers) {
+        workers.push_back(encodeWorker(worker));
+    }
+    Json guarantees = Json::array();
+    for (const auto &status : report.m_guarantees) {
+        guarantees.push_back(encodeGuarantee(status));
+    }
+    return jsonReply({
+        {"zone", node.membership().m_selfZone.text()},
+        {"owner", node.zoneOwner()},
+        {"role", report.m_owned ? "owner" : "standby"},
+        {"fence", report.m_fence},
+        {"queued", report.m_queued},
+        {"running", report.m_running},
+        {"workers", workers},
+        {"guarantees", guarantees},
+        {"fragmentation", report.m_fragmentation},
+    });
+}
+
+static Json encodeEvent(const MergedEvent &merged)
+{
+    const auto &event = merged.m_event;
+    return {
+        {"process", merged.m_process},
+        {"id", event.m_id},
+        {"at_ms", toMilliseconds(event.m_at)},
+        {"kind", event.m_kind},
+        {"key", event.m_key},
+        {"cause_process", event.m_cause.m_process},
+        {"cause_id", event.m_cause.m_id},
+        {"text", event.m_text},
+    };
+}
+
+static HttpReply showTimeline(Node &node, const HttpCall &call)
+{
+    constexpr long long defaultSeconds = 600;
+    const auto text = queryOf(call, "since_s");
+    const auto seconds = text.empty() ? std::optional(defaultSeconds) : wholeNumber(text);
+    if (!seconds || *seconds < 0) {
+        return errorReply(Error(ErrorKind::InvalidArgument, "since_s is '" + text + "'", "use a whole number of seconds to look back"));
+    }
+    const auto timeline = node.timeline(TimerService::now() - std::chrono::seconds(*seconds), queryOf(call, "key"));
+    Json events = Json::array();
+    for (const auto &event : timeline.m_events) {
+        events.push_back(encodeEvent(event));
+    }
+    return jsonReply({{"missing", timeline.m_missing}, {"truncated", timeline.m_truncated}, {"events", events}});
+}
+
+static HttpReply changeLogLevel(const HttpCall &call)
+{
+    const auto json = Json::parse(call.m_body, nullptr, false);
+    const bool named = json.is_object() && json.contains("level") && json["level"].is_string();
+    const auto level = logLevelFromName(named ? json["level"].get<std::string>() : std::string());
+    if (!level.ok()) {
+        return errorReply(level.error());
+    }
+    setLogLevel(level.value());
+    return jsonReply({{"level", json["level"]}});
+}
+
+HttpReply operatorCall(Node &node, const Configuration &configuration, const HttpCall &call)
+{
+    if (const auto error = operatorError(configuration, call)) {
+        return errorReply(*error);
+    }
+    const auto &resource = call.m_path[1];
+    if (resource == "configuration") {
+        return configurationCall(node, call);
+    }
+    if (resource == "fleet" && call.m_method == "GET") {
+        return showFleet(node);
+    }
+    if (resource == "timeline" && call.m_method == "GET") {
+        return showTimeline(node, call);
+    }
+    if (resource == "log-level" && call.m_method == "PUT") {
+        return changeLogLevel(call);
+    }
+    return errorReply(Error(ErrorKind::NotFound, "there is no such resource", "see docs/api.md"));
+}
+
+} // namespace PrimroseBridge
--- a/service/lib/Runtime/zonescheduler.cpp
+++ b/service/lib/Runtime/zonescheduler.cpp
@@ -29,6 +29,14 @@
         ErrorKind::Unavailable, "this VM does not own the availability zone now", "send the request again; another VM takes over within 4.5 s", Duration(500));
 }
 
+static Error zoneMoved()
+{
+    return Error(ErrorKind::DeadlineExceeded,
+                 "the availability zone changed its owner while the request was waiting",
+                 "ask the new owner with the same key",
+                 Duration(500));
+}
+
 static Error stillRecovering()
 {
     return Error(ErrorKind::Unavailable, "the new owner of the availability zone is still reading its records", "send the request again", Duration(200));
@@ -36,7 +44,7 @@
 
 static Error storeUnreachable()
 {
-    return Error(ErrorKind::Unavailable,
+    return Error(ErrorKind::StoreUnavailable,
                  "the store cannot be reached, so the request cannot be recorded; it was not run",
                  "submit it again when the platform's store is back",
                  Duration(2000));
@@ -90,8 +98,16 @@
 }
 
 ZoneScheduler::~ZoneScheduler()
+{
+    shutDown();
+}
+
+void ZoneScheduler::shutDown()
 {
     auto &core = m_private->m_core;
+    if (!m_private->m_pass.joinable()) {
+        return;
+    }
     m_private->m_tick.reset();
     stopOwning();
     {
@@ -281,7 +297,7 @@
         return unknownKey(key);
     }
     if (known->m_moved) {
-        return notOwner();
+        return zoneMoved();
     }
     return SchedulerAnswer{.m_outcome = known->m_outcome, .m_otherZone = known->m_otherZone};
 }
@@ -479,14 +495,9 @@
     };
 }
 
-bool ZoneScheduler::drained()
+bool ZoneScheduler::recordsWritten() const
 {
-    auto &core = m_private->m_core;
-    if (core.m_records->backlog() > 0) {
-        return false;
-    }
-    const std::lock_guard lock(core.m_shard.m_mutex);
-    return std::none_of(core.m_shard.m_jobs.begin(), core.m_shard.m_jobs.end(), [](const auto &entry) { return !entry.second->m_recorded; });
+    return m_private->m_core.m_records->backlog() == 0;
 }
 
 } // namespace PrimroseBridge
