--- a/service/include/primrosebridge/Peers/configurationholder.h
+++ b/service/include/primrosebridge/Peers/configurationholder.h
@@ -29,8 +29,10 @@
     /// Version in force, 0 before the first one arrived.
     [[nodiscard]] std::int64_t version() const;
     /// Puts @p document in force if it is valid and newer; returns whether it did. Subscribers are called before it returns.
+    /// InvalidArgument if it has faults or a version below 1, TooLarge if it exceeds maxConfigurationBytes.
     Result<bool> offer(const std::string &document);
     /// Calls @p callback after each change, on the thread that offered it. Call before other threads offer.
+    /// The callback must be short, must not block on the network and must not call offer() or subscribe().
     void subscribe(std::function<void(const VersionedConfiguration &)> callback);
 
 private:
