--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -255,3 +255,9 @@
     if answer.status != 200:
         raise HarnessError(f"the stand-in refused a control call: {answer.status} {answer.text}")
     return answer.body
+
+
+def cpu_seconds(pid):
+    """Processor time that a process has used so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
