Add the ownership protocol as a pure step function

Cause: which process controls the workers of a zone was specified only.

Change: stepOwnership() covers acquisition with read-back, renewal, degraded mode, step-down and planned stop. A lease serves one attempt to create the key and is revoked if the attempt is given up, so a delayed creation has no effect. A degraded owner ignores reports of a reachable store in the first second after its lease, because peers notice an outage up to one period and one call timeout late.

--- a/recovery/include/primrosebridge/Ownership/ownership.h
+++ b/recovery/include/primrosebridge/Ownership/ownership.h
@@ -10,6 +10,12 @@
 
 namespace PrimroseBridge {
 
+/// Time to live of the store lease, in which an owner that was lost is replaced.
+constexpr Duration ownershipLease = std::chrono::seconds(3);
+
+/// Time between two renewals of the store lease, and between two reads of the key by a standby.
+constexpr Duration ownershipPeriod = std::chrono::seconds(1);
+
 /// The role of one entry VM for its availability zone.
 enum class OwnershipRole {
     Standby, ///< Does not own the zone.
@@ -34,15 +40,15 @@
 
 /// What happened.
 enum class OwnershipEventKind {
-    Tick, ///< Time has passed.
+    Tick, ///< ownershipPeriod has passed.
     LeaseGranted, ///< m_lease, m_sentAt.
     LeaseRenewed, ///< m_sentAt.
     LeaseLost, ///< The store says that the lease has run out.
-    StoreUnreachable, ///< A call failed or timed out.
+    StoreUnreachable, ///< A call failed or timed out, other than a compare-and-swap that may have taken effect.
     KeyCreated, ///< The compare-and-swap succeeded; m_revision.
-    KeyHeldByOther, ///< The ownership key names another VM or incarnation.
+    KeyHeldByOther, ///< The ownership key names another VM, incarnation or operation, so it is not under the current lease.
     KeyAnswerLost, ///< The compare-and-swap may have taken effect.
-    KeyReadBackMine, ///< The key names this VM and incarnation; m_revision is its create revision.
+    KeyReadBackMine, ///< The key names this VM and incarnation and the current operation; m_revision is its create revision.
     KeyAbsent, ///< The ownership key does not exist.
     PeerReachesStore, ///< A peer of the zone reported that it reaches the store.
     WorkerSawHigherFence, ///< A worker refused a command; m_revision is the higher fence.
@@ -67,7 +73,7 @@
     ReadKey,
     StartOwning, ///< Fence every worker, read the records, adopt, then decide.
     StopOwning, ///< Send nothing more to workers or to the records.
-    RevokeLease,
+    RevokeLease, ///< End the lease of the state before the step, and with it the ownership key.
 };
 
 /// The state after an event and the actions that follow from it, in order.
@@ -83,6 +89,8 @@
 
 /// The ownership protocol as a pure step function. Thread-safe.
 ///
+/// Precondition: the caller performs the actions of a step, and passes their results in, before further calls to the store. A lease
+/// serves one attempt to create the key only, and is revoked if the attempt is given up; a delayed creation then has no effect.
 /// Errors: none; an event that does not fit the state changes nothing.
 OwnershipStep stepOwnership(const OwnershipState &state, const OwnershipEvent &event, Instant now);
 
--- /dev/null
+++ b/recovery/lib/Ownership/ownership.cpp
@@ -0,0 +1,233 @@
+#include "primrosebridge/Ownership/ownership.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace PrimroseBridge {
+
+// Peers report that they reach the store until their next call fails: at most one period and one call timeout after the store
+// went away. Stepping down on such a late report would leave the zone without an owner for the whole outage.
+static constexpr Duration lateReportTolerance = std::chrono::seconds(1);
+
+using Actions = std::vector<OwnershipAction>;
+
+std::string_view ownershipRoleName(OwnershipRole role)
+{
+    switch (role) {
+    case OwnershipRole::Standby:
+        return "standby";
+    case OwnershipRole::Acquiring:
+        return "acquiring";
+    case OwnershipRole::Owner:
+        return "owner";
+    case OwnershipRole::Degraded:
+        return "degraded";
+    }
+    assert(false && "every role has a name");
+    return "standby";
+}
+
+static OwnershipState standbyState(bool stopping)
+{
+    return {.m_role = OwnershipRole::Standby, .m_fence = std::nullopt, .m_lease = 0, .m_leaseEndsAt = Instant(), .m_stopping = stopping};
+}
+
+OwnershipState initialOwnership()
+{
+    return standbyState(false);
+}
+
+static bool leaseValid(const OwnershipState &state, Instant now)
+{
+    return state.m_lease != 0 && now < state.m_leaseEndsAt;
+}
+
+static OwnershipStep unchanged(const OwnershipState &state, Actions actions = {})
+{
+    return {.m_state = state, .m_actions = std::move(actions)};
+}
+
+// Gives up the zone or the attempt to acquire it. The lease is revoked if there is one, so that nothing stays behind in the store.
+static OwnershipStep giveUp(const OwnershipState &state, bool stopping)
+{
+    Actions actions;
+    if (state.m_fence) {
+        actions.push_back(OwnershipAction::StopOwning);
+    }
+    if (state.m_lease != 0) {
+        actions.push_back(OwnershipAction::RevokeLease);
+    }
+    return {.m_state = standbyState(stopping), .m_actions = std::move(actions)};
+}
+
+// The lease is already gone: looks at once whether the zone is free.
+static OwnershipStep leaseEnded(const OwnershipState &state)
+{
+    Actions actions;
+    if (state.m_fence) {
+        actions.push_back(OwnershipAction::StopOwning);
+    }
+    if (!state.m_stopping) {
+        actions.push_back(OwnershipAction::ReadKey);
+    }
+    return {.m_state = standbyState(state.m_stopping), .m_actions = std::move(actions)};
+}
+
+static OwnershipStep stepStandby(const OwnershipState &state, const OwnershipEvent &event)
+{
+    if (state.m_stopping) {
+        return unchanged(state);
+    }
+    if (event.m_kind == OwnershipEventKind::Tick) {
+        return unchanged(state, {OwnershipAction::ReadKey});
+    }
+    if (event.m_kind == OwnershipEventKind::KeyAbsent) {
+        return {
+            .m_state = {.m_role = OwnershipRole::Acquiring, .m_fence = std::nullopt, .m_lease = 0, .m_leaseEndsAt = Instant(), .m_stopping = false},
+            .m_actions = {OwnershipAction::GrantLease},
+        };
+    }
+    return unchanged(state);
+}
+
+static OwnershipStep becomeOwner(const OwnershipState &state, std::int64_t revision, Instant now)
+{
+    // A process that was paused past the end of its lease cannot tell whether the key still exists.
+    if (!leaseValid(state, now)) {
+        return giveUp(state, state.m_stopping);
+    }
+    return {
+        .m_state = {.m_role = OwnershipRole::Owner,
+                    .m_fence = Fence{revision},
+                    .m_lease = state.m_lease,
+                    .m_leaseEndsAt = state.m_leaseEndsAt,
+                    .m_stopping = state.m_stopping},
+        .m_actions = {OwnershipAction::StartOwning},
+    };
+}
+
+static OwnershipStep createUnderLease(const OwnershipState &state, const OwnershipEvent &event)
+{
+    if (state.m_lease != 0) {
+        return unchanged(state);
+    }
+    return {
+        .m_state = {.m_role = OwnershipRole::Acquiring,
+                    .m_fence = std::nullopt,
+                    .m_lease = event.m_lease,
+                    .m_leaseEndsAt = event.m_sentAt + ownershipLease,
+                    .m_stopping = state.m_stopping},
+        .m_actions = {OwnershipAction::CreateKey},
+    };
+}
+
+static OwnershipStep stepAcquiring(const OwnershipState &state, const OwnershipEvent &event, Instant now)
+{
+    switch (event.m_kind) {
+    case OwnershipEventKind::LeaseGranted:
+        return createUnderLease(state, event);
+    case OwnershipEventKind::KeyCreated:
+    case OwnershipEventKind::KeyReadBackMine:
+        return becomeOwner(state, event.m_revision, now);
+    case OwnershipEventKind::KeyAnswerLost:
+        return unchanged(state, {OwnershipAction::ReadKey});
+    case OwnershipEventKind::KeyAbsent:
+    case OwnershipEventKind::KeyHeldByOther:
+        return giveUp(state, state.m_stopping);
+    case OwnershipEventKind::LeaseLost:
+        return {.m_state = standbyState(state.m_stopping), .m_actions = {}};
+    case OwnershipEventKind::StoreUnreachable:
+        // With a lease, the answer to the creation may still be open, so the read-back is repeated at the next tick.
+        return state.m_lease == 0 ? giveUp(state, state.m_stopping) : unchanged(state);
+    case OwnershipEventKind::Tick:
+        return leaseValid(state, now) ? unchanged(state, {OwnershipAction::ReadKey}) : giveUp(state, state.m_stopping);
+    default:
+        return unchanged(state);
+    }
+}
+
+static OwnershipStep renewed(const OwnershipState &state, const OwnershipEvent &event, Instant now)
+{
+    const auto endsAt = std::max(state.m_leaseEndsAt, event.m_sentAt + ownershipLease);
+    // A renewal that was answered too late proves nothing about now; the next one decides.
+    const auto role = now < endsAt ? OwnershipRole::Owner : state.m_role;
+    return unchanged({.m_role = role, .m_fence = state.m_fence, .m_lease = state.m_lease, .m_leaseEndsAt = endsAt, .m_stopping = state.m_stopping});
+}
+
+static OwnershipStep storeUnreachable(const OwnershipState &state, Instant now)
+{
+    if (leaseValid(state, now)) {
+        return unchanged(state);
+    }
+    return unchanged({.m_role = OwnershipRole::Degraded,
+                      .m_fence = state.m_fence,
+                      .m_lease = state.m_lease,
+                      .m_leaseEndsAt = state.m_leaseEndsAt,
+                      .m_stopping = state.m_stopping});
+}
+
+static bool mustStepDownForPeer(const OwnershipState &state, Instant now)
+{
+    return state.m_role == OwnershipRole::Degraded && now >= state.m_leaseEndsAt + lateReportTolerance;
+}
+
+// Steps of an owner, in degraded mode or not.
+static OwnershipStep stepOwner(const OwnershipState &state, const OwnershipEvent &event, Instant now)
+{
+    assert(state.m_fence && "an owner has a fence");
+    const auto fence = state.m_fence->m_number;
+    switch (event.m_kind) {
+    case OwnershipEventKind::Tick:
+        return unchanged(state, {OwnershipAction::RenewLease});
+    case OwnershipEventKind::LeaseRenewed:
+        return renewed(state, event, now);
+    case OwnershipEventKind::LeaseLost:
+        return leaseEnded(state);
+    case OwnershipEventKind::StoreUnreachable:
+        return storeUnreachable(state, now);
+    case OwnershipEventKind::KeyHeldByOther:
+    case OwnershipEventKind::KeyAbsent:
+        return giveUp(state, false);
+    case OwnershipEventKind::KeyReadBackMine:
+        return event.m_revision == fence ? unchanged(state) : giveUp(state, false);
+    case OwnershipEventKind::WorkerSawHigherFence:
+        return event.m_revision > fence ? giveUp(state, false) : unchanged(state);
+    case OwnershipEventKind::PeerReachesStore:
+        return mustStepDownForPeer(state, now) ? giveUp(state, false) : unchanged(state);
+    default:
+        return unchanged(state);
+    }
+}
+
+OwnershipStep stepOwnership(const OwnershipState &state, const OwnershipEvent &event, Instant now)
+{
+    if (event.m_kind == OwnershipEventKind::StopRequested) {
+        return giveUp(state, true);
+    }
+    switch (state.m_role) {
+    case OwnershipRole::Standby:
+        return stepStandby(state, event);
+    case OwnershipRole::Acquiring:
+        return stepAcquiring(state, event, now);
+    case OwnershipRole::Owner:
+    case OwnershipRole::Degraded:
+        return stepOwner(state, event, now);
+    }
+    assert(false && "every role has a step function");
+    return unchanged(state);
+}
+
+bool mayCommandWorkers(const OwnershipState &state, Instant now)
+{
+    if (state.m_role == OwnershipRole::Degraded) {
+        return true;
+    }
+    return state.m_role == OwnershipRole::Owner && leaseValid(state, now);
+}
+
+bool mayWriteRecords(const OwnershipState &state, Instant now)
+{
+    return state.m_role == OwnershipRole::Owner && leaseValid(state, now);
+}
+
+} // namespace PrimroseBridge
