Keep guarantees, large jobs and defragmentation within stated rules

Cause: reclaim, starvation and fragmentation need rules that hold in each pass, and tests that search for counterexamples.

--- a/scheduling/include/primrosebridge/Placement/guaranteeplan.h
+++ b/scheduling/include/primrosebridge/Placement/guaranteeplan.h
@@ -71,7 +71,8 @@
 /// The positions planned for other organisations than @p organisation. Thread-safe.
 std::vector<Slots> unitsOfOthers(const GuaranteePlan &plan, const std::vector<Claim> &claims, int organisation);
 
-/// For each holding, whether it lies on a unit planned for its own organisation, so that no other organisation may reclaim it.
+/// For each holding, whether it lies on a unit planned for its own organisation and on none of another, so that no other
+/// organisation needs to reclaim it.
 /// Thread-safe.
 std::vector<bool> coveredHoldings(const GuaranteePlan &plan, const std::vector<Claim> &claims, const std::vector<Holding> &holdings, int workers);
 
--- a/scheduling/include/primrosebridge/Policy/pass.h
+++ b/scheduling/include/primrosebridge/Policy/pass.h
@@ -96,6 +96,23 @@
 
 /// Decides which queued jobs start where and which running jobs give up their resources.
 ///
+/// Jobs are decided in this order: those that claim an unheld unit of their organisation's guarantee; the one job that has waited
+/// longest, beyond m_longestWait; urgent jobs; the others by tier and age, among these by the organisation's weighted share.
+/// A claimed guarantee is taken back from any work that no guarantee of its own organisation covers. Urgent jobs take the place
+/// of uncovered batch jobs. The oldest large job that does not fit holds a reservation; others are placed ahead of it only if
+/// they end in time by their estimate and can be removed, or lie elsewhere.
+///
+/// Bound on waiting: let M be the longest maximum run time of the job classes, r the longest time that a checkpoint or stop
+/// takes and p the period of passes. A job that fits on the usable fleet beside the guarantees of others, within the quota of
+/// its organisation, and is the k-th oldest of those that waited longer than m_longestWait, starts at most k * (M + r + 2p)
+/// later, plus the time for which jobs under guarantees of other organisations occupy its position. Reason: from then on
+/// nothing else is placed on the position kept for it, the work in its way is chosen by start time, so that no position that
+/// received work later is preferred, and all of that work is released or ends within M. Estimates do not enter this bound, so a
+/// job with a wrong estimate delays others by no more.
+///
+/// If the fleet is too small for all guarantees, work that can be neither checkpointed nor rerun waits unless it claims a
+/// guarantee itself. The quota counts the allocations in @p state; the caller lowers it by the use in other zones.
+///
 /// Pure: the same arguments give the same result. Thread-safe.
 /// Preconditions: allocations do not overlap; queued keys are unique and hold no allocation.
 PassResult runPass(const ZoneState &state, const PassSettings &settings, Instant now);
--- a/scheduling/lib/Placement/fit.cpp
+++ b/scheduling/lib/Placement/fit.cpp
@@ -81,7 +81,9 @@
     int best = -1;
     std::pair<int, int> bestCost;
     for (int worker = 0; worker < static_cast<int>(capacity.m_cores.size()); ++worker) {
-        if (capacity.m_cores[worker] < shape.m_cores || capacity.m_memoryMb[worker] < shape.m_memoryMb) {
+        // A worker that offers nothing may be one that accepts no work; even a job that asks for nothing must not go there.
+        const bool offers = capacity.m_cores[worker] > 0 || capacity.m_memoryMb[worker] > 0;
+        if (!offers || capacity.m_cores[worker] < shape.m_cores || capacity.m_memoryMb[worker] < shape.m_memoryMb) {
             continue;
         }
         const std::pair cost(std::popcount(capacity.m_accelerators[worker]), capacity.m_cores[worker]);
--- a/scheduling/lib/Placement/guaranteeplan.cpp
+++ b/scheduling/lib/Placement/guaranteeplan.cpp
@@ -22,7 +22,7 @@
     std::stable_sort(order.begin(), order.end(), [&guarantees](int left, int right) {
         const auto &one = guarantees[left];
         const auto &other = guarantees[right];
-        return std::tie(one.m_priority, one.m_organisation) < std::tie(other.m_priority, other.m_organisation);
+        return std::tie(one.m_priority, one.m_organisation.text()) < std::tie(other.m_priority, other.m_organisation.text());
     });
     std::vector<Claim> claims;
     claims.reserve(order.size());
@@ -264,6 +264,13 @@
     return units;
 }
 
+static bool overlaps(const PlannedUnit &unit, const Slot &held)
+{
+    return std::any_of(unit.m_slots.begin(), unit.m_slots.end(), [&held](const Slot &slot) {
+        return slot.m_worker == held.m_worker && (slot.m_accelerators & held.m_accelerators) != 0;
+    });
+}
+
 std::vector<bool> coveredHoldings(const GuaranteePlan &plan, const std::vector<Claim> &claims, const std::vector<Holding> &holdings, int workers)
 {
     std::vector<std::vector<const PlannedUnit *>> unitsOn(workers);
@@ -272,19 +279,21 @@
             unitsOn[slot.m_worker].push_back(&unit);
         }
     }
-    const auto covers = [&](const PlannedUnit &unit, const Holding &holding, const Slot &held) {
-        return claims[unit.m_claim].m_organisation == holding.m_organisation
-               && std::any_of(unit.m_slots.begin(), unit.m_slots.end(), [&held](const Slot &slot) {
-                      return slot.m_worker == held.m_worker && (slot.m_accelerators & held.m_accelerators) != 0;
-                  });
-    };
     std::vector<bool> covered;
     covered.reserve(holdings.size());
     for (const auto &holding : holdings) {
-        covered.push_back(std::any_of(holding.m_slots.begin(), holding.m_slots.end(), [&](const Slot &held) {
-            const auto &units = unitsOn[held.m_worker];
-            return std::any_of(units.begin(), units.end(), [&](const PlannedUnit *unit) { return covers(*unit, holding, held); });
-        }));
+        bool own = false;
+        bool foreign = false;
+        for (const auto &held : holding.m_slots) {
+            for (const auto *unit : unitsOn[held.m_worker]) {
+                const bool shared = overlaps(*unit, held);
+                const bool same = claims[unit->m_claim].m_organisation == holding.m_organisation;
+                own = own || (shared && same);
+                foreign = foreign || (shared && !same);
+            }
+        }
+        // A gang may lie partly on a unit of another organisation, which then relies on its release.
+        covered.push_back(own && !foreign);
     }
     return covered;
 }
--- a/scheduling/lib/Policy/decide.cpp
+++ b/scheduling/lib/Policy/decide.cpp
@@ -34,7 +34,7 @@
 /// A position that breaks no guarantee though it lies where the current plan has a unit of another organisation.
 static std::optional<Slots> fitWithNewPlan(const PassContext &context, PassDraft &draft, int job, const Capacity &view)
 {
-    const auto slots = fit(context.m_fleet, view, context.m_state.m_queue[job].m_shape);
+    auto slots = fit(context.m_fleet, view, context.m_state.m_queue[job].m_shape);
     if (!slots || draft.m_replans >= maxReplans) {
         return std::nullopt;
     }
@@ -52,6 +52,17 @@
     return slots;
 }
 
+/// True if another organisation's guarantee falls short. Any capacity may then be what it needs.
+static bool othersFallShort(const PassContext &context, const GuaranteePlan &plan, int organisation)
+{
+    for (std::size_t claim = 0; claim < context.m_claims.size(); ++claim) {
+        if (context.m_claims[claim].m_organisation != organisation && plan.m_met[claim] < context.m_claims[claim].m_count) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static std::optional<Slots> findPosition(const PassContext &context, PassDraft &draft, int job, unsigned blocking)
 {
     const auto &queued = context.m_state.m_queue[job];
@@ -97,10 +108,18 @@
     return "no position is free for " + describe(context.m_state.m_queue[job].m_shape);
 }
 
+static std::optional<ReleasePlan> releasePlanFor(const PassContext &context, const PassDraft &draft, int job, int level)
+{
+    if (level != EntitledLevel) {
+        return planRelease(context, draft, job, level == StarvingLevel ? ReleaseScope::Starving : ReleaseScope::Urgent);
+    }
+    auto plan = planRelease(context, draft, job, ReleaseScope::Guarantee);
+    return plan ? plan : planRelease(context, draft, job, ReleaseScope::GuaranteeOrCovered);
+}
+
 static bool tryRelease(const PassContext &context, PassDraft &draft, int job, int level)
 {
-    const auto scope = level == EntitledLevel ? ReleaseScope::Guarantee : level == StarvingLevel ? ReleaseScope::Starving : ReleaseScope::Urgent;
-    const auto plan = planRelease(context, draft, job, scope);
+    const auto plan = releasePlanFor(context, draft, job, level);
     if (!plan) {
         return false;
     }
@@ -161,7 +180,11 @@
         return;
     }
     const auto &queued = context.m_state.m_queue[job];
-    const unsigned blocking = blockingReservations(context, draft, job);
+    if (level != EntitledLevel && isPinned(queued) && othersFallShort(context, *draft.m_plan, context.m_organisationOf[job])) {
+        explain(context, draft, job, DecisionRule::WaitsForGuarantee, "a guarantee falls short, and the job can be neither checkpointed nor rerun");
+        return;
+    }
+    const unsigned blocking = blockingReservations(context, draft, job, level);
     const int units = isPinned(queued) ? context.m_organisationOf[job] : -1;
     const SearchKey key(shapeKey(queued.m_shape), units, std::min(level, +FirstAgingLevel), blocking);
     if (const auto found = failed.find(key); found != failed.end() && level >= UrgentLevel) {
--- a/scheduling/lib/Policy/joborder.cpp
+++ b/scheduling/lib/Policy/joborder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 #include <tuple>
 
 namespace PrimroseBridge {
@@ -36,23 +37,46 @@
     return static_cast<int>(std::max<std::int64_t>(FirstAgingLevel, first - steps));
 }
 
-/// The longest-waiting job beyond the limit, -1 if there is none. A job that the declared fleet cannot hold never counts.
-static int oldestStarving(const PassContext &context)
+/// True if the job could start if everything that is not guaranteed to others were free, and its quota allows it now.
+static bool canEventuallyStart(const PassContext &context, const PassDraft &draft, int job)
+{
+    const auto &queued = context.m_state.m_queue[job];
+    const int organisation = context.m_organisationOf[job];
+    if (organisation < 0 || draft.m_usage[organisation] + queued.m_shape.m_accelerators > context.m_state.m_organisations[organisation].m_quotaAccelerators) {
+        return false;
+    }
+    if (!isPinned(queued)) {
+        return fit(context.m_fleet, context.m_usable, queued.m_shape).has_value();
+    }
+    const auto units = unitsOfOthers(*draft.m_plan, context.m_claims, organisation);
+    return fit(context.m_fleet, withoutAll(context.m_usable, units), queued.m_shape).has_value();
+}
+
+/// The longest-waiting job beyond the limit, -1 if there is none. A job that cannot start at all does not keep others from it.
+static int oldestStarving(const PassContext &context, const PassDraft &draft)
 {
     const auto &queue = context.m_state.m_queue;
-    int oldest = -1;
+    std::vector<int> starving;
     for (int job = 0; job < static_cast<int>(queue.size()); ++job) {
-        const bool starving = context.m_now - queue[job].m_submittedAt >= context.m_settings.m_longestWait;
-        if (!starving || (oldest >= 0 && queue[oldest].m_submittedAt <= queue[job].m_submittedAt)) {
+        if (context.m_now - queue[job].m_submittedAt >= context.m_settings.m_longestWait) {
+            starving.push_back(job);
+        }
+    }
+    std::sort(starving.begin(), starving.end(), [&queue](int left, int right) {
+        return std::tie(queue[left].m_submittedAt, queue[left].m_key.text()) < std::tie(queue[right].m_submittedAt, queue[right].m_key.text());
+    });
+    std::set<std::tuple<ShapeKey, int, bool>> refused;
+    for (const int job : starving) {
+        const std::tuple key(shapeKey(queue[job].m_shape), context.m_organisationOf[job], isPinned(queue[job]));
+        if (refused.contains(key)) {
             continue;
         }
-        const int organisation = context.m_organisationOf[job];
-        const bool withinQuota = organisation >= 0 && queue[job].m_shape.m_accelerators <= context.m_state.m_organisations[organisation].m_quotaAccelerators;
-        if (withinQuota && fit(context.m_fleet, context.m_usable, queue[job].m_shape)) {
-            oldest = job;
+        if (canEventuallyStart(context, draft, job)) {
+            return job;
         }
+        refused.insert(key);
     }
-    return oldest;
+    return -1;
 }
 
 static void markEntitled(const PassContext &context, const PassDraft &draft, std::vector<int> &levels)
@@ -105,7 +129,7 @@
     for (const auto &job : queue) {
         order.m_levels.push_back(levelByAge(context, job));
     }
-    if (const int starving = oldestStarving(context); starving >= 0) {
+    if (const int starving = oldestStarving(context, draft); starving >= 0) {
         order.m_levels[starving] = StarvingLevel;
     }
     markEntitled(context, draft, order.m_levels);
@@ -116,8 +140,8 @@
         order.m_jobsOf[organisation < 0 ? organisations : organisation].push_back(job);
     }
     const auto later = [&](int left, int right) {
-        return std::tie(order.m_levels[left], queue[left].m_submittedAt, queue[left].m_key)
-               > std::tie(order.m_levels[right], queue[right].m_submittedAt, queue[right].m_key);
+        return std::tie(order.m_levels[left], queue[left].m_submittedAt, queue[left].m_key.text())
+               > std::tie(order.m_levels[right], queue[right].m_submittedAt, queue[right].m_key.text());
     };
     for (std::size_t organisation = 0; organisation <= organisations; ++organisation) {
         std::sort(order.m_jobsOf[organisation].begin(), order.m_jobsOf[organisation].end(), later);
--- a/scheduling/lib/Policy/pass.cpp
+++ b/scheduling/lib/Policy/pass.cpp
@@ -1,6 +1,7 @@
 #include "primrosebridge/Policy/pass.h"
 
 #include "decide.h"
+#include "defragmentation.h"
 #include "joborder.h"
 #include "passcontext.h"
 #include "report.h"
@@ -115,6 +116,7 @@
             decideJob(context, *job, order.m_levels[*job], draft, failed);
         }
     }
+    defragment(context, draft);
     std::vector<Explanation> explanations;
     explanations.reserve(draft.m_explanations.size());
     for (auto &explanation : draft.m_explanations) {
--- a/scheduling/lib/Policy/release.cpp
+++ b/scheduling/lib/Policy/release.cpp
@@ -15,11 +15,15 @@
     const auto &allocation = context.m_state.m_allocations[index];
     const bool ownBatch = context.m_holdings[index].m_organisation == context.m_organisationOf[job] && allocation.m_tier == Tier::Batch
                           && context.m_state.m_queue[job].m_tier == Tier::Urgent;
+    if (isReclaimable(allocation) && scope == ReleaseScope::GuaranteeOrCovered) {
+        return true;
+    }
     if (!isReclaimable(allocation) || (covered[index] && !ownBatch)) {
         return false;
     }
     switch (scope) {
     case ReleaseScope::Guarantee:
+    case ReleaseScope::GuaranteeOrCovered:
         return true;
     case ReleaseScope::Urgent:
         return allocation.m_tier == Tier::Batch;
--- a/scheduling/lib/Policy/release.h
+++ b/scheduling/lib/Policy/release.h
@@ -16,6 +16,7 @@
 /// Which allocations may be released for a job.
 enum class ReleaseScope {
     Guarantee, ///< Any that no guarantee of their own organisation covers.
+    GuaranteeOrCovered, ///< Any; for a claimed guarantee whose cores or memory are in use by covered work.
     Urgent, ///< Of these, only batch jobs.
     Starving, ///< Any uncovered one that is not urgent; also waits for the end of the others, oldest first.
 };
--- a/scheduling/lib/Policy/reservation.cpp
+++ b/scheduling/lib/Policy/reservation.cpp
@@ -10,15 +10,18 @@
 
 namespace PrimroseBridge {
 
-unsigned blockingReservations(const PassContext &context, const PassDraft &draft, int job)
+unsigned blockingReservations(const PassContext &context, const PassDraft &draft, int job, int level)
 {
+    // Claimed guarantees and urgent work go ahead of estimate-based reservations; those of starving jobs are firm.
+    if (level < FirstAgingLevel) {
+        return 0;
+    }
     const auto &queued = context.m_state.m_queue[job];
     unsigned blocking = 0;
     for (std::size_t i = 0; i < draft.m_reservations.size() && i < 32; ++i) {
         const auto &reservation = draft.m_reservations[i];
         const bool late = context.m_now + queued.m_expectedRunTime > reservation.m_expectedStart;
-        // Urgent work goes ahead of reservations; they are made firm when their job has waited beyond the limit.
-        if (!reservation.m_firm && reservation.m_job != job && queued.m_tier != Tier::Urgent && (late || isPinned(queued))) {
+        if (!reservation.m_firm && reservation.m_job != job && (late || isPinned(queued))) {
             blocking |= 1U << i;
         }
     }
@@ -45,9 +48,12 @@
     return std::any_of(draft.m_reservations.begin(), draft.m_reservations.end(), [](const Reservation &one) { return !one.m_firm; });
 }
 
-/// An overdue task is expected to run on for as long as it is overdue, at least 1 s.
+/// Capacity that is being released is expected at once. An overdue task is expected to run on for as long as it is overdue, at least 1 s.
 static Instant expectedEnd(const PassContext &context, const Allocation &allocation)
 {
+    if (allocation.m_releasing) {
+        return context.m_now;
+    }
     const Instant end = allocation.m_startedAt + allocation.m_expectedRunTime;
     return end > context.m_now ? end : context.m_now + std::max(Duration(1000), Duration(context.m_now - end));
 }
@@ -101,7 +107,8 @@
         }
     }
     std::sort(order.begin(), order.end(), [&](int left, int right) {
-        return std::tie(levels[left], queue[left].m_submittedAt, queue[left].m_key) < std::tie(levels[right], queue[right].m_submittedAt, queue[right].m_key);
+        return std::tie(levels[left], queue[left].m_submittedAt, queue[left].m_key.text())
+               < std::tie(levels[right], queue[right].m_submittedAt, queue[right].m_key.text());
     });
     std::set<ShapeKey> fitting;
     for (const int job : order) {
--- a/scheduling/lib/Policy/reservation.h
+++ b/scheduling/lib/Policy/reservation.h
@@ -4,9 +4,9 @@
 
 namespace PrimroseBridge {
 
-/// Bit i is set if reservation i keeps @p job off its position: it is firm, or the job would not end in time by its estimate,
-/// or the job could not be removed if the estimate is wrong. Thread-safe.
-unsigned blockingReservations(const PassContext &context, const PassDraft &draft, int job);
+/// Bit i is set if reservation i keeps @p job off its position, because the job would not end in time by its estimate or could
+/// not be removed if the estimate is wrong. Firm reservations are not in the free capacity at all. Thread-safe.
+unsigned blockingReservations(const PassContext &context, const PassDraft &draft, int job, int level);
 
 /// The free capacity that @p job may use: without the blocking reservations and, if @p spareUnits, without positions that
 /// guarantees of other organisations are planned on. Thread-safe.
