--- a/standins/tools/primrosebridge-standin/task.cpp
+++ b/standins/tools/primrosebridge-standin/task.cpp
@@ -27,7 +27,7 @@
 RunPlan planFromPayload(const std::string &payload, const std::string &key)
 {
     const auto document = nlohmann::json::parse(payload, nullptr, false);
-    const RunPlan fallback{defaultRunTime, "ok:" + key, false, 0};
+    RunPlan fallback{defaultRunTime, "ok:" + key, false, 0};
     if (!document.is_object()) {
         return fallback;
     }
