Identify tasks by the fence of their owner in the stand-in workers

Cause: worker.proto now carries the fence in a task's identity and defines the digest over identity and result. Change: names, digests and books of the stand-in follow; a crossed result now comes with the other task's length and digest.

--- a/standins/tools/primrosebridge-standin/task.h
+++ b/standins/tools/primrosebridge-standin/task.h
@@ -14,6 +14,7 @@
 /// Identity of a task, as it arrives; the stand-in accepts every key.
 struct TaskName {
     const std::string m_key;
+    const std::int64_t m_fence; ///< Fence of the owner that placed the attempt.
     const int m_attempt;
     const int m_member;
 
@@ -78,6 +79,9 @@
 /// Without a result, it is "ok:" and the key. Thread-safe.
 RunPlan planFromPayload(const std::string &payload, const std::string &key);
 
+/// Digest of the task's result together with its identity, as answerDigest() computes it. Thread-safe.
+std::uint64_t resultDigest(const TaskName &task, const std::string &result);
+
 /// True while the task occupies its accelerators, cores and memory. Thread-safe.
 bool occupies(const Task &task);
 
--- a/standins/tools/primrosebridge-standin/worker.h
+++ b/standins/tools/primrosebridge-standin/worker.h
@@ -83,10 +83,13 @@
     bool operator==(const PollQuestion &) const = default;
 };
 
-/// A task with the bytes sent as its result, which a fault can falsify; length and digest are those of the true result.
+/// A task with its result as sent, which a fault can falsify. A truncated result keeps the true length and digest; a crossed one
+/// comes with the length and digest of the task to which it belongs.
 struct ReportedTask {
     const TaskPointer m_task;
     const std::string m_resultBytes;
+    const std::uint64_t m_resultLength;
+    const std::uint64_t m_resultDigest;
     const Duration m_runTime;
 
     bool operator==(const ReportedTask &) const = default;
--- a/standins/tools/primrosebridge-standin/workerwire.cpp
+++ b/standins/tools/primrosebridge-standin/workerwire.cpp
@@ -9,7 +9,7 @@
 
 static TaskName fromWire(const Wire::TaskIdentity &message)
 {
-    return {message.key(), message.attempt(), message.member()};
+    return {message.key(), message.fence(), message.attempt(), message.member()};
 }
 
 static CommandKind fromWire(Wire::Command::Kind kind)
@@ -67,8 +67,8 @@
 static void toWire(const ReportedTask &reported, Wire::TaskReport &message)
 {
     const Task &task = *reported.m_task;
-    const std::string &result = task.m_life.m_state == TaskState::Done ? task.m_plan.m_result : std::string();
     message.mutable_task()->set_key(task.m_name.m_key);
+    message.mutable_task()->set_fence(task.m_name.m_fence);
     message.mutable_task()->set_attempt(task.m_name.m_attempt);
     message.mutable_task()->set_member(task.m_name.m_member);
     message.set_state(toWire(task.m_life.m_state));
@@ -76,8 +76,8 @@
     message.set_run_time_ms(reported.m_runTime.count());
     message.set_used_memory_mb(task.m_plan.m_usedMemoryMb);
     message.set_result(reported.m_resultBytes);
-    message.set_result_length(result.size());
-    message.set_result_digest(digestOf(result));
+    message.set_result_length(reported.m_resultLength);
+    message.set_result_digest(reported.m_resultDigest);
     message.set_accelerators(task.m_demand.m_accelerators);
     message.set_cores(task.m_demand.m_cores);
     message.set_memory_mb(task.m_demand.m_memoryMb);
