Accept the first configuration from the operator that it names

Cause: without a configuration no token was known, so none could be applied.

Change: while none is in force, PUT /v1/configuration takes the operator's token from the document itself; the store refuses it if one exists.

Conclusion: an empty store can be set up with primrosectl alone.

--- a/service/lib/FrontEnd/api.cpp
+++ b/service/lib/FrontEnd/api.cpp
@@ -273,6 +273,10 @@
         return notFound();
     }
     const auto configuration = node.configuration();
+    const bool publishes = call.m_method == "PUT" && call.m_path.size() == 2 && call.m_path[1] == "configuration";
+    if (!configuration && publishes) {
+        return publishFirstConfiguration(node, call);
+    }
     if (!configuration) {
         return errorReply(Error(ErrorKind::Unavailable, "this VM has no configuration yet", "send the call to another entry VM", Duration(1000)));
     }
--- a/service/lib/FrontEnd/operatorapi.cpp
+++ b/service/lib/FrontEnd/operatorapi.cpp
@@ -48,6 +48,18 @@
     return published.ok() ? jsonReply({{"version", published.value()}}) : errorReply(published.error());
 }
 
+HttpReply publishFirstConfiguration(Node &node, const HttpCall &call)
+{
+    const auto read = readConfiguration(call.m_body);
+    if (const auto *faults = std::get_if<std::vector<ConfigFault>>(&read)) {
+        return errorReply(Error(ErrorKind::InvalidArgument, "the configuration has faults:\n" + describeFaults(*faults), "correct the fields named above"));
+    }
+    if (const auto error = operatorError(std::get<Configuration>(read), call)) {
+        return errorReply(*error);
+    }
+    return publishConfiguration(node, call);
+}
+
 static HttpReply showHistory(Node &node, const HttpCall &call)
 {
     const auto history = node.history();
