Add primrosectl, the command line for callers and operators

Cause: callers and operators need every call of the HTTP interface, and checks of documents without a server, from scripts.

Change: ctl/lib/Commands parses the command line into a value, runs one function for each subcommand against functions that send, sleep, print and read, and formats the answers. Exit codes follow the kind of error.

--- a/core/lib/Config/address.cpp
+++ b/core/lib/Config/address.cpp
@@ -1,8 +1,9 @@
-#include "address.h"
+#include "primrosebridge/Config/address.h"
 
 #include <arpa/inet.h>
 
 #include <charconv>
+#include <string>
 
 namespace PrimroseBridge {
 
@@ -39,15 +40,4 @@
     return host.find(':') == std::string_view::npos && isIpAddress(host);
 }
 
-std::string readSocketAddress(Fields &fields, std::string_view name, const std::optional<std::string> &otherwise)
-{
-    auto text = fields.text(name, otherwise);
-    const auto path = fields.pathOf(name);
-    if (!isSocketAddress(text) && !fields.faults().covers(path)) {
-        fields.faults().add(
-            path, "is " + inQuotes(text) + ", not an IP address and port", "use a form such as 10.0.1.7:7101 or [fd00::7]:7101; host names are not resolved");
-    }
-    return text;
-}
-
 } // namespace PrimroseBridge
--- /dev/null
+++ b/core/lib/Config/addressfield.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "fields.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace PrimroseBridge {
+
+/// Reads a field of the form `IP:port` and reports any other value.
+std::string readSocketAddress(Fields &fields, std::string_view name, const std::optional<std::string> &otherwise = std::nullopt);
+
+} // namespace PrimroseBridge
--- a/core/lib/Config/sections.cpp
+++ b/core/lib/Config/sections.cpp
@@ -1,6 +1,6 @@
 #include "sections.h"
 
-#include "address.h"
+#include "addressfield.h"
 #include "fields.h"
 #include "limits.h"
 
--- a/core/lib/Config/settings.cpp
+++ b/core/lib/Config/settings.cpp
@@ -1,6 +1,7 @@
+#include "primrosebridge/Config/address.h"
 #include "primrosebridge/Config/reader.h"
 
-#include "address.h"
+#include "addressfield.h"
 #include "document.h"
 #include "fields.h"
 #include "limits.h"
--- /dev/null
+++ b/ctl/lib/Commands/arguments.cpp
@@ -0,0 +1,63 @@
+#include "primrosebridge/Commands/command.h"
+
+#include <algorithm>
+
+namespace PrimroseBridge {
+
+static Error usageError(const std::string &message)
+{
+    return {ErrorKind::InvalidArgument, message, "run primrosectl --help"};
+}
+
+/// Joins repeated servers; refuses the repetition of any other option, because one of the values would be ignored.
+static std::optional<Error> addOption(std::map<std::string, std::string> &options, const std::string &name, const std::string &value)
+{
+    const auto [option, isNew] = options.emplace(name, value);
+    if (isNew) {
+        return std::nullopt;
+    }
+    if (name != "server") {
+        return usageError("option --" + name + " is given twice");
+    }
+    option->second += "," + value;
+    return std::nullopt;
+}
+
+Result<Arguments> splitArguments(const std::vector<std::string> &arguments, std::optional<bool> (*isFlag)(const std::string &))
+{
+    std::vector<std::string> words;
+    std::map<std::string, std::string> options;
+    bool onlyWords = false;
+    for (std::size_t i = 0; i < arguments.size(); ++i) {
+        const auto &argument = arguments[i];
+        if (onlyWords || argument.substr(0, 2) != "--") {
+            words.push_back(argument);
+            continue;
+        }
+        if (argument == "--") {
+            onlyWords = true;
+            continue;
+        }
+        const auto equals = argument.find('=');
+        const auto name = argument.substr(2, equals == std::string::npos ? equals : equals - 2);
+        const auto flag = isFlag(name);
+        if (!flag) {
+            return usageError("option --" + name + " does not exist");
+        }
+        std::string value = "true";
+        if (equals != std::string::npos) {
+            value = argument.substr(equals + 1);
+        } else if (!*flag) {
+            if (i + 1 == arguments.size()) {
+                return usageError("option --" + name + " has no value");
+            }
+            value = arguments[++i];
+        }
+        if (const auto error = addOption(options, name, value)) {
+            return *error;
+        }
+    }
+    return Arguments{words, options};
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/ctl/lib/Commands/requests.cpp
@@ -0,0 +1,99 @@
+#include "actions.h"
+
+#include "ask.h"
+#include "primrosebridge/Commands/format.h"
+#include "waiting.h"
+
+#include <nlohmann/json.hpp>
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::ordered_json;
+
+static std::string readPayload(const Command &command, const Environment &environment)
+{
+    const auto &submit = command.m_submit;
+    return submit.m_payloadFile.empty() ? submit.m_payload : environment.m_readFile(submit.m_payloadFile).value();
+}
+
+static std::string submitBody(const Command &command, const std::string &key, const std::string &payload)
+{
+    const auto &submit = command.m_submit;
+    Json body = {{"key", key}, {"class", submit.m_jobClass}};
+    if (!submit.m_zone.empty()) {
+        body["zone"] = submit.m_zone;
+    }
+    if (submit.m_declaredRunTime) {
+        body["declaredRunTimeMs"] = submit.m_declaredRunTime->count();
+    }
+    body["payload"] = payload;
+    try {
+        return body.dump();
+    } catch (const Json::type_error &) {
+        throw Error(ErrorKind::InvalidArgument, "the payload is not UTF-8 text", "encode it, for example with base64");
+    }
+}
+
+static HttpCall buildSubmitCall(const Command &command, const Environment &environment, const std::string &key)
+{
+    const auto body = submitBody(command, key, readPayload(command, environment));
+    if (body.size() > maxRequestBytes) {
+        throw Error(ErrorKind::TooLarge,
+                    "the request has " + std::to_string(body.size()) + " bytes, the limit is " + std::to_string(maxRequestBytes),
+                    "shorten the payload, or pass the place of the data instead");
+    }
+    // The server holds the first call only briefly: what matters is to learn soon that the request was accepted.
+    return {"POST", "/v1/requests?wait_ms=" + std::string(command.m_submit.m_wait ? "1000" : "0"), body, std::nullopt, true};
+}
+
+static ExitCode printOutcome(const Command &command, const Environment &environment, const std::string &body)
+{
+    const auto kind = outcomeOf(body);
+    printAnswer(command, environment, body, formatKeyValues);
+    return exitCodeOf(kind);
+}
+
+ExitCode submitRequest(const Command &command, const Environment &environment)
+{
+    const auto key = command.m_submit.m_key.empty() ? environment.m_newKey() : command.m_submit.m_key;
+    const auto call = buildSubmitCall(command, environment, key);
+    if (command.m_submit.m_key.empty()) {
+        environment.m_report("the request has the key " + key + "\n");
+    }
+    if (command.m_submit.m_wait) {
+        return printOutcome(command, environment, awaitOutcome(command, environment, key, call));
+    }
+    const auto code = printOutcome(command, environment, ask(command, environment, call));
+    // Without --wait, an accepted request is all that was asked for.
+    return code == ExitCode::Undecided ? ExitCode::Done : code;
+}
+
+ExitCode getRequest(const Command &command, const Environment &environment)
+{
+    return printOutcome(command, environment, ask(command, environment, getCall("/v1/requests/" + command.m_operand)));
+}
+
+ExitCode waitForRequest(const Command &command, const Environment &environment)
+{
+    return printOutcome(command, environment, awaitOutcome(command, environment, command.m_operand, std::nullopt));
+}
+
+ExitCode cancelRequest(const Command &command, const Environment &environment)
+{
+    const auto body = ask(command, environment, {"DELETE", "/v1/requests/" + command.m_operand, "", std::nullopt, true});
+    const auto kind = outcomeOf(body);
+    printAnswer(command, environment, body, formatKeyValues);
+    if (kind == OutcomeKind::Done || kind == OutcomeKind::Failed) {
+        environment.m_report("the request had already ended\n");
+        return ExitCode::Conflict;
+    }
+    return kind == OutcomeKind::Unknown ? ExitCode::Undecided : ExitCode::Done;
+}
+
+ExitCode explainRequest(const Command &command, const Environment &environment)
+{
+    printAnswer(command, environment, ask(command, environment, getCall("/v1/requests/" + command.m_operand + "/explain")), formatKeyValues);
+    return ExitCode::Done;
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/ctl/tools/primrosectl/flags.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "primrosebridge/Commands/command.h"
+
+#include <string>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// Splits the command line and checks each value against the type of its flag. InvalidArgument names the faulty option.
+Result<Arguments> readFlags(const std::vector<std::string> &arguments);
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/ctl/unittests/Commands/commandline.cpp
@@ -0,0 +1,99 @@
+#include "primrosebridge/Commands/command.h"
+#include "primrosebridge/Commands/exitcode.h"
+
+#include <catch2/catch.hpp>
+
+using namespace PrimroseBridge;
+
+static std::optional<bool> isFlag(const std::string &name)
+{
+    if (name == "wait") {
+        return true;
+    }
+    return name == "server" || name == "key" ? std::optional<bool>(false) : std::nullopt;
+}
+
+// A value taken for a word, or the reverse, would submit another payload than the one typed.
+TEST_CASE("the command line is split into words and options")
+{
+    const auto split = splitArguments({"submit", "--key", "--wait", "--server=a", "--wait", "--server", "b", "--", "--key"}, isFlag).value();
+    CHECK(split.m_words == std::vector<std::string>{"submit", "--key"});
+    CHECK(split.m_options == std::map<std::string, std::string>{{"key", "--wait"}, {"server", "a,b"}, {"wait", "true"}});
+    CHECK(splitArguments({"--kye=1"}, isFlag).error().message() == "option --kye does not exist");
+    CHECK(splitArguments({"--key"}, isFlag).error().message() == "option --key has no value");
+    CHECK(splitArguments({"--key=1", "--key=2"}, isFlag).error().message() == "option --key is given twice");
+}
+
+TEST_CASE("a complete submit command is understood")
+{
+    const auto command = parseCommand({{"submit"},
+                                       {{"class", "glaze-check"},
+                                        {"key", "g1"},
+                                        {"payload", "{}"},
+                                        {"declared_run_time_ms", "1500"},
+                                        {"wait", "true"},
+                                        {"server", "10.0.0.1:80,[fd00::1]:81"},
+                                        {"output", "json"},
+                                        {"timeout", "60"}}},
+                                      "secret")
+                             .value();
+    CHECK(command.m_action == Action::Submit);
+    CHECK(command.m_submit == SubmitOptions{"glaze-check", "g1", "{}", "", "", Duration(1500), true});
+    CHECK(command.m_global == GlobalOptions{{"10.0.0.1:80", "[fd00::1]:81"}, "secret", OutputFormat::Json, std::chrono::seconds(60)});
+}
+
+struct BadCommand {
+    const Arguments m_arguments;
+    const std::string m_message;
+};
+
+// Each of these would otherwise run something that the operator did not ask for.
+TEST_CASE("wrong command lines are refused with the word or option at fault")
+{
+    const std::vector<BadCommand> commands = {
+        {{{}, {}}, "no subcommand is given"},
+        {{{"config", "chek", "f"}, {}}, "subcommand 'config chek' does not exist"},
+        {{{"get"}, {}}, "'get' needs KEY"},
+        {{{"get", "a", "b"}, {}}, "'get' does not accept 'b'"},
+        {{{"get", "a"}, {{"payload", "x"}}}, "'get' does not accept --payload"},
+        {{{"get", "a/b"}, {}}, "request key contains a character"},
+        {{{"submit"}, {}}, "'submit' needs --class"},
+        {{{"submit"}, {{"class", "c"}, {"payload", "x"}, {"payload_file", "f"}}}, "both given"},
+        {{{"submit"}, {{"class", "c"}, {"declared_run_time_ms", "0"}}}, "--declared_run_time_ms is '0'"},
+        {{{"fleet"}, {{"server", "localhost:80"}}}, "server 'localhost:80' is not an IP address"},
+        {{{"fleet"}, {{"server", "10.0.0.1:80,"}}}, "server '' is not"},
+        {{{"fleet"}, {{"output", "xml"}}}, "--output is 'xml'"},
+        {{{"fleet"}, {{"token", "a\r\nX: y"}}}, "control character"},
+        {{{"config", "rollback", "x"}, {}}, "VERSION is 'x'"},
+        {{{"log-level", "loud"}, {}}, "log level 'loud' does not exist"},
+    };
+    for (const auto &command : commands) {
+        const auto parsed = parseCommand(command.m_arguments, "token");
+        REQUIRE_FALSE(parsed.ok());
+        CHECK(parsed.error().kind() == ErrorKind::InvalidArgument);
+        CHECK_THAT(parsed.error().message(), Catch::Contains(command.m_message));
+    }
+}
+
+TEST_CASE("only commands that call a server need a token")
+{
+    CHECK(parseCommand({{"fleet"}, {}}, "").error().kind() == ErrorKind::Unauthenticated);
+    CHECK(parseCommand({{"config", "check", "f"}, {}}, "").ok());
+}
+
+// Scripts depend on the numbers.
+TEST_CASE("exit codes follow the documented table")
+{
+    CHECK(static_cast<int>(exitCodeOf(OutcomeKind::Done)) == 0);
+    CHECK(static_cast<int>(exitCodeOf(OutcomeKind::Failed)) == 1);
+    CHECK(static_cast<int>(exitCodeOf(OutcomeKind::Unknown)) == 7);
+    CHECK(static_cast<int>(exitCodeOf(OutcomeKind::NotRun)) == 8);
+    CHECK(static_cast<int>(exitCodeOf(ErrorKind::TooLarge)) == 2);
+    CHECK(static_cast<int>(exitCodeOf(ErrorKind::PermissionDenied)) == 3);
+    CHECK(static_cast<int>(exitCodeOf(ErrorKind::NotFound)) == 4);
+    CHECK(static_cast<int>(exitCodeOf(ErrorKind::Conflict)) == 5);
+    CHECK(static_cast<int>(exitCodeOf(ErrorKind::QueueFull)) == 6);
+    CHECK(static_cast<int>(exitCodeOf(ErrorKind::DeadlineExceeded)) == 7);
+    CHECK(static_cast<int>(exitCodeOf(ErrorKind::NeverRunnable)) == 8);
+    CHECK(static_cast<int>(exitCodeOf(ErrorKind::Internal)) == 9);
+}
