Let work below the size of a guarantee not use it up, and stop starving jobs from displacing each other

Cause: a claim was lost when its organisation started one small job, and each job that had waited an hour interrupted others that had, too. Change: only work of at least the unit's size counts as holding it, smaller jobs claim what is not used; a starving job interrupts batch and overdue work only and waits for the rest in the order of their start; urgent jobs may interrupt standard work that can be checkpointed and has run for ten minutes.

--- a/scheduling/include/primrosebridge/Placement/capacity.h
+++ b/scheduling/include/primrosebridge/Placement/capacity.h
@@ -56,6 +56,9 @@
 /// @p capacity without all of @p groups; one copy instead of one for each group. Thread-safe.
 Capacity withoutAll(const Capacity &capacity, const std::vector<Slots> &groups);
 
+/// As above. Thread-safe.
+Capacity withoutAll(const Capacity &capacity, const std::vector<const Slots *> &groups);
+
 /// @p capacity with the parts of @p slots that @p limit contains. Thread-safe.
 Capacity with(const Capacity &capacity, const Slots &slots, const Capacity &limit);
 
--- a/scheduling/include/primrosebridge/Placement/guaranteeplan.h
+++ b/scheduling/include/primrosebridge/Placement/guaranteeplan.h
@@ -24,9 +24,10 @@
 
 /// Where the claimed capacity comes from.
 enum class UnitSource {
-    Held, ///< All of it is in use by the organisation itself.
-    Free, ///< Free, or free and partly in use by the organisation itself.
-    Reclaimable, ///< Some of it is lent to other organisations.
+    Held, ///< In use by work of the organisation itself of at least the size of the unit.
+    Free,
+    Reclaimable, ///< Some of it is in use by work that can be checkpointed or stopped.
+    OwnWork, ///< Some of it is in use by smaller work of the organisation itself that cannot be removed.
 };
 
 /// One unit of a claim and a position at which it can be met.
--- a/scheduling/lib/Placement/capacity.cpp
+++ b/scheduling/lib/Placement/capacity.cpp
@@ -63,13 +63,13 @@
         workers, [](const WorkerState &worker) { return firstAccelerators(worker.m_worker.m_accelerators); }, [](const WorkerState &) { return true; });
 }
 
-Capacity withoutAll(const Capacity &capacity, const std::vector<Slots> &groups)
+Capacity withoutAll(const Capacity &capacity, const std::vector<const Slots *> &groups)
 {
     auto sets = capacity.m_accelerators;
     auto cores = capacity.m_cores;
     auto memory = capacity.m_memoryMb;
-    for (const auto &slots : groups) {
-        for (const auto &slot : slots) {
+    for (const auto *slots : groups) {
+        for (const auto &slot : *slots) {
             sets[slot.m_worker] &= ~slot.m_accelerators;
             cores[slot.m_worker] = std::max(0, cores[slot.m_worker] - slot.m_cores);
             memory[slot.m_worker] = std::max<std::int64_t>(0, memory[slot.m_worker] - slot.m_memoryMb);
@@ -78,9 +78,19 @@
     return {std::move(sets), std::move(cores), std::move(memory)};
 }
 
+Capacity withoutAll(const Capacity &capacity, const std::vector<Slots> &groups)
+{
+    std::vector<const Slots *> pointers;
+    pointers.reserve(groups.size());
+    for (const auto &slots : groups) {
+        pointers.push_back(&slots);
+    }
+    return withoutAll(capacity, pointers);
+}
+
 Capacity without(const Capacity &capacity, const Slots &slots)
 {
-    return withoutAll(capacity, {slots});
+    return withoutAll(capacity, std::vector{&slots});
 }
 
 Capacity with(const Capacity &capacity, const Slots &slots, const Capacity &limit)
--- a/scheduling/lib/Placement/guaranteeplan.cpp
+++ b/scheduling/lib/Placement/guaranteeplan.cpp
@@ -1,6 +1,7 @@
 #include "primrosebridge/Placement/guaranteeplan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <numeric>
 #include <tuple>
@@ -49,148 +50,172 @@
     return holdings;
 }
 
-/// The parts of a plan while it is made.
+/// The parts of a plan while it is made. The capacities shrink with each unit.
 struct Draft {
     std::vector<PlannedUnit> m_units;
     std::vector<int> m_met;
+    std::shared_ptr<const Capacity> m_free; ///< In use by nobody.
+    std::shared_ptr<const Capacity> m_unpinned; ///< Free or reclaimable.
 };
 
-/// Capacities that one planning run looks at.
+/// What one planning run looks at.
 struct PlanningView {
     const FleetIndex &m_fleet;
     const Capacity &m_usable;
-    const std::vector<Holding> &m_holdings;
     const std::vector<Claim> &m_claims;
-    const Capacity m_free; ///< In use by nobody.
-    const Capacity m_unpinned; ///< Free or reclaimable.
+    const std::unordered_map<int, std::vector<const Holding *>> m_holdingsOf; ///< Of each organisation that has claims.
+    const std::shared_ptr<const Capacity> m_free;
+    const std::shared_ptr<const Capacity> m_unpinned;
 };
 
 static PlanningView viewOf(const FleetIndex &fleet, const Capacity &usable, const std::vector<Holding> &holdings, const std::vector<Claim> &claims)
 {
-    std::vector<Slots> all;
-    std::vector<Slots> pinned;
+    std::unordered_map<int, std::vector<const Holding *>> byOrganisation;
+    for (const auto &claim : claims) {
+        byOrganisation[claim.m_organisation];
+    }
+    std::vector<const Slots *> all;
+    std::vector<const Slots *> pinned;
+    all.reserve(holdings.size());
     for (const auto &holding : holdings) {
-        all.push_back(holding.m_slots);
+        all.push_back(&holding.m_slots);
         if (!holding.m_reclaimable) {
-            pinned.push_back(holding.m_slots);
+            pinned.push_back(&holding.m_slots);
+        }
+        const auto found = byOrganisation.find(holding.m_organisation);
+        if (found != byOrganisation.end() && holding.m_organisation >= 0) {
+            found->second.push_back(&holding);
         }
     }
-    return {fleet, usable, holdings, claims, withoutAll(usable, all), withoutAll(usable, pinned)};
+    return {fleet,
+            usable,
+            claims,
+            std::move(byOrganisation),
+            std::make_shared<const Capacity>(withoutAll(usable, all)),
+            std::make_shared<const Capacity>(withoutAll(usable, pinned))};
 }
 
-/// What one organisation can use for its units: @p base plus its own holdings less the units planned so far.
-static Capacity available(const PlanningView &view, const Capacity &base, int organisation, bool pinnedOnly, const Draft &draft)
+static void addUnit(Draft &draft, int claim, UnitSource source, Slots slots)
 {
-    auto sets = base.m_accelerators;
-    auto cores = base.m_cores;
-    auto memory = base.m_memoryMb;
-    for (const auto &holding : view.m_holdings) {
-        if (holding.m_organisation != organisation || organisation < 0 || (pinnedOnly && holding.m_reclaimable)) {
-            continue;
-        }
-        for (const auto &slot : holding.m_slots) {
-            sets[slot.m_worker] |= slot.m_accelerators & view.m_usable.m_accelerators[slot.m_worker];
-            cores[slot.m_worker] = std::min(view.m_usable.m_cores[slot.m_worker], cores[slot.m_worker] + slot.m_cores);
-            memory[slot.m_worker] = std::min(view.m_usable.m_memoryMb[slot.m_worker], memory[slot.m_worker] + slot.m_memoryMb);
-        }
+    draft.m_units.push_back({claim, source, std::move(slots)});
+    ++draft.m_met[claim];
+}
+
+static void subtract(std::shared_ptr<const Capacity> &capacity, const Slots &slots)
+{
+    capacity = std::make_shared<const Capacity>(without(*capacity, slots));
+}
+
+static bool isUsable(const Capacity &usable, const Slots &slots)
+{
+    return std::all_of(slots.begin(), slots.end(), [&usable](const Slot &slot) { return (slot.m_accelerators & ~usable.m_accelerators[slot.m_worker]) == 0; });
+}
+
+/// True if what @p holding occupies can be a unit of @p shape; a gang over several workers cannot if it must lie on one.
+static bool formsUnit(const FleetIndex &fleet, const Holding &holding, const Shape &shape)
+{
+    const auto &slots = holding.m_slots;
+    if (slots.empty() || countAccelerators(slots) < shape.m_accelerators || shape.m_accelerators == 0) {
+        return false;
     }
-    std::vector<Slots> planned;
-    planned.reserve(draft.m_units.size());
-    for (const auto &unit : draft.m_units) {
-        planned.push_back(unit.m_slots);
+    if (shape.m_adjacency == Adjacency::SameWorker) {
+        return slots.size() == 1;
     }
-    return withoutAll({std::move(sets), std::move(cores), std::move(memory)}, planned);
+    return shape.m_adjacency == Adjacency::Nearest
+           || std::all_of(slots.begin(), slots.end(), [&](const Slot &slot) { return fleet.m_rackOf[slot.m_worker] == fleet.m_rackOf[slots[0].m_worker]; });
 }
 
-static bool isWithin(const Slots &slots, const Capacity &capacity)
+static bool overlaps(const PlannedUnit &unit, const Slot &held)
 {
-    return std::all_of(slots.begin(), slots.end(), [&capacity](const Slot &slot) {
-        const int worker = slot.m_worker;
-        return (slot.m_accelerators & ~capacity.m_accelerators[worker]) == 0 && slot.m_cores <= capacity.m_cores[worker]
-               && slot.m_memoryMb <= capacity.m_memoryMb[worker];
+    return std::any_of(unit.m_slots.begin(), unit.m_slots.end(), [&held](const Slot &slot) {
+        return slot.m_worker == held.m_worker && (slot.m_accelerators & held.m_accelerators) != 0;
     });
 }
 
-/// Units that the organisation's own allocations of exactly this size already hold.
-static void planExactHoldings(const PlanningView &view, int claimIndex, Draft &draft)
+/// True if a unit that was planned before lies on the holding; claims served earlier may have taken reclaimable work.
+static bool isTaken(const Draft &draft, const Holding &holding)
+{
+    return std::any_of(draft.m_units.begin(), draft.m_units.end(), [&holding](const PlannedUnit &unit) {
+        return std::any_of(holding.m_slots.begin(), holding.m_slots.end(), [&unit](const Slot &slot) { return overlaps(unit, slot); });
+    });
+}
+
+/// Units that running work of the organisation of at least their size holds. Smaller work of its own does not count: it would
+/// otherwise take the organisation's claim to the whole shape away.
+static void planHeld(const PlanningView &view, int claimIndex, Draft &draft)
 {
     const Claim &claim = view.m_claims[claimIndex];
-    if (claim.m_organisation < 0) {
-        return;
-    }
-    for (const auto &holding : view.m_holdings) {
+    for (const auto *holding : view.m_holdingsOf.at(claim.m_organisation)) {
         if (draft.m_met[claimIndex] == claim.m_count) {
             return;
         }
-        const bool own = holding.m_organisation == claim.m_organisation;
-        if (!own || holding.m_slots.empty() || countAccelerators(holding.m_slots) != claim.m_shape.m_accelerators) {
+        const bool suits = formsUnit(view.m_fleet, *holding, claim.m_shape) && isUsable(view.m_usable, holding->m_slots);
+        if (!suits || isTaken(draft, *holding)) {
             continue;
         }
-        // A gang over several workers does not hold a unit that must lie on one worker.
-        if (claim.m_shape.m_adjacency == Adjacency::SameWorker && holding.m_slots.size() != 1) {
-            continue;
-        }
-        if (isWithin(holding.m_slots, available(view, view.m_free, claim.m_organisation, false, draft))) {
-            draft.m_units.push_back({claimIndex, UnitSource::Held, holding.m_slots});
-            ++draft.m_met[claimIndex];
+        if (holding->m_reclaimable) {
+            // Other organisations must not plan to reclaim what a guarantee covers.
+            subtract(draft.m_unpinned, holding->m_slots);
         }
+        addUnit(draft, claimIndex, UnitSource::Held, holding->m_slots);
     }
 }
 
-/// The capacity of only those workers on which the organisation runs something.
-static Capacity onOwnWorkers(const PlanningView &view, const Capacity &capacity, int organisation)
+/// The unpinned capacity and what the organisation's own pinned work occupies outside the units it holds.
+static Capacity withOwnPinned(const PlanningView &view, int organisation, const Draft &draft)
 {
-    std::vector<AcceleratorSet> sets(capacity.m_accelerators.size());
-    std::vector<int> cores(sets.size());
-    std::vector<std::int64_t> memory(sets.size());
-    for (const auto &holding : view.m_holdings) {
-        if (holding.m_organisation != organisation) {
-            continue;
+    Slots own;
+    for (const auto *holding : view.m_holdingsOf.at(organisation)) {
+        if (!holding->m_reclaimable) {
+            std::copy(holding->m_slots.begin(), holding->m_slots.end(), std::back_inserter(own));
         }
-        for (const auto &slot : holding.m_slots) {
-            sets[slot.m_worker] = capacity.m_accelerators[slot.m_worker];
-            cores[slot.m_worker] = capacity.m_cores[slot.m_worker];
-            memory[slot.m_worker] = capacity.m_memoryMb[slot.m_worker];
+    }
+    const Capacity capacity = with(*draft.m_unpinned, own, view.m_usable);
+    auto sets = capacity.m_accelerators;
+    for (const auto &unit : draft.m_units) {
+        if (view.m_claims[unit.m_claim].m_organisation == organisation) {
+            for (const auto &slot : unit.m_slots) {
+                sets[slot.m_worker] &= ~slot.m_accelerators;
+            }
         }
     }
-    return {std::move(sets), std::move(cores), std::move(memory)};
+    return {std::move(sets), capacity.m_cores, capacity.m_memoryMb};
 }
 
-static void planRest(const PlanningView &view, int claimIndex, Draft &draft)
+static void planFrom(const PlanningView &view, int claimIndex, UnitSource source, Capacity first, Draft &draft)
 {
     const Claim &claim = view.m_claims[claimIndex];
-    const auto add = [&](UnitSource source, const Slots &slots) {
-        const bool held = source == UnitSource::Free && claim.m_shape.m_accelerators > 0 && std::none_of(slots.begin(), slots.end(), [&view](const Slot &slot) {
-                              return (slot.m_accelerators & view.m_free.m_accelerators[slot.m_worker]) != 0;
-                          });
-        draft.m_units.push_back({claimIndex, held ? UnitSource::Held : source, slots});
-        ++draft.m_met[claimIndex];
-    };
-    const auto planFrom = [&](UnitSource source, Capacity first) {
-        auto capacity = std::make_shared<const Capacity>(std::move(first));
-        while (draft.m_met[claimIndex] < claim.m_count) {
-            const auto slots = fit(view.m_fleet, *capacity, claim.m_shape);
-            if (!slots) {
-                return;
-            }
-            add(source, *slots);
-            capacity = std::make_shared<const Capacity>(without(*capacity, *slots));
+    auto capacity = std::make_shared<const Capacity>(std::move(first));
+    while (draft.m_met[claimIndex] < claim.m_count) {
+        const auto slots = fit(view.m_fleet, *capacity, claim.m_shape);
+        if (!slots) {
+            return;
         }
-    };
+        subtract(capacity, *slots);
+        subtract(draft.m_free, *slots);
+        subtract(draft.m_unpinned, *slots);
+        addUnit(draft, claimIndex, source, *slots);
+    }
+}
+
+/// Free capacity first, then lent capacity, and last the positions of the organisation's own work that cannot be removed.
+static void planRest(const PlanningView &view, int claimIndex, Draft &draft)
+{
+    const Claim &claim = view.m_claims[claimIndex];
     if (draft.m_met[claimIndex] < claim.m_count) {
-        planFrom(UnitSource::Free, onOwnWorkers(view, available(view, view.m_free, claim.m_organisation, false, draft), claim.m_organisation));
+        planFrom(view, claimIndex, UnitSource::Free, *draft.m_free, draft);
     }
     if (draft.m_met[claimIndex] < claim.m_count) {
-        planFrom(UnitSource::Free, available(view, view.m_free, claim.m_organisation, false, draft));
+        planFrom(view, claimIndex, UnitSource::Reclaimable, *draft.m_unpinned, draft);
     }
     if (draft.m_met[claimIndex] < claim.m_count) {
-        planFrom(UnitSource::Reclaimable, available(view, view.m_unpinned, claim.m_organisation, true, draft));
+        planFrom(view, claimIndex, UnitSource::OwnWork, withOwnPinned(view, claim.m_organisation, draft), draft);
     }
 }
 
-static Draft emptyDraft(const std::vector<Claim> &claims)
+static Draft emptyDraft(const PlanningView &view)
 {
-    return {{}, std::vector<int>(claims.size())};
+    return {{}, std::vector<int>(view.m_claims.size()), view.m_free, view.m_unpinned};
 }
 
 static bool meetsAll(const std::vector<Claim> &claims, const Draft &draft)
@@ -206,14 +231,14 @@
 /// What is held stays where it is, and large shapes choose before small ones: packs best, but ignores the order of service.
 static Draft planLargestFirst(const PlanningView &view)
 {
-    Draft draft = emptyDraft(view.m_claims);
+    Draft draft = emptyDraft(view);
     std::vector<int> order(view.m_claims.size());
     std::iota(order.begin(), order.end(), 0);
     std::stable_sort(order.begin(), order.end(), [&view](int left, int right) {
         return view.m_claims[left].m_shape.m_accelerators > view.m_claims[right].m_shape.m_accelerators;
     });
     for (const int claim : order) {
-        planExactHoldings(view, claim, draft);
+        planHeld(view, claim, draft);
     }
     for (const int claim : order) {
         planRest(view, claim, draft);
@@ -223,9 +248,9 @@
 
 static Draft planInOrder(const PlanningView &view)
 {
-    Draft draft = emptyDraft(view.m_claims);
+    Draft draft = emptyDraft(view);
     for (int claim = 0; claim < static_cast<int>(view.m_claims.size()); ++claim) {
-        planExactHoldings(view, claim, draft);
+        planHeld(view, claim, draft);
         planRest(view, claim, draft);
     }
     return draft;
@@ -264,13 +289,6 @@
     return units;
 }
 
-static bool overlaps(const PlannedUnit &unit, const Slot &held)
-{
-    return std::any_of(unit.m_slots.begin(), unit.m_slots.end(), [&held](const Slot &slot) {
-        return slot.m_worker == held.m_worker && (slot.m_accelerators & held.m_accelerators) != 0;
-    });
-}
-
 std::vector<bool> coveredHoldings(const GuaranteePlan &plan, const std::vector<Claim> &claims, const std::vector<Holding> &holdings, int workers)
 {
     std::vector<std::vector<const PlannedUnit *>> unitsOn(workers);
--- a/scheduling/lib/Policy/joborder.cpp
+++ b/scheduling/lib/Policy/joborder.cpp
@@ -17,14 +17,46 @@
     return amounts && adjacency;
 }
 
-/// Units of each claim that its organisation does not hold.
-static std::vector<int> unheldUnits(const PassContext &context, const GuaranteePlan &plan)
+/// What is left of the guarantees.
+struct Entitlements {
+    std::vector<int> m_unheld; ///< Units of each claim that its organisation does not hold.
+    std::vector<int> m_accelerators; ///< Accelerators for each organisation, less those that its other work uses.
+};
+
+static Entitlements entitlementsOf(const PassContext &context, const PassDraft &draft)
+{
+    Entitlements left{std::vector<int>(context.m_claims.size()), std::vector<int>(context.m_state.m_organisations.size())};
+    for (std::size_t organisation = 0; organisation < left.m_accelerators.size(); ++organisation) {
+        left.m_accelerators[organisation] = -draft.m_usage[organisation];
+    }
+    for (const auto &unit : draft.m_plan->m_units) {
+        const auto &claim = context.m_claims[unit.m_claim];
+        if (claim.m_organisation < 0) {
+            continue;
+        }
+        const bool held = unit.m_source == UnitSource::Held;
+        left.m_unheld[unit.m_claim] += held ? 0 : 1;
+        left.m_accelerators[claim.m_organisation] += held ? countAccelerators(unit.m_slots) : claim.m_shape.m_accelerators;
+    }
+    return left;
+}
+
+/// A job of the size of the unit claims it whatever else its organisation runs. Smaller jobs claim what the organisation does
+/// not use of its guarantees.
+static bool takeEntitlement(const PassContext &context, int job, int claimIndex, Entitlements &left)
 {
-    std::vector<int> unheld(context.m_claims.size());
-    for (const auto &unit : plan.m_units) {
-        unheld[unit.m_claim] += unit.m_source == UnitSource::Held ? 0 : 1;
+    const Shape &wanted = context.m_state.m_queue[job].m_shape;
+    const Claim &claim = context.m_claims[claimIndex];
+    if (left.m_unheld[claimIndex] == 0 || !fitsUnit(wanted, claim.m_shape)) {
+        return false;
     }
-    return unheld;
+    const bool whole = wanted.m_accelerators == claim.m_shape.m_accelerators;
+    if (!whole && (wanted.m_accelerators == 0 || wanted.m_accelerators > left.m_accelerators[claim.m_organisation])) {
+        return false;
+    }
+    left.m_unheld[claimIndex] -= whole ? 1 : 0;
+    left.m_accelerators[claim.m_organisation] -= wanted.m_accelerators;
+    return true;
 }
 
 static int levelByAge(const PassContext &context, const QueuedJob &job)
@@ -82,7 +114,7 @@
 static void markEntitled(const PassContext &context, const PassDraft &draft, std::vector<int> &levels)
 {
     const auto &queue = context.m_state.m_queue;
-    auto unheld = unheldUnits(context, *draft.m_plan);
+    auto left = entitlementsOf(context, draft);
     std::vector<std::vector<int>> claimsOf(context.m_state.m_organisations.size());
     for (int claim = 0; claim < static_cast<int>(context.m_claims.size()); ++claim) {
         if (context.m_claims[claim].m_organisation >= 0) {
@@ -91,17 +123,14 @@
     }
     std::vector<int> order(queue.size());
     std::iota(order.begin(), order.end(), 0);
-    std::stable_sort(order.begin(), order.end(), [&queue](int left, int right) {
-        return std::tie(queue[left].m_tier, queue[left].m_submittedAt) < std::tie(queue[right].m_tier, queue[right].m_submittedAt);
-    });
+    std::stable_sort(order.begin(), order.end(), [&queue](int one, int other) { return queue[one].m_submittedAt < queue[other].m_submittedAt; });
     for (const int job : order) {
         const int organisation = context.m_organisationOf[job];
         if (organisation < 0) {
             continue;
         }
         for (const int claim : claimsOf[organisation]) {
-            if (unheld[claim] > 0 && fitsUnit(queue[job].m_shape, context.m_claims[claim].m_shape)) {
-                --unheld[claim];
+            if (takeEntitlement(context, job, claim, left)) {
                 levels[job] = EntitledLevel;
                 break;
             }
--- a/scheduling/lib/Policy/release.cpp
+++ b/scheduling/lib/Policy/release.cpp
@@ -10,25 +10,65 @@
     return allocation.m_checkpointable ? ReleaseMode::Checkpoint : ReleaseMode::Stop;
 }
 
-static bool mayRelease(const PassContext &context, const std::vector<bool> &covered, int index, int job, ReleaseScope scope)
+/// Work of other tiers younger than this is not interrupted for urgent jobs, so that nothing is interrupted again and again.
+constexpr Duration youngestInterrupted = std::chrono::minutes(10);
+
+/// Accelerators that each organisation is guaranteed.
+static std::vector<int> guaranteedAccelerators(const PassContext &context)
 {
-    const auto &allocation = context.m_state.m_allocations[index];
-    const bool ownBatch = context.m_holdings[index].m_organisation == context.m_organisationOf[job] && allocation.m_tier == Tier::Batch
-                          && context.m_state.m_queue[job].m_tier == Tier::Urgent;
-    if (isReclaimable(allocation) && scope == ReleaseScope::GuaranteeOrCovered) {
-        return true;
+    std::vector<int> guaranteed(context.m_state.m_organisations.size());
+    for (const auto &claim : context.m_claims) {
+        if (claim.m_organisation >= 0) {
+            guaranteed[claim.m_organisation] += claim.m_count * claim.m_shape.m_accelerators;
+        }
     }
-    if (!isReclaimable(allocation) || (covered[index] && !ownBatch)) {
+    return guaranteed;
+}
+
+/// For each allocation, whether a guarantee of its own organisation protects it: it lies on a unit, or the organisation does not
+/// use more than its guarantees.
+static std::vector<bool> protectedAllocations(const PassContext &context, const PassDraft &draft)
+{
+    auto result = coveredHoldings(*draft.m_plan, context.m_claims, context.m_holdings, static_cast<int>(context.m_fleet.m_workers.size()));
+    const auto guaranteed = guaranteedAccelerators(context);
+    for (std::size_t index = 0; index < result.size(); ++index) {
+        const int organisation = context.m_holdings[index].m_organisation;
+        result[index] = result[index] || (organisation >= 0 && draft.m_usage[organisation] <= guaranteed[organisation]);
+    }
+    return result;
+}
+
+static bool mayReleaseForUrgent(const PassContext &context, const Allocation &allocation)
+{
+    const bool old = context.m_now - allocation.m_startedAt >= youngestInterrupted;
+    return allocation.m_tier == Tier::Batch || (allocation.m_tier == Tier::Standard && allocation.m_checkpointable && old);
+}
+
+/// Only batch work and work that exceeds its estimate: jobs that starve would otherwise displace each other in turn.
+static bool mayReleaseForStarving(const PassContext &context, const Allocation &allocation)
+{
+    const bool overdue = context.m_now > allocation.m_startedAt + allocation.m_expectedRunTime;
+    return allocation.m_tier == Tier::Batch || (allocation.m_tier == Tier::Standard && overdue);
+}
+
+static bool mayRelease(const PassContext &context, const std::vector<bool> &protectedOnes, int index, int job, ReleaseScope scope)
+{
+    const auto &allocation = context.m_state.m_allocations[index];
+    if (!isReclaimable(allocation)) {
         return false;
     }
+    const bool ownBatch = context.m_holdings[index].m_organisation == context.m_organisationOf[job] && allocation.m_tier == Tier::Batch
+                          && context.m_state.m_queue[job].m_tier == Tier::Urgent;
+    const bool available = !protectedOnes[index] || ownBatch;
     switch (scope) {
     case ReleaseScope::Guarantee:
+        return available;
     case ReleaseScope::GuaranteeOrCovered:
         return true;
     case ReleaseScope::Urgent:
-        return allocation.m_tier == Tier::Batch;
+        return available && mayReleaseForUrgent(context, allocation);
     case ReleaseScope::Starving:
-        return allocation.m_tier != Tier::Urgent;
+        return available && mayReleaseForStarving(context, allocation);
     }
     return false;
 }
@@ -47,21 +87,22 @@
 static std::vector<int> releasableInOrder(const PassContext &context, const PassDraft &draft, int job, ReleaseScope scope)
 {
     const auto &allocations = context.m_state.m_allocations;
-    const auto covered = coveredHoldings(*draft.m_plan, context.m_claims, context.m_holdings, static_cast<int>(context.m_fleet.m_workers.size()));
-    std::vector<std::tuple<int, std::int64_t, Instant, int>> costs;
+    const auto protectedOnes = protectedAllocations(context, draft);
+    std::vector<std::tuple<int, std::int64_t, int, Instant, int>> costs;
     for (int index = 0; index < static_cast<int>(allocations.size()); ++index) {
         const auto &allocation = allocations[index];
         if (allocation.m_releasing || draft.m_released[index]) {
-            costs.emplace_back(-1, 0, allocation.m_startedAt, index);
-        } else if (mayRelease(context, covered, index, job, scope)) {
-            costs.emplace_back(-static_cast<int>(allocation.m_tier) + 2, lostWork(context, index), allocation.m_startedAt, index);
+            costs.emplace_back(-1, 0, 0, allocation.m_startedAt, index);
+        } else if (mayRelease(context, protectedOnes, index, job, scope)) {
+            costs.emplace_back(
+                -static_cast<int>(allocation.m_tier) + 2, lostWork(context, index), allocation.m_shape.m_accelerators, allocation.m_startedAt, index);
         }
     }
     std::sort(costs.begin(), costs.end());
     std::vector<int> order;
     order.reserve(costs.size());
     for (const auto &cost : costs) {
-        order.push_back(std::get<3>(cost));
+        order.push_back(std::get<4>(cost));
     }
     return order;
 }
--- a/scheduling/lib/Policy/release.h
+++ b/scheduling/lib/Policy/release.h
@@ -17,8 +17,8 @@
 enum class ReleaseScope {
     Guarantee, ///< Any that no guarantee of their own organisation covers.
     GuaranteeOrCovered, ///< Any; for a claimed guarantee whose cores or memory are in use by covered work.
-    Urgent, ///< Of these, only batch jobs.
-    Starving, ///< Any uncovered one that is not urgent; also waits for the end of the others, oldest first.
+    Urgent, ///< Of the uncovered ones, batch jobs and older standard jobs that can be checkpointed.
+    Starving, ///< Of the uncovered ones, batch jobs and overdue ones; also waits for the end of the others, oldest first.
 };
 
 /// A position for @p job after releases, or empty if there is none. Thread-safe.
--- a/scheduling/lib/Policy/report.cpp
+++ b/scheduling/lib/Policy/report.cpp
@@ -19,6 +19,7 @@
         }
         switch (unit.m_source) {
         case UnitSource::Held:
+        case UnitSource::OwnWork:
             ++counts.m_held;
             break;
         case UnitSource::Free:
--- a/scheduling/unittests/Placement/fit.cpp
+++ b/scheduling/unittests/Placement/fit.cpp
@@ -121,7 +121,10 @@
         const auto plan = planGuarantees(fleet, usable, holdings, claims);
         std::vector<AcceleratorSet> taken(workers.size());
         for (const auto &unit : plan.m_units) {
-            checkSlots(fleet, usable, claims[unit.m_claim].m_shape, unit.m_slots);
+            const Shape &claimed = claims[unit.m_claim].m_shape;
+            const bool held = unit.m_source == UnitSource::Held;
+            RC_ASSERT(countAccelerators(unit.m_slots) >= claimed.m_accelerators);
+            checkSlots(fleet, usable, {held ? countAccelerators(unit.m_slots) : claimed.m_accelerators, claimed.m_adjacency, 0, 0}, unit.m_slots);
             for (const auto &slot : unit.m_slots) {
                 RC_ASSERT((taken[slot.m_worker] & slot.m_accelerators) == 0U);
                 taken[slot.m_worker] |= slot.m_accelerators;
