Let the scheduler's stages start before the election is there

Cause: the election's thread can report ownership before its pointer is assigned, which raced with the stages that read it.

Change: the stages read an atomic pointer that is set once the election exists.

--- a/service/lib/Runtime/node.cpp
+++ b/service/lib/Runtime/node.cpp
@@ -184,6 +184,7 @@
         return election.error();
     }
     core.m_election = election.take();
+    core.m_runningElection = core.m_election.get();
     return std::nullopt;
 }
 
--- a/service/lib/Runtime/nodecore.h
+++ b/service/lib/Runtime/nodecore.h
@@ -34,6 +34,7 @@
     std::shared_ptr<StoreClient> m_store;
     std::unique_ptr<ZoneScheduler> m_scheduler;
     std::unique_ptr<ZoneElection> m_election;
+    std::atomic<ZoneElection *> m_runningElection = nullptr; ///< For the scheduler's stages, which run before the election is there.
     std::unique_ptr<PeerNetwork> m_peers;
 };
 
