--- a/recovery/include/primrosebridge/Ownership/ownership.h
+++ b/recovery/include/primrosebridge/Ownership/ownership.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <optional>
-#include <string>
+#include <string_view>
 #include <vector>
 
 namespace PrimroseBridge {
@@ -55,6 +55,9 @@
     StopRequested, ///< Planned stop.
 };
 
+/// The name in lower_snake_case. Thread-safe.
+std::string_view ownershipEventName(OwnershipEventKind kind);
+
 /// One event with the fields that its kind uses.
 struct OwnershipEvent {
     const OwnershipEventKind m_kind;
--- a/recovery/lib/Ownership/ownership.cpp
+++ b/recovery/lib/Ownership/ownership.cpp
@@ -1,6 +1,7 @@
 #include "primrosebridge/Ownership/ownership.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 
 namespace PrimroseBridge {
@@ -27,6 +28,38 @@
     return "standby";
 }
 
+struct EventName {
+    const OwnershipEventKind m_kind;
+    const std::string_view m_name;
+};
+
+static constexpr std::array<EventName, 13> eventNames = {{
+    {OwnershipEventKind::Tick, "tick"},
+    {OwnershipEventKind::LeaseGranted, "lease_granted"},
+    {OwnershipEventKind::LeaseRenewed, "lease_renewed"},
+    {OwnershipEventKind::LeaseLost, "lease_lost"},
+    {OwnershipEventKind::StoreUnreachable, "store_unreachable"},
+    {OwnershipEventKind::KeyCreated, "key_created"},
+    {OwnershipEventKind::KeyHeldByOther, "key_held_by_other"},
+    {OwnershipEventKind::KeyAnswerLost, "key_answer_lost"},
+    {OwnershipEventKind::KeyReadBackMine, "key_read_back_mine"},
+    {OwnershipEventKind::KeyAbsent, "key_absent"},
+    {OwnershipEventKind::PeerReachesStore, "peer_reaches_store"},
+    {OwnershipEventKind::WorkerSawHigherFence, "worker_saw_higher_fence"},
+    {OwnershipEventKind::StopRequested, "stop_requested"},
+}};
+
+std::string_view ownershipEventName(OwnershipEventKind kind)
+{
+    for (const auto &entry : eventNames) {
+        if (entry.m_kind == kind) {
+            return entry.m_name;
+        }
+    }
+    assert(false && "every event has a name");
+    return "tick";
+}
+
 static OwnershipState standbyState(bool stopping)
 {
     return {.m_role = OwnershipRole::Standby, .m_fence = std::nullopt, .m_lease = 0, .m_leaseEndsAt = Instant(), .m_stopping = stopping};
