--- a/service/lib/Peers/peernetwork.cpp
+++ b/service/lib/Peers/peernetwork.cpp
@@ -22,7 +22,6 @@
 // Passes changes of the configuration on while the network exists; the subscription to the holder itself cannot be ended.
 struct ConfigurationListener {
     std::mutex m_mutex;
-    PeerState *m_state = nullptr;
     HeartbeatStage *m_heartbeats = nullptr;
 };
 
@@ -45,25 +44,20 @@
     return PeerSettings{settings.m_vm, settings.m_zone, settings.m_incarnation, address};
 }
 
-static void announceConfiguration(ConfigurationListener &listener, const VersionedConfiguration &current)
+// Peers learn of a new version at once instead of after up to one period for each hop.
+static void announceConfiguration(ConfigurationListener &listener)
 {
-    const std::string version = std::to_string(current.m_configuration.m_version);
     const std::lock_guard lock(listener.m_mutex);
-    if (!listener.m_state) {
-        return;
+    if (listener.m_heartbeats) {
+        listener.m_heartbeats->requestRound();
     }
-    logEvent(LogLevel::Info, "configuration_in_force", {{"version", version}});
-    listener.m_state->m_events.record(TimerService::now(), "configuration_in_force", "", EventReference{"", 0}, formatFields({{"version", version}}));
-    // Peers learn of the version at once instead of after up to one period for each hop.
-    listener.m_heartbeats->requestRound();
 }
 
-static std::shared_ptr<ConfigurationListener> listenTo(ConfigurationHolder &configuration, PeerState &state, HeartbeatStage &heartbeats)
+static std::shared_ptr<ConfigurationListener> listenTo(ConfigurationHolder &configuration, HeartbeatStage &heartbeats)
 {
     auto listener = std::make_shared<ConfigurationListener>();
-    listener->m_state = &state;
     listener->m_heartbeats = &heartbeats;
-    configuration.subscribe([listener](const VersionedConfiguration &current) { announceConfiguration(*listener, current); });
+    configuration.subscribe([listener](const VersionedConfiguration &) { announceConfiguration(*listener); });
     return listener;
 }
 
@@ -87,7 +81,7 @@
     auto *heartbeats = state->m_heartbeats.get();
     state->m_server = server.value();
     state->m_server->serve(state->m_state);
-    state->m_listener = listenTo(configuration, state->m_state, *heartbeats);
+    state->m_listener = listenTo(configuration, *heartbeats);
     state->m_timer = timers->subscribe(heartbeatPeriod, [heartbeats](Instant) { heartbeats->requestRound(); });
     return std::unique_ptr<PeerNetwork>(new PeerNetwork(std::move(state)));
 }
@@ -102,7 +96,7 @@
     m_private->m_timer.reset();
     {
         const std::lock_guard lock(m_private->m_listener->m_mutex);
-        m_private->m_listener->m_state = nullptr;
+        m_private->m_listener->m_heartbeats = nullptr;
     }
     m_private->m_state.m_calls.cancelAll();
 }
