Follow the daemon's interface in primrosectl

Its timeline takes the parameters key and since_s and names the VMs whose older events were overwritten; it answers 503 while a VM has no configuration; ErrorKind has StoreUnavailable; and it declares an HttpCall of its own in the same namespace.

Change: primrosectl uses these parameters, prints the truncated list, shows guarantees as a table, passes over a server that answers 503 if the call is safe to repeat, and its types are named ServerCall and ServerAnswer.

Conclusion: still not run against a daemon.

--- a/ctl/lib/Commands/ask.cpp
+++ b/ctl/lib/Commands/ask.cpp
@@ -23,10 +23,10 @@
     return std::max(Duration(0), timeoutOf(command) - environment.m_elapsed());
 }
 
-std::string ask(const Command &command, const Environment &environment, const HttpCall &call, Duration serverWait)
+std::string ask(const Command &command, const Environment &environment, const ServerCall &call, Duration serverWait)
 {
     // Computed for each server, so that slow ones do not extend the command beyond its time.
-    const SendCall send = [&](const std::string &server, const HttpCall &sent, Duration timeout) -> Result<HttpAnswer> {
+    const SendCall send = [&](const std::string &server, const ServerCall &sent, Duration timeout) -> Result<ServerAnswer> {
         const auto remaining = remainingTime(command, environment);
         if (remaining == Duration(0)) {
             return Error(ErrorKind::Unavailable, "no time is left to ask server " + server, "use a longer --timeout");
@@ -40,7 +40,7 @@
     return answer.m_body;
 }
 
-HttpCall getCall(const std::string &path)
+ServerCall getCall(const std::string &path)
 {
     return {"GET", path, "", std::nullopt, true};
 }
--- a/ctl/lib/Commands/ask.h
+++ b/ctl/lib/Commands/ask.h
@@ -11,10 +11,10 @@
 
 /// Sends a call to the first server that answers and returns the body. @p serverWait is the time that the server may
 /// hold the call. Throws the server's error or the transport's.
-std::string ask(const Command &command, const Environment &environment, const HttpCall &call, Duration serverWait = Duration(0));
+std::string ask(const Command &command, const Environment &environment, const ServerCall &call, Duration serverWait = Duration(0));
 
 /// A call that only reads.
-HttpCall getCall(const std::string &path);
+ServerCall getCall(const std::string &path);
 
 /// Prints the body as JSON or, for people, the given text.
 void printAnswer(const Command &command, const Environment &environment, const std::string &body, std::string (*format)(std::string_view));
--- a/ctl/lib/Commands/exitcode.cpp
+++ b/ctl/lib/Commands/exitcode.cpp
@@ -17,6 +17,7 @@
         return ExitCode::Conflict;
     case ErrorKind::QueueFull:
     case ErrorKind::Unavailable:
+    case ErrorKind::StoreUnavailable:
         return ExitCode::Unavailable;
     case ErrorKind::DeadlineExceeded:
         return ExitCode::Undecided;
--- a/ctl/lib/Commands/fleet.cpp
+++ b/ctl/lib/Commands/fleet.cpp
@@ -17,14 +17,14 @@
 
 static std::string timelinePath(const Command &command)
 {
-    std::string path = "/v1/timeline";
+    // A request's events are asked for as far back as a job may run; without a request, the server's own default holds.
+    constexpr auto longestRunTime = std::chrono::hours(24 * 30);
+    const auto since = command.m_since ? command.m_since : std::optional<Duration>(longestRunTime);
+    const auto seconds = std::to_string(since->count() / 1000);
     if (!command.m_requestKey.empty()) {
-        path += "?request=" + command.m_requestKey;
+        return "/v1/timeline?key=" + command.m_requestKey + "&since_s=" + seconds;
     }
-    if (command.m_since) {
-        path += (command.m_requestKey.empty() ? "?since_ms=" : "&since_ms=") + std::to_string(command.m_since->count());
-    }
-    return path;
+    return command.m_since ? "/v1/timeline?since_s=" + seconds : "/v1/timeline";
 }
 
 ExitCode showTimeline(const Command &command, const Environment &environment)
@@ -39,7 +39,7 @@
 static void setLevelOf(const Command &command, const Environment &environment, const std::string &server)
 {
     const auto body = Json{{"level", command.m_operand}}.dump();
-    const HttpCall call{"PUT", "/v1/log-level", body, std::nullopt, true};
+    const ServerCall call{"PUT", "/v1/log-level", body, std::nullopt, true};
     const auto answer = callServers({server}, call, remainingTime(command, environment), environment.m_send).value();
     if (answer.m_status < 200 || answer.m_status >= 300) {
         throw errorOf(answer.m_status, answer.m_body);
--- a/ctl/lib/Commands/httptransport.cpp
+++ b/ctl/lib/Commands/httptransport.cpp
@@ -36,7 +36,7 @@
     return {static_cast<Poco::Timespan::TimeDiff>(duration.count()) * Poco::Timespan::MILLISECONDS};
 }
 
-static Poco::Net::HTTPRequest buildRequest(const HttpCall &call, const std::string &token)
+static Poco::Net::HTTPRequest buildRequest(const ServerCall &call, const std::string &token)
 {
     Poco::Net::HTTPRequest request(call.m_method, call.m_path, Poco::Net::HTTPMessage::HTTP_1_1);
     request.set("Authorization", "Bearer " + token);
@@ -51,7 +51,7 @@
 }
 
 /// Reads the body. A body shorter than its Content-Length is not complete.
-static Result<HttpAnswer> readAnswer(const std::string &server, const Poco::Net::HTTPResponse &response, std::istream &stream)
+static Result<ServerAnswer> readAnswer(const std::string &server, const Poco::Net::HTTPResponse &response, std::istream &stream)
 {
     std::string body;
     std::array<char, 16384> buffer = {};
@@ -65,10 +65,10 @@
     if (expected != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH && static_cast<Poco::Int64>(body.size()) != expected) {
         return answerLost(server, std::to_string(body.size()) + " of " + std::to_string(expected) + " bytes arrived");
     }
-    return HttpAnswer{static_cast<int>(response.getStatus()), body};
+    return ServerAnswer{static_cast<int>(response.getStatus()), body};
 }
 
-static Result<HttpAnswer> sendOnce(const std::string &server, const HttpCall &call, Duration timeout, const std::string &token)
+static Result<ServerAnswer> sendOnce(const std::string &server, const ServerCall &call, Duration timeout, const std::string &token)
 {
     bool sent = false;
     try {
@@ -89,7 +89,7 @@
 
 SendCall httpSender(const std::string &token)
 {
-    return [token](const std::string &server, const HttpCall &call, Duration timeout) { return sendOnce(server, call, timeout, token); };
+    return [token](const std::string &server, const ServerCall &call, Duration timeout) { return sendOnce(server, call, timeout, token); };
 }
 
 } // namespace PrimroseBridge
--- a/ctl/lib/Commands/requests.cpp
+++ b/ctl/lib/Commands/requests.cpp
@@ -34,7 +34,7 @@
     }
 }
 
-static HttpCall buildSubmitCall(const Command &command, const Environment &environment, const std::string &key)
+static ServerCall buildSubmitCall(const Command &command, const Environment &environment, const std::string &key)
 {
     const auto body = submitBody(command, key, readPayload(command, environment));
     if (body.size() > maxRequestBytes) {
--- a/ctl/lib/Commands/servers.cpp
+++ b/ctl/lib/Commands/servers.cpp
@@ -4,26 +4,42 @@
 
 namespace PrimroseBridge {
 
-static bool mayTryNext(const Error &error, const HttpCall &call)
+/// An entry VM that is starting, stopping or cut off says so with this status; another may serve the call.
+constexpr int serviceUnavailable = 503;
+
+static bool mayTryNext(const Result<ServerAnswer> &answer, const ServerCall &call)
+{
+    if (answer.ok()) {
+        return answer.value().m_status == serviceUnavailable && call.m_repeatable;
+    }
+    const auto kind = answer.error().kind();
+    return kind == ErrorKind::Unavailable || (kind == ErrorKind::DeadlineExceeded && call.m_repeatable);
+}
+
+/// Which of several failures is reported: a lost answer, because the call may have taken effect, then a server's refusal,
+/// because it explains itself, then a server that was not reached.
+static int weightOf(const Result<ServerAnswer> &failure)
 {
-    return error.kind() == ErrorKind::Unavailable || (error.kind() == ErrorKind::DeadlineExceeded && call.m_repeatable);
+    if (failure.ok()) {
+        return 1;
+    }
+    return failure.error().kind() == ErrorKind::DeadlineExceeded ? 2 : 0;
 }
 
-Result<HttpAnswer> callServers(const std::vector<std::string> &servers, const HttpCall &call, Duration timeout, const SendCall &send)
+Result<ServerAnswer> callServers(const std::vector<std::string> &servers, const ServerCall &call, Duration timeout, const SendCall &send)
 {
     assert(!servers.empty() && "parseCommand() gives at least one server");
-    std::optional<Error> lost;
+    std::optional<Result<ServerAnswer>> failure;
     for (const auto &server : servers) {
         auto answer = send(server, call, timeout);
-        if (answer.ok() || !mayTryNext(answer.error(), call)) {
+        if (!mayTryNext(answer, call)) {
             return answer;
         }
-        // A lost answer outweighs a later refusal to connect: the call may have taken effect.
-        if (!lost || lost->kind() != ErrorKind::DeadlineExceeded) {
-            lost.emplace(answer.error());
+        if (!failure || weightOf(answer) > weightOf(*failure)) {
+            failure.emplace(answer);
         }
     }
-    return *lost;
+    return *failure;
 }
 
 } // namespace PrimroseBridge
--- a/ctl/lib/Commands/state.cpp
+++ b/ctl/lib/Commands/state.cpp
@@ -48,6 +48,25 @@
     return formatTable(rows);
 }
 
+/// One column for each member of the first object.
+static std::string objectsTable(const Json &objects)
+{
+    std::vector<std::string> heading;
+    for (const auto &member : objects.front().items()) {
+        heading.push_back(member.key());
+    }
+    Rows rows{heading};
+    for (const auto &object : objects) {
+        std::vector<std::string> row;
+        row.reserve(heading.size());
+        for (const auto &name : heading) {
+            row.push_back(cell(object, name.c_str()));
+        }
+        rows.push_back(row);
+    }
+    return formatTable(rows);
+}
+
 std::string formatFleet(std::string_view json)
 {
     return understand("fleet", [json] {
@@ -56,7 +75,7 @@
             {{"zone", cell(fleet, "zone")}, {"owner", cell(fleet, "owner")}, {"role", cell(fleet, "role")}, {"fragmentation", cell(fleet, "fragmentation")}});
         text += "\n" + workersTable(listOf(fleet, "workers"));
         const auto guarantees = fleet.value("guarantees", Json::array());
-        return text + "\nguarantees" + (guarantees.empty() ? ": none\n" : "\n" + formatKeyValues(guarantees.dump()));
+        return text + "\n" + (guarantees.empty() ? "no guarantees\n" : objectsTable(guarantees));
     });
 }
 
@@ -79,13 +98,14 @@
     return cell(event, process) == "-" || cell(event, process).empty() ? "-" : cell(event, process) + "#" + cell(event, id);
 }
 
-static std::string missingText(const Json &timeline)
+/// A line with the VMs in a list, or nothing if the list is empty or absent.
+static std::string vmsText(const Json &timeline, const char *name, const std::string &heading)
 {
     std::string text;
-    for (const auto &vm : timeline.value("missing", Json::array())) {
+    for (const auto &vm : timeline.value(name, Json::array())) {
         text += (text.empty() ? "" : ", ") + vm.get<std::string>();
     }
-    return text.empty() ? "" : formatTable({{"events are missing from:", text}});
+    return text.empty() ? "" : formatTable({{heading, text}});
 }
 
 std::string formatTimeline(std::string_view json)
@@ -101,7 +121,8 @@
                             eventName(event, "cause_process", "cause_id"),
                             cell(event, "text")});
         }
-        return formatTable(rows) + missingText(timeline);
+        return formatTable(rows) + vmsText(timeline, "missing", "events are missing from:")
+               + vmsText(timeline, "truncated", "older events were overwritten at:");
     });
 }
 
--- a/ctl/lib/Commands/waiting.cpp
+++ b/ctl/lib/Commands/waiting.cpp
@@ -23,7 +23,8 @@
 
 static bool isTransient(const Error &error)
 {
-    return error.kind() == ErrorKind::Unavailable || error.kind() == ErrorKind::DeadlineExceeded;
+    const auto kind = error.kind();
+    return kind == ErrorKind::Unavailable || kind == ErrorKind::StoreUnavailable || kind == ErrorKind::DeadlineExceeded;
 }
 
 static void reportProgress(WaitState &state, const Environment &environment, const std::string &text)
@@ -38,7 +39,8 @@
 }
 
 /// True if the answer is final.
-static bool askOnce(WaitState &state, const Command &command, const Environment &environment, const std::string &key, const std::optional<HttpCall> &submitCall)
+static bool
+askOnce(WaitState &state, const Command &command, const Environment &environment, const std::string &key, const std::optional<ServerCall> &submitCall)
 {
     const auto wait = std::min(longestServerWait, remainingTime(command, environment));
     const auto path = "/v1/requests/" + key + "?wait_ms=" + std::to_string(wait.count());
@@ -66,7 +68,7 @@
     return false;
 }
 
-std::string awaitOutcome(const Command &command, const Environment &environment, const std::string &key, const std::optional<HttpCall> &submitCall)
+std::string awaitOutcome(const Command &command, const Environment &environment, const std::string &key, const std::optional<ServerCall> &submitCall)
 {
     WaitState state;
     state.m_submitNext = submitCall.has_value();
--- a/ctl/unittests/Commands/configuration.cpp
+++ b/ctl/unittests/Commands/configuration.cpp
@@ -41,7 +41,7 @@
     return text.replace(position, from.size(), to);
 }
 
-static HttpAnswer storedAnswer(int version, const std::string &text)
+static ServerAnswer storedAnswer(int version, const std::string &text)
 {
     return {200, "{\"version\":" + std::to_string(version) + ",\"document\":" + jsonText(text) + "}"};
 }
@@ -63,9 +63,9 @@
 {
     FakeProcess process;
     process.m_files["f"] = exampleText();
-    process.willAnswer({storedAnswer(41, exampleText()), HttpAnswer{200, "{\"version\":42}"}});
+    process.willAnswer({storedAnswer(41, exampleText()), ServerAnswer{200, "{\"version\":42}"}});
     CHECK(run(process, {"config", "apply", "f"}) == ExitCode::Done);
-    CHECK(process.m_calls.at(1) == HttpCall{"PUT", "/v1/configuration", exampleText(), 41, false});
+    CHECK(process.m_calls.at(1) == ServerCall{"PUT", "/v1/configuration", exampleText(), 41, false});
     CHECK(process.m_output == "version 42 replaces version 41\n");
 }
 
@@ -73,7 +73,7 @@
 {
     FakeProcess process;
     process.m_files["f"] = exampleText();
-    process.willAnswer({HttpAnswer{409, R"({"error":{"kind":"conflict","message":"version 43 of operator b is in force","remedy":"look at it"}})"}});
+    process.willAnswer({ServerAnswer{409, R"({"error":{"kind":"conflict","message":"version 43 of operator b is in force","remedy":"look at it"}})"}});
     CHECK(run(process, {"config", "apply", "f"}, {{"if_version", "42"}}) == ExitCode::Conflict);
     CHECK(process.m_calls.size() == 1);
     CHECK(process.m_calls.at(0).m_ifMatch == 42);
@@ -92,10 +92,10 @@
 TEST_CASE("config rollback puts the old document into force as a new version")
 {
     FakeProcess process;
-    process.willAnswer({storedAnswer(40, "old"), storedAnswer(44, "new"), HttpAnswer{200, "{\"version\":45}"}});
+    process.willAnswer({storedAnswer(40, "old"), storedAnswer(44, "new"), ServerAnswer{200, "{\"version\":45}"}});
     CHECK(run(process, {"config", "rollback", "40"}) == ExitCode::Done);
     CHECK(process.m_calls.at(0).m_path == "/v1/configuration/history/40");
-    CHECK(process.m_calls.at(2) == HttpCall{"PUT", "/v1/configuration", "old", 44, false});
+    CHECK(process.m_calls.at(2) == ServerCall{"PUT", "/v1/configuration", "old", 44, false});
 }
 
 TEST_CASE("config show prints the document, and with defaults one that can be read again")
--- a/ctl/unittests/Commands/fakeenvironment.cpp
+++ b/ctl/unittests/Commands/fakeenvironment.cpp
@@ -4,7 +4,7 @@
 
 namespace PrimroseBridge::Test {
 
-static Result<HttpAnswer> playBack(FakeProcess &process, const std::string &server, const HttpCall &call)
+static Result<ServerAnswer> playBack(FakeProcess &process, const std::string &server, const ServerCall &call)
 {
     process.m_servers.push_back(server);
     process.m_calls.push_back(call);
@@ -17,7 +17,7 @@
     return answer;
 }
 
-void FakeProcess::willAnswer(const std::vector<Result<HttpAnswer>> &answers)
+void FakeProcess::willAnswer(const std::vector<Result<ServerAnswer>> &answers)
 {
     m_answers.clear();
     for (const auto &answer : answers) {
@@ -27,7 +27,7 @@
 
 Environment FakeProcess::environment()
 {
-    return {[this](const std::string &server, const HttpCall &call, Duration) { return playBack(*this, server, call); },
+    return {[this](const std::string &server, const ServerCall &call, Duration) { return playBack(*this, server, call); },
             [this] { return m_elapsed; },
             [this] { return fromMilliseconds(1000000) + m_elapsed; },
             [this](Duration pause) { m_elapsed += pause; },
--- a/ctl/unittests/Commands/fakeenvironment.h
+++ b/ctl/unittests/Commands/fakeenvironment.h
@@ -11,16 +11,16 @@
 
 /// Records what a command does and plays back scripted answers. Time passes only by sleeping and by calls.
 struct FakeProcess {
-    std::deque<Result<HttpAnswer>> m_answers; ///< The next answers, whichever server is asked.
+    std::deque<Result<ServerAnswer>> m_answers; ///< The next answers, whichever server is asked.
     std::vector<std::string> m_servers; ///< The servers that were asked, in order.
-    std::vector<HttpCall> m_calls;
+    std::vector<ServerCall> m_calls;
     std::map<std::string, std::string> m_files;
     std::string m_output;
     std::string m_errors;
     Duration m_elapsed = Duration(0);
 
     /// Replaces the script.
-    void willAnswer(const std::vector<Result<HttpAnswer>> &answers);
+    void willAnswer(const std::vector<Result<ServerAnswer>> &answers);
 
     /// Functions that refer to this object, which must outlive them.
     Environment environment();
--- a/ctl/unittests/Commands/httptransport.cpp
+++ b/ctl/unittests/Commands/httptransport.cpp
@@ -73,7 +73,7 @@
     const EchoServer server;
     const auto send = httpSender("secret");
     const auto answer = send(server.address(), {"PUT", "/", "text", 41, false}, Duration(5000)).value();
-    CHECK(answer == HttpAnswer{200, "PUT Bearer secret 41 text"});
+    CHECK(answer == ServerAnswer{200, "PUT Bearer secret 41 text"});
     CHECK(send(server.address(), {"GET", "/absent", "", std::nullopt, true}, Duration(5000)).value().m_status == 404);
 }
 
