--- a/scripts/account.py
+++ b/scripts/account.py
@@ -7,8 +7,9 @@
 class Account:
     """Counts over a set of submissions. violations lists every broken promise as a text."""
 
-    def __init__(self, deployment, submissions, allow_unknown=False):
+    def __init__(self, deployment, submissions, allow_unknown=False, allow_failed=False):
         self.submissions = submissions
+        self._allow_failed = allow_failed
         self._classes = deployment.classes()
         self.books = deployment.platform.worker_books()
         self._finished = {(task["key"]) for task in self.books["tasks"] if task["state"] == "done"}
@@ -46,6 +47,10 @@
             self._violation(submission, f"cut or crossed: the answer is {submission.result[:60]!r}")
         if submission.outcome == "done" and submission.key not in self._finished:
             self._violation(submission, "done, but no worker has finished it")
+        if submission.outcome == "failed" and not self._allow_failed:
+            self._violation(submission, f"failed, but no worker was made to fail ({submission.reason})")
+        if not submission.accepted and not submission.ambiguous and summary["starts"] > 0:
+            self._violation(submission, f"every call was refused, but workers started it {summary['starts']} times")
         if submission.outcome == "not_run" and summary["starts"] > 0:
             self._violation(submission, f"not run, but workers started it {summary['starts']} times")
 
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -112,6 +112,7 @@
         self.start_platform()
         for vm in self.vms:
             self.start_vm(vm)
+        harness.wait_until(self._publish_first, timeout, "the first configuration is accepted", 0.25)
         harness.wait_until(lambda: all(vm.ready() for vm in self.vms), timeout, "every entry VM is ready")
         harness.wait_until(lambda: all(self.owner(zone) for zone in self.zones), timeout, "every zone has an owner")
 
@@ -123,7 +124,6 @@
         # The last port is the harness's own; it is never cut off.
         self.control_store_port = store_ports[-1]
         self.publish_vm_list()
-        self._seed_configuration()
 
     def publish_vm_list(self, leaving=()):
         vms = [{"vm": vm.name, "zone": vm.zone, "address": vm.peer_address, "leaving": vm.name in leaving} for vm in self.vms]
@@ -133,17 +133,13 @@
         ]
         self.platform.store_faults(vms=vms)
 
-    def _seed_configuration(self):
-        """The first version is written by the platform's operator, because an entry VM without a configuration knows no operator."""
-        self.configuration["version"] = 1
-        document = json.dumps(self.configuration)
-        self.store_put({"control/configuration": document, "history/1": document})
+    def publish(self, vm, document, seen_version, timeout=10.0):
+        """Publishes a configuration document through an entry VM; the answer, or None if there is no whole one."""
+        return vm.operator("PUT", "/v1/configuration", json.dumps(document), {"If-Match": str(seen_version)}, timeout)
 
-    def store_put(self, values):
-        success = [{"request_put": {"key": _encode(STORE_PREFIX + key), "value": _encode(value)}} for key, value in values.items()]
-        answer = harness.call(self.control_store_port, "POST", "/v3/kv/txn", {"success": success})
-        if answer.status != 200:
-            raise harness.HarnessError(f"the store refused a write: {answer.text}")
+    def _publish_first(self):
+        answer = self.publish(self.vms[0], self.configuration, 0)
+        return answer is not None and answer.status == 200
 
     def store_list(self, prefix):
         """Keys and values below a prefix, without primrosebridge/."""
@@ -260,6 +256,8 @@
         self.accepted = False  # A 200 or 202 was received: the system has taken responsibility.
         self.broken = 0  # Connections that ended without an answer.
         self.refused = 0
+        self.ambiguous = False  # Some call ended without saying whether it took effect.
+        self.submitted_ms = None  # Unix time, as in the workers' books.
         self.first_at = None
         self.final_at = None
 
@@ -286,6 +284,7 @@
         """Submits and waits up to @p seconds for a final outcome."""
         deadline = time.monotonic() + seconds
         submission.first_at = submission.first_at or time.monotonic()
+        submission.submitted_ms = submission.submitted_ms or time.time() * 1000
         while not submission.final() and time.monotonic() < deadline:
             vm = self._balancer.choose()
             pause = 0.2 if vm is None else self._ask(vm, submission, deadline)
@@ -305,6 +304,7 @@
             answer = self._call(vm, submission, "POST", f"/v1/requests?wait_ms={wait_ms}", 15.0, self._body(submission))
         if answer is None:
             submission.broken += 1
+            submission.ambiguous = True
             return 0.1
         return self._take(answer, submission)
 
@@ -330,6 +330,7 @@
             submission.final_at = time.monotonic() if submission.final() else None
             return 0.1
         submission.refused += 1
+        submission.ambiguous = submission.ambiguous or answer.status >= 500 and answer.status != 503
         error = body.get("error", body)
         submission.reason = f"{answer.status} {error.get('kind', '')}: {error.get('message', '')}" if isinstance(error, dict) else answer.text
         if answer.status == 404:
