Serve a request from end to end through real processes

Cause: the parts had not run together. The first load of 32 connections crashed the daemon: POCO 1.11's OpenSSL initializer destroys its locks when the last digest engine goes and races with the next one. Ruled out by the backtrace: our own code; the pass and the worker client were not on the stack.

Change: the configuration is published and watched, one initializer lives as long as the process, passes run only when something waits, and the pause between passes is 2 ms instead of 5 ms.

--- a/service/include/primrosebridge/Runtime/node.h
+++ b/service/include/primrosebridge/Runtime/node.h
@@ -5,6 +5,7 @@
 #include "primrosebridge/Model/result.h"
 #include "primrosebridge/Observe/eventlog.h"
 #include "primrosebridge/Peers/configurationholder.h"
+#include "primrosebridge/Peers/configurationstore.h"
 #include "primrosebridge/Runtime/zonescheduler.h"
 
 #include <memory>
@@ -40,14 +41,6 @@
     bool operator==(const MergedTimeline &) const = default;
 };
 
-/// One stored version of the configuration.
-struct StoredVersion {
-    const std::int64_t m_version;
-    const std::string m_document;
-
-    bool operator==(const StoredVersion &) const = default;
-};
-
 /// One entry VM: routes calls to the owners of zones and takes part in owning its own zone.
 ///
 /// Thread-safe. Calls block for at most their wait and a second.
@@ -75,8 +68,10 @@
     [[nodiscard]] std::shared_ptr<const VersionedConfiguration> configuration() const;
     /// Checks and publishes a document; returns its new version. Conflict if @p expectedVersion is not the one in force.
     Result<std::int64_t> publish(const std::string &document, std::int64_t expectedVersion);
-    /// Every stored version, oldest first.
-    Result<std::vector<StoredVersion>> history();
+    /// The newest stored versions, oldest first.
+    Result<std::vector<StoredConfiguration>> history();
+    /// One stored version; NotFound if the store no longer holds it.
+    Result<StoredConfiguration> historyVersion(std::int64_t version);
 
     /// This VM's zone as operators see it.
     [[nodiscard]] ZoneReport zoneReport();
--- a/service/lib/FrontEnd/access.cpp
+++ b/service/lib/FrontEnd/access.cpp
@@ -3,6 +3,7 @@
 #include "primrosebridge/FrontEnd/api.h"
 
 #include <Poco/Crypto/DigestEngine.h>
+#include <Poco/Crypto/OpenSSLInitializer.h>
 
 #include <charconv>
 
@@ -12,6 +13,9 @@
 
 std::string sha256Hex(const std::string &text)
 {
+    // POCO 1.11 frees OpenSSL's locks whenever the last engine goes and makes them anew for the next one, which races between threads.
+    // One initializer that lives as long as the process keeps them in place.
+    static const Poco::Crypto::OpenSSLInitializer initializer;
     Poco::Crypto::DigestEngine engine("SHA256");
     engine.update(text);
     return Poco::DigestEngine::digestToHex(engine.digest());
--- a/service/lib/FrontEnd/operatorapi.cpp
+++ b/service/lib/FrontEnd/operatorapi.cpp
@@ -60,32 +60,40 @@
     return publishConfiguration(node, call);
 }
 
-static HttpReply showHistory(Node &node, const HttpCall &call)
+static HttpReply listHistory(Node &node)
 {
     const auto history = node.history();
     if (!history.ok()) {
         return errorReply(history.error());
     }
-    if (call.m_path.size() == 3) {
-        Json versions = Json::array();
-        for (const auto &stored : history.value()) {
-            versions.push_back({{"version", stored.m_version}, {"bytes", stored.m_document.size()}});
-        }
-        return jsonReply({{"versions", versions}});
-    }
-    const auto wanted = wholeNumber(call.m_path[3]);
+    Json versions = Json::array();
     for (const auto &stored : history.value()) {
-        if (wanted && stored.m_version == *wanted) {
-            return jsonReply({{"version", stored.m_version}, {"document", stored.m_document}});
-        }
+        versions.push_back({{"version", stored.m_version}, {"bytes", stored.m_document.size()}});
+    }
+    return jsonReply({{"versions", versions}});
+}
+
+static HttpReply showHistory(Node &node, const std::string &text)
+{
+    const auto version = wholeNumber(text);
+    if (!version) {
+        return errorReply(Error(ErrorKind::InvalidArgument, "'" + text + "' is not a version", "use a whole number that the history lists"));
     }
-    return errorReply(Error(ErrorKind::NotFound, "version '" + call.m_path[3] + "' is not stored", "choose one that the history lists"));
+    const auto stored = node.historyVersion(*version);
+    if (!stored.ok()) {
+        return errorReply(stored.error());
+    }
+    return jsonReply({{"version", stored.value().m_version}, {"document", stored.value().m_document}});
 }
 
 static HttpReply configurationCall(Node &node, const HttpCall &call)
 {
-    if (call.m_path.size() >= 3 && call.m_path[2] == "history" && call.m_path.size() <= 4 && call.m_method == "GET") {
-        return showHistory(node, call);
+    const bool history = call.m_path.size() >= 3 && call.m_path[2] == "history" && call.m_method == "GET";
+    if (history && call.m_path.size() == 3) {
+        return listHistory(node);
+    }
+    if (history && call.m_path.size() == 4) {
+        return showHistory(node, call.m_path[3]);
     }
     if (call.m_path.size() == 2 && call.m_method == "GET") {
         return showConfiguration(node);
--- a/service/lib/Runtime/node.cpp
+++ b/service/lib/Runtime/node.cpp
@@ -134,15 +134,20 @@
     };
 }
 
-static std::optional<Error> createScheduler(NodeCore &core)
+static StoreSettings storeSettings(const NodeCore &core)
 {
-    auto store = StoreClient::create(StoreSettings{
+    return StoreSettings{
         .m_host = core.m_settings.m_storeHost,
         .m_port = core.m_settings.m_storePort,
         .m_timeout = storeTimeout,
         .m_writesPerSecond = storeWritesPerSecond,
         .m_readsPerSecond = storeReadsPerSecond,
-    });
+    };
+}
+
+static std::optional<Error> createScheduler(NodeCore &core)
+{
+    auto store = StoreClient::create(storeSettings(core));
     if (!store.ok()) {
         return store.error();
     }
@@ -211,6 +216,21 @@
     return std::nullopt;
 }
 
+static std::optional<Error> createWatch(NodeCore &core)
+{
+    const auto ownerChanged = [&core](const ZoneId &zone) {
+        if (zone == core.m_settings.m_zone) {
+            core.m_election->ownershipKeyChanged();
+        }
+    };
+    auto watch = ConfigurationWatch::create(storeSettings(core), core.m_store, core.m_timers, *core.m_peers, core.m_configuration, ownerChanged);
+    if (!watch.ok()) {
+        return watch.error();
+    }
+    core.m_watch = watch.take();
+    return std::nullopt;
+}
+
 Result<std::unique_ptr<Node>> Node::create(const ProcessSettings &settings)
 {
     auto state = std::make_unique<Private>(settings, toMilliseconds(TimerService::now()));
@@ -220,7 +240,7 @@
         return timers.error();
     }
     core.m_timers = timers.value();
-    for (const auto &createPart : {createScheduler, createElection, createPeers}) {
+    for (const auto &createPart : {createScheduler, createElection, createPeers, createWatch}) {
         if (const auto error = createPart(core)) {
             return *error;
         }
@@ -244,6 +264,7 @@
     m_private->m_maintenance.join();
     // The peer server answers from the scheduler, and the scheduler's stages ask the election, so they end in this order. The election's
     // last callback still needs the scheduler itself.
+    m_private->m_core.m_watch.reset();
     m_private->m_core.m_peers.reset();
     m_private->m_core.m_scheduler->shutDown();
     m_private->m_core.m_election.reset();
@@ -286,6 +307,31 @@
     return m_private->m_core.m_configuration.current();
 }
 
+Result<std::int64_t> Node::publish(const std::string &document, std::int64_t expectedVersion)
+{
+    auto &core = m_private->m_core;
+    const auto published = publishConfiguration(*core.m_store, document, expectedVersion);
+    if (!published.ok()) {
+        return published.error();
+    }
+    // The watch would bring it as well; offering it here lets this VM's next answer follow the new version.
+    const auto offered = core.m_configuration.offer(published.value().m_document);
+    if (!offered.ok()) {
+        return offered.error();
+    }
+    return published.value().m_version;
+}
+
+Result<std::vector<StoredConfiguration>> Node::history()
+{
+    return readHistory(*m_private->m_core.m_store);
+}
+
+Result<StoredConfiguration> Node::historyVersion(std::int64_t version)
+{
+    return readHistoryVersion(*m_private->m_core.m_store, version);
+}
+
 ZoneReport Node::zoneReport()
 {
     return m_private->m_core.m_scheduler->report();
--- a/service/lib/Runtime/nodecore.h
+++ b/service/lib/Runtime/nodecore.h
@@ -4,6 +4,7 @@
 #include "primrosebridge/Observe/eventlog.h"
 #include "primrosebridge/Observe/metrics.h"
 #include "primrosebridge/Peers/configurationholder.h"
+#include "primrosebridge/Peers/configurationwatch.h"
 #include "primrosebridge/Peers/peernetwork.h"
 #include "primrosebridge/Pipeline/boundedqueue.h"
 #include "primrosebridge/Pipeline/timerservice.h"
@@ -16,7 +17,7 @@
 
 namespace PrimroseBridge {
 
-constexpr std::size_t eventLogCapacity = 20000; // About 4 MB.
+constexpr std::size_t eventLogCapacity = 8000; // About 2 MB of the process's 32 MB.
 constexpr Duration routingPatience = Duration(5000); // Longer than an owner's replacement takes.
 constexpr Duration routingPause = Duration(150);
 
@@ -36,6 +37,7 @@
     std::unique_ptr<ZoneElection> m_election;
     std::atomic<ZoneElection *> m_runningElection = nullptr; ///< For the scheduler's stages, which run before the election is there.
     std::unique_ptr<PeerNetwork> m_peers;
+    std::unique_ptr<ConfigurationWatch> m_watch;
 };
 
 /// Serves a call that this process owns the zone of; another zone's earlier acceptance is followed to that zone. Thread-safe.
--- a/service/lib/Runtime/schedulerpass.cpp
+++ b/service/lib/Runtime/schedulerpass.cpp
@@ -2,11 +2,13 @@
 
 #include "primrosebridge/Observe/log.h"
 
+#include <algorithm>
 #include <bit>
 
 namespace PrimroseBridge {
 
-constexpr Duration passPause = Duration(5); // Lets the arrivals of a burst gather into one pass.
+constexpr Duration passPause = Duration(2); // Lets the arrivals of a burst gather into one pass.
+constexpr Duration idlePassPeriod = Duration(1000); // Keeps the state of guarantees current while nothing waits.
 
 static std::shared_ptr<const Job> queuedJob(const SchedulerCore &core, const RequestKey &key)
 {
@@ -137,8 +139,14 @@
     return core.m_shard.m_fence && !core.m_shard.m_recovering && core.m_shard.m_configuration && core.m_callbacks.m_mayCommand(TimerService::now());
 }
 
+static bool anythingQueued(const ZoneShard &shard)
+{
+    return std::any_of(shard.m_jobs.begin(), shard.m_jobs.end(), [](const auto &entry) { return entry.second->m_phase == JobPhase::Queued; });
+}
+
 void runPasses(SchedulerCore &core)
 {
+    Instant lastPassAt;
     std::unique_lock lock(core.m_shard.m_mutex);
     while (!core.m_shard.m_stopping) {
         core.m_shard.m_passDue.wait(lock, [&core] { return core.m_shard.m_stopping || core.m_shard.m_dirty; });
@@ -147,6 +155,10 @@
             continue;
         }
         const auto now = TimerService::now();
+        if (!anythingQueued(core.m_shard) && now - lastPassAt < idlePassPeriod) {
+            continue;
+        }
+        lastPassAt = now;
         const auto fence = *core.m_shard.m_fence;
         const auto state = makeZoneState(core.m_shard, core.m_settings.m_zone, now);
         lock.unlock();
--- /dev/null
+++ b/service/unittests/FrontEnd/access.cpp
@@ -0,0 +1,49 @@
+#include "primrosebridge/FrontEnd/api.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+#include <vector>
+
+using namespace PrimroseBridge;
+
+TEST_CASE("tokens are compared by their SHA-256")
+{
+    CHECK(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+// POCO's OpenSSL initializer crashed the daemon when two calls were authenticated at the same time.
+TEST_CASE("digests are computed on many threads at once")
+{
+    std::vector<std::thread> threads;
+    for (int index = 0; index < 16; ++index) {
+        threads.emplace_back([] {
+            for (int round = 0; round < 2000; ++round) {
+                sha256Hex("demo-operator");
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    SUCCEED();
+}
+
+TEST_CASE("errors carry their kind, remedy and time to retry")
+{
+    const auto reply = errorReply(Error(ErrorKind::QueueFull, "the queue is full", "wait", Duration(1500)));
+    CHECK(reply.m_status == 429);
+    CHECK(reply.m_body.find("\"kind\":\"queue_full\"") != std::string::npos);
+    REQUIRE(reply.m_headers.size() == 1);
+    CHECK(reply.m_headers.front().second == "2");
+    CHECK(errorReply(Error(ErrorKind::StoreUnavailable, "a", "b")).m_status == 503);
+}
+
+TEST_CASE("an outcome that is not final is answered with 202")
+{
+    const auto key = RequestKey::create("k").value();
+    const auto outcome = [](OutcomeKind kind) { return Outcome{.m_kind = kind, .m_result = "\"x\"", .m_reason = {}, .m_attempt = 1}; };
+    CHECK(outcomeReply(key, outcome(OutcomeKind::Unknown)).m_status == 202);
+    CHECK(outcomeReply(key, outcome(OutcomeKind::Pending)).m_status == 202);
+    CHECK(outcomeReply(key, outcome(OutcomeKind::Done)).m_status == 200);
+}
