--- a/service/lib/Runtime/schedulerworkers.cpp
+++ b/service/lib/Runtime/schedulerworkers.cpp
@@ -211,7 +211,10 @@
     auto &entry = found->second;
     entry.m_pollInFlight = false;
     if (!checkAccepted(core, outgoing, entry, answer.m_answer)) {
+        // A refused sequence only means that a command overtook this poll, so the worker is polled again at once; waiting for the next tick
+        // delayed answers by 250 ms.
         entry.m_nextPollAt = answer.m_answer.m_delivered ? now : now + retryPause;
+        pollWorkers(core, outgoing, now);
         return;
     }
     const auto usable = answer.m_usable & firstAccelerators(entry.m_worker->m_accelerators);
--- a/service/lib/Runtime/zonescheduler.cpp
+++ b/service/lib/Runtime/zonescheduler.cpp
@@ -71,7 +71,7 @@
     auto &core = state->m_core;
     // An answer that does not fit the inbox is lost, which the next poll or tick makes good.
     const auto deliver = [&core](InboxMessage message) {
-        if (!core.m_inbox.tryPush(std::move(message))) {
+        if (!core.m_inbox.tryPush(std::move(message)) && !core.m_inbox.closed()) {
             logEvent(LogLevel::Error, "inbox_full", {});
         }
     };
