--- a/scheduling/include/primrosebridge/Placement/guaranteeplan.h
+++ b/scheduling/include/primrosebridge/Placement/guaranteeplan.h
@@ -24,9 +24,10 @@
 
 /// Where the claimed capacity comes from.
 enum class UnitSource {
-    Held, ///< All of it is in use by the organisation itself.
-    Free, ///< Free, or free and partly in use by the organisation itself.
-    Reclaimable, ///< Some of it is lent to other organisations.
+    Held, ///< In use by work of the organisation itself of at least the size of the unit.
+    Free,
+    Reclaimable, ///< Some of it is in use by work that can be checkpointed or stopped.
+    OwnWork, ///< Some of it is in use by smaller work of the organisation itself that cannot be removed.
 };
 
 /// One unit of a claim and a position at which it can be met.
@@ -71,7 +72,8 @@
 /// The positions planned for other organisations than @p organisation. Thread-safe.
 std::vector<Slots> unitsOfOthers(const GuaranteePlan &plan, const std::vector<Claim> &claims, int organisation);
 
-/// For each holding, whether it lies on a unit planned for its own organisation, so that no other organisation may reclaim it.
+/// For each holding, whether it lies on a unit planned for its own organisation and on none of another, so that no other
+/// organisation needs to reclaim it.
 /// Thread-safe.
 std::vector<bool> coveredHoldings(const GuaranteePlan &plan, const std::vector<Claim> &claims, const std::vector<Holding> &holdings, int workers);
 
--- a/scheduling/lib/Policy/joborder.cpp
+++ b/scheduling/lib/Policy/joborder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 #include <tuple>
 
 namespace PrimroseBridge {
@@ -16,14 +17,46 @@
     return amounts && adjacency;
 }
 
-/// Units of each claim that its organisation does not hold.
-static std::vector<int> unheldUnits(const PassContext &context, const GuaranteePlan &plan)
+/// What is left of the guarantees.
+struct Entitlements {
+    std::vector<int> m_unheld; ///< Units of each claim that its organisation does not hold.
+    std::vector<int> m_accelerators; ///< Accelerators for each organisation, less those that its other work uses.
+};
+
+static Entitlements entitlementsOf(const PassContext &context, const PassDraft &draft)
+{
+    Entitlements left{std::vector<int>(context.m_claims.size()), std::vector<int>(context.m_state.m_organisations.size())};
+    for (std::size_t organisation = 0; organisation < left.m_accelerators.size(); ++organisation) {
+        left.m_accelerators[organisation] = -draft.m_usage[organisation];
+    }
+    for (const auto &unit : draft.m_plan->m_units) {
+        const auto &claim = context.m_claims[unit.m_claim];
+        if (claim.m_organisation < 0) {
+            continue;
+        }
+        const bool held = unit.m_source == UnitSource::Held;
+        left.m_unheld[unit.m_claim] += held ? 0 : 1;
+        left.m_accelerators[claim.m_organisation] += held ? countAccelerators(unit.m_slots) : claim.m_shape.m_accelerators;
+    }
+    return left;
+}
+
+/// A job of the size of the unit claims it whatever else its organisation runs. Smaller jobs claim what the organisation does
+/// not use of its guarantees.
+static bool takeEntitlement(const PassContext &context, int job, int claimIndex, Entitlements &left)
 {
-    std::vector<int> unheld(context.m_claims.size());
-    for (const auto &unit : plan.m_units) {
-        unheld[unit.m_claim] += unit.m_source == UnitSource::Held ? 0 : 1;
+    const Shape &wanted = context.m_state.m_queue[job].m_shape;
+    const Claim &claim = context.m_claims[claimIndex];
+    if (left.m_unheld[claimIndex] == 0 || !fitsUnit(wanted, claim.m_shape)) {
+        return false;
     }
-    return unheld;
+    const bool whole = wanted.m_accelerators == claim.m_shape.m_accelerators;
+    if (!whole && (wanted.m_accelerators == 0 || wanted.m_accelerators > left.m_accelerators[claim.m_organisation])) {
+        return false;
+    }
+    left.m_unheld[claimIndex] -= whole ? 1 : 0;
+    left.m_accelerators[claim.m_organisation] -= wanted.m_accelerators;
+    return true;
 }
 
 static int levelByAge(const PassContext &context, const QueuedJob &job)
@@ -36,29 +69,52 @@
     return static_cast<int>(std::max<std::int64_t>(FirstAgingLevel, first - steps));
 }
 
-/// The longest-waiting job beyond the limit, -1 if there is none. A job that the declared fleet cannot hold never counts.
-static int oldestStarving(const PassContext &context)
+/// True if the job could start if everything that is not guaranteed to others were free, and its quota allows it now.
+static bool canEventuallyStart(const PassContext &context, const PassDraft &draft, int job)
+{
+    const auto &queued = context.m_state.m_queue[job];
+    const int organisation = context.m_organisationOf[job];
+    if (organisation < 0 || draft.m_usage[organisation] + queued.m_shape.m_accelerators > context.m_state.m_organisations[organisation].m_quotaAccelerators) {
+        return false;
+    }
+    if (!isPinned(queued)) {
+        return fit(context.m_fleet, context.m_usable, queued.m_shape).has_value();
+    }
+    const auto units = unitsOfOthers(*draft.m_plan, context.m_claims, organisation);
+    return fit(context.m_fleet, withoutAll(context.m_usable, units), queued.m_shape).has_value();
+}
+
+/// The longest-waiting job beyond the limit, -1 if there is none. A job that cannot start at all does not keep others from it.
+static int oldestStarving(const PassContext &context, const PassDraft &draft)
 {
     const auto &queue = context.m_state.m_queue;
-    int oldest = -1;
+    std::vector<int> starving;
     for (int job = 0; job < static_cast<int>(queue.size()); ++job) {
-        const bool starving = context.m_now - queue[job].m_submittedAt >= context.m_settings.m_longestWait;
-        if (!starving || (oldest >= 0 && queue[oldest].m_submittedAt <= queue[job].m_submittedAt)) {
+        if (context.m_now - queue[job].m_submittedAt >= context.m_settings.m_longestWait) {
+            starving.push_back(job);
+        }
+    }
+    std::sort(starving.begin(), starving.end(), [&queue](int left, int right) {
+        return std::tie(queue[left].m_submittedAt, queue[left].m_key.text()) < std::tie(queue[right].m_submittedAt, queue[right].m_key.text());
+    });
+    std::set<std::tuple<ShapeKey, int, bool>> refused;
+    for (const int job : starving) {
+        const std::tuple key(shapeKey(queue[job].m_shape), context.m_organisationOf[job], isPinned(queue[job]));
+        if (refused.contains(key)) {
             continue;
         }
-        const int organisation = context.m_organisationOf[job];
-        const bool withinQuota = organisation >= 0 && queue[job].m_shape.m_accelerators <= context.m_state.m_organisations[organisation].m_quotaAccelerators;
-        if (withinQuota && fit(context.m_fleet, context.m_usable, queue[job].m_shape)) {
-            oldest = job;
+        if (canEventuallyStart(context, draft, job)) {
+            return job;
         }
+        refused.insert(key);
     }
-    return oldest;
+    return -1;
 }
 
 static void markEntitled(const PassContext &context, const PassDraft &draft, std::vector<int> &levels)
 {
     const auto &queue = context.m_state.m_queue;
-    auto unheld = unheldUnits(context, *draft.m_plan);
+    auto left = entitlementsOf(context, draft);
     std::vector<std::vector<int>> claimsOf(context.m_state.m_organisations.size());
     for (int claim = 0; claim < static_cast<int>(context.m_claims.size()); ++claim) {
         if (context.m_claims[claim].m_organisation >= 0) {
@@ -67,17 +123,14 @@
     }
     std::vector<int> order(queue.size());
     std::iota(order.begin(), order.end(), 0);
-    std::stable_sort(order.begin(), order.end(), [&queue](int left, int right) {
-        return std::tie(queue[left].m_tier, queue[left].m_submittedAt) < std::tie(queue[right].m_tier, queue[right].m_submittedAt);
-    });
+    std::stable_sort(order.begin(), order.end(), [&queue](int one, int other) { return queue[one].m_submittedAt < queue[other].m_submittedAt; });
     for (const int job : order) {
         const int organisation = context.m_organisationOf[job];
         if (organisation < 0) {
             continue;
         }
         for (const int claim : claimsOf[organisation]) {
-            if (unheld[claim] > 0 && fitsUnit(queue[job].m_shape, context.m_claims[claim].m_shape)) {
-                --unheld[claim];
+            if (takeEntitlement(context, job, claim, left)) {
                 levels[job] = EntitledLevel;
                 break;
             }
@@ -105,7 +158,7 @@
     for (const auto &job : queue) {
         order.m_levels.push_back(levelByAge(context, job));
     }
-    if (const int starving = oldestStarving(context); starving >= 0) {
+    if (const int starving = oldestStarving(context, draft); starving >= 0) {
         order.m_levels[starving] = StarvingLevel;
     }
     markEntitled(context, draft, order.m_levels);
@@ -116,8 +169,8 @@
         order.m_jobsOf[organisation < 0 ? organisations : organisation].push_back(job);
     }
     const auto later = [&](int left, int right) {
-        return std::tie(order.m_levels[left], queue[left].m_submittedAt, queue[left].m_key)
-               > std::tie(order.m_levels[right], queue[right].m_submittedAt, queue[right].m_key);
+        return std::tie(order.m_levels[left], queue[left].m_submittedAt, queue[left].m_key.text())
+               > std::tie(order.m_levels[right], queue[right].m_submittedAt, queue[right].m_key.text());
     };
     for (std::size_t organisation = 0; organisation <= organisations; ++organisation) {
         std::sort(order.m_jobsOf[organisation].begin(), order.m_jobsOf[organisation].end(), later);
--- a/scheduling/lib/Policy/release.h
+++ b/scheduling/lib/Policy/release.h
@@ -16,8 +16,9 @@
 /// Which allocations may be released for a job.
 enum class ReleaseScope {
     Guarantee, ///< Any that no guarantee of their own organisation covers.
-    Urgent, ///< Of these, only batch jobs.
-    Starving, ///< Any uncovered one that is not urgent; also waits for the end of the others, oldest first.
+    GuaranteeOrCovered, ///< Any; for a claimed guarantee whose cores or memory are in use by covered work.
+    Urgent, ///< Of the uncovered ones, batch jobs and older standard jobs that can be checkpointed.
+    Starving, ///< Of the uncovered ones, batch jobs and overdue ones; also waits for the end of the others, oldest first.
 };
 
 /// A position for @p job after releases, or empty if there is none. Thread-safe.
