Scale suspicion in other zones with the number of their peers

Cause: a peer of another zone is contacted in turn, with eight peers once in 8 s, so with 3 s it was suspected and found alive again all the time; and a peer whose turn fell on a search round was contacted every 32 s. Change: both times are multiplied by the number of peers of that zone that are not removed; searches for silent peers have their own count. The test of peerWithNewerConfiguration waits 6 s instead of 3 s, because its silent zone has two peers; it still requires that none is chosen. Conclusion: within a zone the times stay 3 s and 10 s.

--- a/recovery/include/primrosebridge/Membership/membership.h
+++ b/recovery/include/primrosebridge/Membership/membership.h
@@ -103,13 +103,14 @@
 /// The view with those of @p zones that are newer than the summaries it has. Thread-safe.
 MembershipView mergeZoneSummaries(const MembershipView &view, const std::vector<ZoneSummary> &zones);
 
-/// The view after time has passed: suspicion after 3 s of silence, removal after 10 s. A removed peer is forgotten after one hour if its zone
-/// has another live member. Thread-safe.
+/// The view after time has passed: suspicion after 3 s of silence, removal after 10 s. In another zone, whose peers are contacted in turn, both
+/// times are multiplied by the number of its peers that are not removed, so that they still stand for lost messages. A removed peer is forgotten after one hour
+/// if its zone has another live member. Thread-safe.
 MembershipView advanceMembership(const MembershipView &view, Instant now);
 
 /// The peers that the next heartbeat goes to: all of the own zone, and one of each other zone, chosen in turn by @p round. Removed peers of the
-/// own zone are included, so that both sides of a partition find each other again. In another zone live peers are preferred; every fourth
-/// round takes its turn over all peers of the zone, removed ones included. Thread-safe.
+/// own zone are included, so that both sides of a partition find each other again. In another zone the live peers take turns; if it has
+/// others, every fourth round goes to one of those, removed ones included. Thread-safe.
 std::vector<Peer> heartbeatTargets(const MembershipView &view, std::int64_t round);
 
 /// The summaries that a heartbeat of this round carries to a peer of @p zone: the own zone's and, in turn by @p round, one other. A peer
--- a/recovery/lib/Membership/membership.cpp
+++ b/recovery/lib/Membership/membership.cpp
@@ -120,19 +120,31 @@
     return MembershipView{view.m_self, view.m_selfZone, view.m_peers, std::move(merged)};
 }
 
-static PeerStatus statusAfterSilence(PeerStatus status, Duration silence)
+// Seconds between two heartbeats that this process sends to a peer: in another zone they go to one peer after the other.
+static std::map<ZoneId, int> heartbeatIntervals(const MembershipView &view)
 {
-    if (silence >= removeAfter) {
+    std::map<ZoneId, int> intervals;
+    for (const auto &[vm, peer] : view.m_peers) {
+        if (peer.m_zone != view.m_selfZone && peer.m_status != PeerStatus::Removed) {
+            ++intervals[peer.m_zone];
+        }
+    }
+    return intervals;
+}
+
+static PeerStatus statusAfterSilence(PeerStatus status, Duration silence, int interval)
+{
+    if (silence >= removeAfter * interval) {
         return PeerStatus::Removed;
     }
     // A peer that announced its stop is expected to fall silent.
-    if (silence >= suspectAfter && status == PeerStatus::Alive) {
+    if (silence >= suspectAfter * interval && status == PeerStatus::Alive) {
         return PeerStatus::Suspected;
     }
     return status;
 }
 
-static Peer peerAt(const Peer &peer, Instant now)
+static Peer peerAt(const Peer &peer, Instant now, int interval)
 {
     // A clock that was set back must not keep a silent peer alive until it has caught up.
     const Instant heardAt = std::min(peer.m_heardAt, now);
@@ -141,7 +153,7 @@
         .m_zone = peer.m_zone,
         .m_address = peer.m_address,
         .m_incarnation = peer.m_incarnation,
-        .m_status = statusAfterSilence(peer.m_status, now - heardAt),
+        .m_status = statusAfterSilence(peer.m_status, now - heardAt, interval),
         .m_configurationVersion = peer.m_configurationVersion,
         .m_storeReachable = peer.m_storeReachable,
         .m_heardAt = heardAt,
@@ -157,11 +169,13 @@
 
 MembershipView advanceMembership(const MembershipView &view, Instant now)
 {
+    const auto intervals = heartbeatIntervals(view);
     std::map<VmId, Peer> peers;
     for (const auto &[vm, peer] : view.m_peers) {
+        const auto interval = intervals.find(peer.m_zone);
         // The last known peers of a silent zone are kept: without them the zone could never be found again.
         if (now - peer.m_heardAt < forgetAfter || !zoneIsLive(view, peer.m_zone)) {
-            peers.emplace(vm, peerAt(peer, now));
+            peers.emplace(vm, peerAt(peer, now, interval == intervals.end() ? 1 : interval->second));
         }
     }
     return withPeers(view, std::move(peers));
@@ -178,27 +192,34 @@
     return zones;
 }
 
-static ZonePeers withStatus(const ZonePeers &peers, PeerStatus status)
+static ZonePeers select(const ZonePeers &peers, bool alive)
 {
     ZonePeers selected;
-    std::copy_if(peers.begin(), peers.end(), std::back_inserter(selected), [status](const Peer *peer) { return peer->m_status == status; });
+    std::copy_if(
+        peers.begin(), peers.end(), std::back_inserter(selected), [alive](const Peer *peer) { return (peer->m_status == PeerStatus::Alive) == alive; });
     return selected;
 }
 
+static const Peer *inTurn(const ZonePeers &peers, std::int64_t turn)
+{
+    return peers[static_cast<std::size_t>(turn) % peers.size()];
+}
+
 // Precondition: peers is not empty.
 static const Peer *targetInZone(const ZonePeers &peers, std::int64_t round)
 {
     constexpr std::int64_t searchPeriod = 4;
-    if (round % searchPeriod == searchPeriod - 1) {
-        return peers[static_cast<std::size_t>(round / searchPeriod) % peers.size()];
+    const auto alive = select(peers, true);
+    const auto others = select(peers, false);
+    if (alive.empty()) {
+        return inTurn(others, round);
     }
-    for (const auto status : {PeerStatus::Alive, PeerStatus::Suspected, PeerStatus::Stopping}) {
-        const auto preferred = withStatus(peers, status);
-        if (!preferred.empty()) {
-            return preferred[static_cast<std::size_t>(round) % preferred.size()];
-        }
+    if (others.empty()) {
+        return inTurn(alive, round);
     }
-    return peers[static_cast<std::size_t>(round) % peers.size()];
+    // The rounds without a search are counted separately: otherwise the turn of some peers would always fall on a search.
+    const std::int64_t searches = round / searchPeriod;
+    return round % searchPeriod == searchPeriod - 1 ? inTurn(others, searches) : inTurn(alive, round - searches);
 }
 
 std::vector<Peer> heartbeatTargets(const MembershipView &view, std::int64_t round)
--- a/recovery/unittests/Membership/membership.cpp
+++ b/recovery/unittests/Membership/membership.cpp
@@ -121,6 +121,29 @@
     CHECK(isStoreWatcher(known));
 }
 
+// Peers of another zone are contacted in turn; with the times of the own zone they would be suspected and found alive again all the time.
+TEST_CASE("live peers of a large zone are never suspected while heartbeats pass")
+{
+    auto view = std::make_unique<const MembershipView>(viewOf({}));
+    for (int index = 0; index < 8; ++index) {
+        view = std::make_unique<const MembershipView>(receiveHeartbeat(*view, heartbeat("vm-" + std::to_string(index), "south", 1), start));
+    }
+    view = std::make_unique<const MembershipView>(addKnownPeer(*view, vm("vm-dead"), zone("south"), "127.0.0.1:1", start));
+    for (std::int64_t round = 0; round < 200; ++round) {
+        const Instant now = start + Duration(1000) * round;
+        view = std::make_unique<const MembershipView>(advanceMembership(*view, now));
+        for (const auto &target : heartbeatTargets(*view, round)) {
+            if (target.m_vm != vm("vm-dead")) {
+                view = std::make_unique<const MembershipView>(receiveHeartbeat(*view, heartbeat(target.m_vm.text(), "south", 1), now));
+            }
+        }
+        for (int index = 0; index < 8; ++index) {
+            REQUIRE(statusOf(*view, "vm-" + std::to_string(index)) == PeerStatus::Alive);
+        }
+    }
+    CHECK(statusOf(*view, "vm-dead") == PeerStatus::Removed);
+}
+
 // A live zone of which no peer is contacted would be cut off although the link works.
 TEST_CASE("heartbeats go to the whole own zone and to every peer of another zone in turn")
 {
@@ -183,7 +206,8 @@
     const auto view = viewOf({heartbeat("vm-a", "north", 1, 7), heartbeat("vm-b", "south", 1, 9), heartbeat("vm-c", "south", 1, 8)});
     CHECK(peerWithNewerConfiguration(view, 6)->m_vm == vm("vm-b"));
     CHECK_FALSE(peerWithNewerConfiguration(view, 9).has_value());
-    CHECK_FALSE(peerWithNewerConfiguration(advanceMembership(view, start + Duration(3000)), 6).has_value());
+    // vm-a is suspected after 3 s; the two peers of the other zone after twice that time.
+    CHECK_FALSE(peerWithNewerConfiguration(advanceMembership(view, start + Duration(6000)), 6).has_value());
 }
 
 // A slow exchange gives a wrong offset and must not replace a good one at once.
