Tell the operator how to apply the first configuration

Cause: a deployment without a configuration answers the question for the version in force with 503, so config apply without --if_version ended with a remedy that does not help.

Change: the remedy also names --if_version=0.

Conclusion: an empty store can be set up from the messages alone.

--- a/ctl/lib/Commands/configuration.cpp
+++ b/ctl/lib/Commands/configuration.cpp
@@ -101,10 +101,23 @@
     return ExitCode::Done;
 }
 
+static std::int64_t versionInForce(const Command &command, const Environment &environment)
+{
+    try {
+        return fetchDocument(command, environment).m_version;
+    } catch (const Error &error) {
+        if (error.kind() != ErrorKind::Unavailable) {
+            throw;
+        }
+        // A deployment without a configuration answers like this, too.
+        throw Error(error.kind(), error.message(), error.remedy() + "; pass --if_version=0 if this is the first configuration", error.retryAfter());
+    }
+}
+
 ExitCode applyConfiguration(const Command &command, const Environment &environment)
 {
     const auto text = readValidFile(command, environment);
-    const auto replaces = command.m_ifVersion ? *command.m_ifVersion : fetchDocument(command, environment).m_version;
+    const auto replaces = command.m_ifVersion ? *command.m_ifVersion : versionInForce(command, environment);
     return putDocument(command, environment, text, replaces);
 }
 
--- a/ctl/unittests/Commands/configuration.cpp
+++ b/ctl/unittests/Commands/configuration.cpp
@@ -80,6 +80,16 @@
     CHECK_THAT(process.m_errors, Catch::Contains("version 43"));
 }
 
+// Without the hint, an operator of an empty store would find no way to apply the first document.
+TEST_CASE("config apply names the option for the first configuration if no version is in force")
+{
+    FakeProcess process;
+    process.m_files["f"] = exampleText();
+    process.willAnswer({ServerAnswer{503, R"({"error":{"kind":"unavailable","message":"this VM has no configuration yet","remedy":"wait"}})"}});
+    CHECK(run(process, {"config", "apply", "f"}) == ExitCode::Unavailable);
+    CHECK_THAT(process.m_errors, Catch::Contains("--if_version=0"));
+}
+
 TEST_CASE("config apply sends nothing if the file has faults")
 {
     FakeProcess process;
