Give each subcommand its own help and test shapes that just fit

Change: help texts are a table of subcommands, from which the overview and the text of one subcommand are built. The table of mistakes has rows for racks, zones and jobs without accelerators; three shapes that just fit must pass.

Conclusion: the placement check is tested on both sides of its limits.

--- a/core/lib/Config/fields.h
+++ b/core/lib/Config/fields.h
@@ -40,9 +40,13 @@
     /// Reads @p node, which is at @p path; reports a fault if it is no object. The node and the list must outlive this.
     Fields(const JsonNode &node, std::string path, FaultList &faults);
 
+    /// A text; empty after a fault without a default.
     std::string text(std::string_view name, const std::optional<std::string> &otherwise = std::nullopt);
+    /// A whole number within @p range.
     std::int64_t integer(std::string_view name, const IntegerRange &range, std::optional<std::int64_t> otherwise = std::nullopt);
+    /// A number within @p range.
     double number(std::string_view name, const NumberRange &range, std::optional<double> otherwise = std::nullopt);
+    /// true or false.
     bool boolean(std::string_view name, bool otherwise);
 
     /// The fields of an object member; if it is missing, its own required fields are reported as missing.
--- a/core/unittests/Config/faults.cpp
+++ b/core/unittests/Config/faults.cpp
@@ -36,6 +36,9 @@
     {"\"cores\": 16", "\"cores\": 33", "/guarantees/0/count", "holds only 0"},
     {"{\"accelerators\": 2}", "{\"accelerators\": 9}", "/jobClasses/0/shape", "no worker of the declared fleet"},
     {"{\"accelerators\": 2}", "{\"accelerators\": 17, \"adjacency\": \"SameRack\"}", "/jobClasses/0/shape", "no rack of the declared fleet"},
+    {"{\"accelerators\": 2}", "{\"accelerators\": 17, \"adjacency\": \"Nearest\"}", "/jobClasses/0/shape", "no availability zone of the declared fleet"},
+    {"{\"accelerators\": 2}", "{\"accelerators\": 16, \"adjacency\": \"SameRack\", \"cores\": 65}", "/jobClasses/0/shape", "no rack"},
+    {"{\"accelerators\": 2}", "{\"accelerators\": 0, \"memoryMb\": 131073}", "/jobClasses/0/shape", "no worker"},
     {"{\"accelerators\": 2}", "{\"accelerators\": 2, \"adjacency\": \"Close\"}", "/jobClasses/0/shape/adjacency", "SameRack"},
     {"{\"accelerators\": 2}", "7", "/jobClasses/0/shape", "is 7, not an object"},
     {"\"id\": \"scan\"", "\"id\": \"scan\", \"durable\": false", "/jobClasses/0/durable", "set durable to true"},
@@ -106,3 +109,13 @@
     CHECK(faults.size() == 1001);
     CHECK(hasFault(faults, "", "2001 more faults are not shown"));
 }
+
+// The largest shapes that fit must pass, or the check would refuse what the fleet can run.
+TEST_CASE("shapes that just fit are accepted")
+{
+    for (const auto *shape : {"{\"accelerators\": 16, \"adjacency\": \"SameRack\", \"cores\": 64, \"memoryMb\": 262144}",
+                              "{\"accelerators\": 8, \"cores\": 32, \"memoryMb\": 131072}",
+                              "{\"accelerators\": 0, \"cores\": 32}"}) {
+        CHECK(std::holds_alternative<Configuration>(readConfiguration(changed("{\"accelerators\": 2}", shape))));
+    }
+}
--- a/ctl/include/primrosebridge/Commands/exitcode.h
+++ b/ctl/include/primrosebridge/Commands/exitcode.h
@@ -19,10 +19,10 @@
     Internal = 9,
 };
 
-/// Thread-safe.
+/// The exit code for a command that ends with an error of this kind. Thread-safe.
 ExitCode exitCodeOf(ErrorKind kind);
 
-/// Thread-safe.
+/// The exit code for a command that ends with the knowledge of this outcome. Thread-safe.
 ExitCode exitCodeOf(OutcomeKind kind);
 
 } // namespace PrimroseBridge
--- a/ctl/lib/Commands/help.cpp
+++ b/ctl/lib/Commands/help.cpp
@@ -1,65 +1,129 @@
 #include "primrosebridge/Commands/help.h"
 
-namespace PrimroseBridge {
-
-std::string helpText()
-{
-    return R"(primrosectl - command line of primrosebridge for callers and operators
-
-Usage: primrosectl SUBCOMMAND [OPTIONS]
+#include <algorithm>
 
-Requests:
-  submit --class=CLASS [--key=KEY] [--payload=TEXT | --payload_file=FILE] [--zone=ZONE]
-         [--declared_run_time_ms=N] [--wait]     submit a request
-  get KEY                                        show the state or the outcome of a request
-  wait KEY                                       wait for the outcome of a request
-  cancel KEY                                     cancel a request
-  explain KEY                                    show why a request waits or where it was placed
+namespace PrimroseBridge {
 
-Configuration (operators):
-  config check FILE                              check a document without a server
-  config show [--defaults]                       print the document in force [with defaults filled in]
-  config diff FILE                               compare the document in force with a file
-  config apply FILE [--if_version=N]             put a document into force [only if version N is in force]
-  config history                                 list earlier versions
-  config rollback VERSION                        put an earlier document into force as a new version
+/// Help for one subcommand.
+struct Topic {
+    const std::string m_name; ///< Words of the subcommand, with one space between them.
+    const std::string m_usage; ///< What follows the name.
+    const std::string m_summary;
+    const std::string m_details; ///< Options and rules; each line ends with a line feed.
+    const std::string m_examples; ///< One on each line.
+};
 
-State:
-  fleet                                          workers and guarantees of the server's zone
-  timeline [--request=KEY] [--since=SECONDS]     events of all processes
-  settings check FILE                            check the settings of a process without a server
-  log-level LEVEL                                set the log level of every server named by --server
+static const std::vector<Topic> topics = {
+    {"submit",
+     "--class=CLASS [OPTIONS]",
+     "submit a request",
+     "  --class=CLASS              job class of the configuration; required\n"
+     "  --key=KEY                  request key; chosen and printed on standard error if absent\n"
+     "  --payload=TEXT             payload, UTF-8 text\n"
+     "  --payload_file=FILE        file with the payload; - is standard input\n"
+     "  --zone=ZONE                availability zone; chosen by the system if absent\n"
+     "  --declared_run_time_ms=N   expected run time in milliseconds; that of the class if absent\n"
+     "  --wait                     wait for the outcome\n"
+     "Submitting a key again is safe: it returns the answer to the first submission.\n",
+     "  primrosectl submit --class=glaze-check --key=glaze-17 --payload='{\"tile\": 17}' --wait\n"
+     "  primrosectl submit --class=kiln-curve --key=kiln-4 --payload_file=curve.json --zone=deventer\n"},
+    {"get", "KEY", "show the state or the outcome of a request", "", "  primrosectl get glaze-17 --output=json\n"},
+    {"wait",
+     "KEY",
+     "wait for the outcome of a request",
+     "Reports progress on standard error. Ends with exit code 7 if the time is up first.\n",
+     "  primrosectl wait kiln-4 --timeout=14400\n"},
+    {"cancel", "KEY", "cancel a request", "Ends with exit code 5 if the request had already ended.\n", "  primrosectl cancel kiln-4\n"},
+    {"explain", "KEY", "show why a request waits or where it was placed", "", "  primrosectl explain kiln-4\n"},
+    {"config check",
+     "FILE",
+     "check a configuration document",
+     "Lists every fault with its place, the limit and the remedy. Needs neither server nor token.\n",
+     "  primrosectl config check examples/zwolle.json\n"},
+    {"config show",
+     "[--defaults]",
+     "print the configuration in force",
+     "  --defaults   fill in every default; without comments\n",
+     "  primrosectl config show > zwolle.json\n"},
+    {"config diff",
+     "FILE",
+     "compare the configuration in force with a file",
+     "Entries are matched by identifier.\n",
+     "  primrosectl config diff zwolle.json\n"},
+    {"config apply",
+     "FILE [--if_version=N]",
+     "put a configuration into force",
+     "  --if_version=N   only if version N is in force; 0 for the first configuration\n"
+     "Ends with exit code 5 if another version is in force. A refused document has no effect.\n",
+     "  primrosectl config apply zwolle.json --if_version=41\n"},
+    {"config history", "", "list earlier configurations", "", "  primrosectl config history\n"},
+    {"config rollback", "VERSION", "put an earlier configuration into force as a new version", "", "  primrosectl config rollback 40\n"},
+    {"fleet", "", "show workers and guarantees of the server's zone", "", "  primrosectl fleet --server=10.0.3.11:8080\n"},
+    {"timeline",
+     "[--request=KEY] [--since=SECONDS]",
+     "show the events of all processes",
+     "  --request=KEY     only the events of this request and what caused them\n"
+     "  --since=SECONDS   only the events of this period\n",
+     "  primrosectl timeline --request=glaze-17 --since=600\n"},
+    {"settings check", "FILE", "check the settings of a process", "Needs neither server nor token.\n", "  primrosectl settings check vm1.json\n"},
+    {"log-level",
+     "LEVEL",
+     "set the log level of every server named by --server",
+     "LEVEL is trace, debug, info, warn or error.\n",
+     "  primrosectl log-level debug --server=10.0.3.11:8080\n"},
+};
 
-Options:
+static const std::string commonOptions = R"(Options of every subcommand:
   --server=IP:PORT[,IP:PORT...]   servers, default 127.0.0.1:8080; may be repeated. The next one is tried if one
                                   cannot be reached and the call is safe to repeat.
   --token=TOKEN                   bearer token; PRIMROSEBRIDGE_TOKEN is safer, because other users of the machine
                                   can see the command line
   --output=table|json             default table
   --timeout=SECONDS               longest time for the whole command, default 30; 30 days when waiting for a job
-  --help                          print this text
-
-A file named - is standard input. Without --key, submit chooses a key and prints it.
-
-Examples:
-  primrosectl submit --class=glaze-check --key=glaze-17 --payload='{"tile": 17}' --wait
-  primrosectl wait kiln-2026-12-04 --timeout=14400
-  primrosectl config check examples/zwolle.json
-  primrosectl config apply zwolle.json --if_version=41
-  primrosectl timeline --request=glaze-17 --since=600 --output=json
+  --help                          print this text, or that of a subcommand
+)";
 
-Exit codes:
+static const std::string exitCodes = R"(Exit codes:
   0  done
   1  the job failed or was cancelled
   2  usage: an argument, a file or a request is wrong or too large
   3  the token is missing, unknown or lacks the permission
   4  not found
-  5  conflict: another writer was first, or the key names a different request
+  5  conflict: another writer was first, the key names a different request, or the request had already ended
   6  a queue is full or no server can be reached; try again later
   7  the outcome is pending or unknown, or an answer was lost; ask again
   8  the job was not run, or can never run
   9  internal error
 )";
+
+static std::string overview()
+{
+    constexpr std::size_t summaryColumn = 52;
+    std::string text = "primrosectl - command line of primrosebridge for callers and operators\n\nUsage: primrosectl SUBCOMMAND [OPTIONS]\n\n";
+    for (const auto &topic : topics) {
+        auto line = "  " + topic.m_name + " " + topic.m_usage;
+        line.resize(std::max(line.size() + 1, summaryColumn), ' ');
+        text += line + topic.m_summary + "\n";
+    }
+    text += "\nprimrosectl SUBCOMMAND --help prints its options and examples. A file named - is standard input.\n\n";
+    return text + commonOptions + "\n" + exitCodes;
+}
+
+static std::string topicText(const Topic &topic)
+{
+    auto text = "Usage: primrosectl " + topic.m_name + " " + topic.m_usage + "\n\n" + topic.m_summary + "\n";
+    if (!topic.m_details.empty()) {
+        text += "\n" + topic.m_details;
+    }
+    return text + "\nExamples:\n" + topic.m_examples + "\n" + commonOptions + "\n" + exitCodes;
+}
+
+std::string helpText(const std::vector<std::string> &words)
+{
+    const auto first = words.empty() ? std::string() : words[0];
+    const auto both = words.size() < 2 ? first : first + " " + words[1];
+    const auto found = std::find_if(topics.begin(), topics.end(), [&](const Topic &topic) { return topic.m_name == first || topic.m_name == both; });
+    return found == topics.end() ? overview() : topicText(*found);
 }
 
 } // namespace PrimroseBridge
--- a/ctl/tools/primrosectl/main.cpp
+++ b/ctl/tools/primrosectl/main.cpp
@@ -73,7 +73,7 @@
 static ExitCode runArguments(const std::vector<std::string> &arguments)
 {
     if (arguments.empty() || std::find(arguments.begin(), arguments.end(), "--help") != arguments.end()) {
-        (arguments.empty() ? std::cerr : std::cout) << helpText();
+        (arguments.empty() ? std::cerr : std::cout) << helpText(arguments);
         return arguments.empty() ? ExitCode::InvalidArgument : ExitCode::Done;
     }
     const auto report = [](const std::string &text) { std::cerr << text; };
--- a/ctl/unittests/Commands/commandline.cpp
+++ b/ctl/unittests/Commands/commandline.cpp
@@ -1,5 +1,6 @@
 #include "primrosebridge/Commands/command.h"
 #include "primrosebridge/Commands/exitcode.h"
+#include "primrosebridge/Commands/help.h"
 
 #include <catch2/catch.hpp>
 
@@ -97,3 +98,29 @@
     CHECK(static_cast<int>(exitCodeOf(ErrorKind::NeverRunnable)) == 8);
     CHECK(static_cast<int>(exitCodeOf(ErrorKind::Internal)) == 9);
 }
+
+// A subcommand that the help does not know cannot be found by its users.
+TEST_CASE("every subcommand has help with an example")
+{
+    const std::vector<std::vector<std::string>> subcommands = {{"submit"},
+                                                               {"get"},
+                                                               {"wait"},
+                                                               {"cancel"},
+                                                               {"explain"},
+                                                               {"config", "check"},
+                                                               {"config", "show"},
+                                                               {"config", "diff"},
+                                                               {"config", "apply"},
+                                                               {"config", "history"},
+                                                               {"config", "rollback"},
+                                                               {"fleet"},
+                                                               {"timeline"},
+                                                               {"settings", "check"},
+                                                               {"log-level"}};
+    for (const auto &words : subcommands) {
+        const auto name = words.size() == 1 ? words[0] : words[0] + " " + words[1];
+        CHECK_THAT(helpText({}), Catch::Contains("\n  " + name + " "));
+        CHECK_THAT(helpText(words), Catch::StartsWith("Usage: primrosectl " + name + " ") && Catch::Contains("\n  primrosectl " + name));
+    }
+    CHECK_THAT(helpText({"config"}), Catch::StartsWith("primrosectl - "));
+}
