--- a/scheduling/benchmarks/placementreplay/main.cpp
+++ b/scheduling/benchmarks/placementreplay/main.cpp
@@ -45,8 +45,10 @@
         append(sum.m_largestWaits, one.m_largestWaits);
         append(sum.m_reclaims, one.m_reclaims);
         sum.m_fragmentation += one.m_fragmentation / seeds;
+        sum.m_unavoidable += one.m_unavoidable / seeds;
         sum.m_utilisation += one.m_utilisation / seeds;
         sum.m_unfinished += one.m_unfinished;
+        sum.m_lapsed += one.m_lapsed;
         sum.m_releases += one.m_releases;
     }
     return sum;
@@ -67,14 +69,16 @@
 
 static void printZone(const char *policy, const ReplayResult &result)
 {
-    std::printf("| %s | %.0f | %.0f | %.3f | %.0f | %.0f | %zu | %.3f | %d | %d |\n",
+    std::printf("| %s | %.0f | %.0f | %.3f | %.3f | %.0f | %.0f | %zu | %d | %.3f | %d | %d |\n",
                 policy,
                 mean(result.m_largestWaits),
                 percentile(result.m_largestWaits, 1),
                 result.m_fragmentation,
+                result.m_unavoidable,
                 mean(result.m_reclaims),
                 percentile(result.m_reclaims, 1),
                 result.m_reclaims.size(),
+                result.m_lapsed,
                 result.m_utilisation,
                 result.m_releases,
                 result.m_unfinished);
@@ -94,9 +98,10 @@
                 results.push_back(replayAll(deployment, scenario, policy, seeds));
                 print(policy.m_name, results.back());
             }
-            std::printf(
-                "\n| policy | wait of largest, mean s | max s | fragmentation | reclaim mean s | max s | reclaims | utilisation | releases | unfinished |\n"
-                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+            std::printf("\n| policy | wait of largest, mean s | max s | fragmentation | unavoidable | reclaim mean s | max s | reclaims | lapsed | utilisation "
+                        "| releases | "
+                        "unfinished |\n"
+                        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
             for (std::size_t i = 0; i < policies.size(); ++i) {
                 printZone(policies[i].m_name, results[i]);
             }
--- a/scheduling/benchmarks/placementreplay/replay.cpp
+++ b/scheduling/benchmarks/placementreplay/replay.cpp
@@ -53,6 +53,7 @@
     double m_usedTime = 0;
     double m_offeredTime = 0;
     double m_fragmentedTime = 0;
+    double m_unavoidableTime = 0;
     double m_freeTime = 0;
 };
 
@@ -172,14 +173,20 @@
     ++replay.m_result.m_releases;
 }
 
+/// A claim lapses when older work of the same organisation, for example work that was moved, takes the guarantee instead.
 static void noteReclaims(Replay &replay, const PassResult &result)
 {
     for (const auto &explanation : result.m_explanations) {
-        if (explanation.m_rule != DecisionRule::WaitsForReclaim || explanation.m_text.find("guarantee") == std::string::npos) {
-            continue;
-        }
         JobProgress &job = replay.m_waiting.at(explanation.m_key.text());
-        job.m_reclaimSince = job.m_reclaimSince == Instant() ? replay.m_now : job.m_reclaimSince;
+        const bool waits = explanation.m_rule == DecisionRule::WaitsForReclaim && explanation.m_text.find("guarantee") != std::string::npos;
+        const bool claimed = job.m_reclaimSince != Instant();
+        if (waits && !claimed) {
+            job.m_reclaimSince = replay.m_now;
+        }
+        if (!waits && claimed && explanation.m_rule != DecisionRule::PlacedReclaim) {
+            job.m_reclaimSince = Instant();
+            ++replay.m_result.m_lapsed;
+        }
     }
 }
 
@@ -266,6 +273,7 @@
     if (unused >= shape.m_accelerators) {
         const int fits = countFits(fleet, free, shape, unused / shape.m_accelerators);
         replay.m_fragmentedTime += elapsed * (1 - static_cast<double>(fits) * shape.m_accelerators / unused);
+        replay.m_unavoidableTime += elapsed * (unused % shape.m_accelerators) / unused;
         replay.m_freeTime += elapsed;
     }
 }
@@ -337,6 +345,7 @@
     state.m_result.m_unfinished = static_cast<int>(state.m_waiting.size() + state.m_running.size());
     state.m_result.m_utilisation = state.m_usedTime / std::max(1.0, state.m_offeredTime);
     state.m_result.m_fragmentation = state.m_fragmentedTime / std::max(1.0, state.m_freeTime);
+    state.m_result.m_unavoidable = state.m_unavoidableTime / std::max(1.0, state.m_freeTime);
     return state.m_result;
 }
 
--- a/scheduling/benchmarks/placementreplay/replay.h
+++ b/scheduling/benchmarks/placementreplay/replay.h
@@ -17,8 +17,10 @@
     std::vector<double> m_largestWaits; ///< Of the jobs with the most accelerators, from submission to first start.
     std::vector<double> m_reclaims; ///< From the first wait for a reclaim under a guarantee to the start.
     double m_fragmentation = 0; ///< Mean over time while accelerators are free and jobs arrive.
+    double m_unavoidable = 0; ///< The part of it that no placement avoids: the remainder of the free accelerators by the shape.
     double m_utilisation = 0; ///< Mean over time while jobs arrive.
     int m_unfinished = 0; ///< Jobs that had not ended a day after the last arrival.
+    int m_lapsed = 0; ///< Claims that older work of the same organisation took over.
     int m_releases = 0;
     int m_passes = 0;
 };
--- a/scheduling/lib/Placement/fit.cpp
+++ b/scheduling/lib/Placement/fit.cpp
@@ -4,6 +4,7 @@
 #include <bit>
 #include <cassert>
 #include <numeric>
+#include <tuple>
 
 namespace PrimroseBridge {
 
@@ -101,21 +102,32 @@
     return Slots{{best, 0, shape.m_cores, shape.m_memoryMb}};
 }
 
-static std::optional<Slots> fitOnWorker(const Capacity &capacity, const Shape &shape, FitRule rule)
+static std::vector<int> freeOfRacks(const FleetIndex &fleet, const Capacity &capacity)
 {
+    std::vector<int> free(fleet.m_racks.size());
+    for (std::size_t worker = 0; worker < fleet.m_rackOf.size(); ++worker) {
+        free[fleet.m_rackOf[worker]] += std::popcount(capacity.m_accelerators[worker]);
+    }
+    return free;
+}
+
+static std::optional<Slots> fitOnWorker(const FleetIndex &fleet, const Capacity &capacity, const Shape &shape, FitRule rule)
+{
+    const std::vector<int> rackFree = freeOfRacks(fleet, capacity);
     int best = -1;
-    std::pair<int, int> bestCost;
+    std::tuple<int, int, int> bestCost;
     for (int worker = 0; worker < static_cast<int>(capacity.m_cores.size()); ++worker) {
         const AcceleratorSet set = capacity.m_accelerators[worker];
         if (std::popcount(set) < shape.m_accelerators || contribution(capacity, worker, shape) < shape.m_accelerators) {
             continue;
         }
-        const std::pair cost(chooseRun(set, shape.m_accelerators, rule).m_length, std::popcount(set));
+        const std::tuple cost(
+            rule == FitRule::FullestRack ? rackFree[fleet.m_rackOf[worker]] : 0, chooseRun(set, shape.m_accelerators, rule).m_length, std::popcount(set));
         if (best < 0 || cost < bestCost) {
             best = worker;
             bestCost = cost;
         }
-        if (rule == FitRule::First || bestCost.second == shape.m_accelerators) {
+        if (rule == FitRule::First) {
             break;
         }
     }
@@ -129,14 +141,14 @@
 static Slots takeFrom(const std::vector<int> &workers, const std::vector<int> &contributions, const Capacity &capacity, const Shape &shape, FitRule rule)
 {
     std::vector<int> order = workers;
-    if (rule == FitRule::Best) {
+    if (rule != FitRule::First) {
         std::stable_sort(order.begin(), order.end(), [&](int left, int right) { return contributions[left] > contributions[right]; });
     }
     Slots slots;
     int remaining = shape.m_accelerators;
     for (std::size_t i = 0; i < order.size() && remaining > 0; ++i) {
         std::size_t chosen = i;
-        if (rule == FitRule::Best && contributions[order[i]] >= remaining) {
+        if (rule != FitRule::First && contributions[order[i]] >= remaining) {
             while (chosen + 1 < order.size() && contributions[order[chosen + 1]] >= remaining) {
                 ++chosen;
             }
@@ -221,7 +233,7 @@
         return fitWithoutAccelerators(capacity, shape, rule);
     }
     if (shape.m_adjacency == Adjacency::SameWorker) {
-        return fitOnWorker(capacity, shape, rule);
+        return fitOnWorker(fleet, capacity, shape, rule);
     }
     return fitGang(fleet, capacity, shape, rule);
 }
--- a/scheduling/lib/Policy/defragmentation.cpp
+++ b/scheduling/lib/Policy/defragmentation.cpp
@@ -33,15 +33,25 @@
     return DefragmentationGoal{job.m_shape, std::min(wait, longestGain), "moved to make room for job " + job.m_key.text()};
 }
 
-static std::optional<DefragmentationGoal> goalOfGuarantees(const PassContext &context, const PassDraft &draft)
+static std::optional<DefragmentationGoal> goalOfGuarantees(const PassContext &context)
 {
     const auto &claims = context.m_claims;
     const auto largest = std::max_element(
         claims.begin(), claims.end(), [](const Claim &left, const Claim &right) { return left.m_shape.m_accelerators < right.m_shape.m_accelerators; });
-    if (largest == claims.end() || countFits(context.m_fleet, *draft.m_free, largest->m_shape, 1) > 0) {
+    if (largest == claims.end()) {
         return std::nullopt;
     }
-    return DefragmentationGoal{largest->m_shape, longestGain / 3, "moved so that the largest guaranteed shape fits into free capacity"};
+    return DefragmentationGoal{largest->m_shape, longestGain / 3, "moved so that the largest guaranteed shape fits once more into free capacity"};
+}
+
+/// The free capacity beside the positions at which @p shape fits already.
+static Capacity remainder(const FleetIndex &fleet, const Capacity &free, const Shape &shape)
+{
+    auto rest = std::make_shared<const Capacity>(free);
+    while (const auto slots = fit(fleet, *rest, shape)) {
+        rest = std::make_shared<const Capacity>(without(*rest, *slots));
+    }
+    return *rest;
 }
 
 static std::vector<Movable> movablesOf(const PassContext &context)
@@ -78,13 +88,17 @@
     }
     auto goal = goalOfReservation(context, draft);
     if (!goal) {
-        goal.emplace(goalOfGuarantees(context, draft).value_or(DefragmentationGoal{{0, Adjacency::SameWorker, 0, 0}, Duration(0), ""}));
+        goal.emplace(goalOfGuarantees(context).value_or(DefragmentationGoal{{0, Adjacency::SameWorker, 0, 0}, Duration(0), ""}));
     }
     const int accelerators = goal->m_shape.m_accelerators;
-    if (accelerators < 2 || countAccelerators(*draft.m_free) < accelerators) {
+    if (accelerators < 2) {
+        return;
+    }
+    const Capacity rest = remainder(context.m_fleet, *draft.m_free, goal->m_shape);
+    if (countAccelerators(rest) < accelerators) {
         return;
     }
-    const auto plan = planDefragmentation(context.m_fleet, context.m_usable, *draft.m_free, movablesOf(context), goal->m_shape);
+    const auto plan = planDefragmentation(context.m_fleet, context.m_usable, rest, movablesOf(context), goal->m_shape);
     if (!plan || !isWorthwhile(context.m_state.m_weights, *goal, plan->m_movedAccelerators)) {
         return;
     }
