Search less in a pass

Change: pass positions by pointer, remember shapes that do not fit into all free capacity, and treat organisations without a guarantee alike.

--- a/scheduling/include/primrosebridge/Placement/guaranteeplan.h
+++ b/scheduling/include/primrosebridge/Placement/guaranteeplan.h
@@ -69,8 +69,8 @@
 /// True if no claim of @p after is met less often than in @p before. Thread-safe.
 bool meetsAsMuch(const GuaranteePlan &before, const GuaranteePlan &after);
 
-/// The positions planned for other organisations than @p organisation. Thread-safe.
-std::vector<Slots> unitsOfOthers(const GuaranteePlan &plan, const std::vector<Claim> &claims, int organisation);
+/// The positions planned for other organisations than @p organisation; they live as long as the plan. Thread-safe.
+std::vector<const Slots *> unitsOfOthers(const GuaranteePlan &plan, const std::vector<Claim> &claims, int organisation);
 
 /// For each holding, whether it lies on a unit planned for its own organisation and on none of another, so that no other
 /// organisation needs to reclaim it.
--- a/scheduling/include/primrosebridge/Placement/reclaim.h
+++ b/scheduling/include/primrosebridge/Placement/reclaim.h
@@ -23,7 +23,7 @@
                                          const Capacity &usable,
                                          const Capacity &free,
                                          const std::vector<const Slots *> &groups,
-                                         const std::vector<Slots> &excluded,
+                                         const std::vector<const Slots *> &excluded,
                                          const Shape &shape);
 
 } // namespace PrimroseBridge
--- a/scheduling/lib/Placement/guaranteeplan.cpp
+++ b/scheduling/lib/Placement/guaranteeplan.cpp
@@ -278,12 +278,12 @@
     return true;
 }
 
-std::vector<Slots> unitsOfOthers(const GuaranteePlan &plan, const std::vector<Claim> &claims, int organisation)
+std::vector<const Slots *> unitsOfOthers(const GuaranteePlan &plan, const std::vector<Claim> &claims, int organisation)
 {
-    std::vector<Slots> units;
+    std::vector<const Slots *> units;
     for (const auto &unit : plan.m_units) {
         if (organisation < 0 || claims[unit.m_claim].m_organisation != organisation) {
-            units.push_back(unit.m_slots);
+            units.push_back(&unit.m_slots);
         }
     }
     return units;
--- a/scheduling/lib/Placement/reclaim.cpp
+++ b/scheduling/lib/Placement/reclaim.cpp
@@ -103,7 +103,7 @@
                                          const Capacity &usable,
                                          const Capacity &free,
                                          const std::vector<const Slots *> &groups,
-                                         const std::vector<Slots> &excluded,
+                                         const std::vector<const Slots *> &excluded,
                                          const Shape &shape)
 {
     const auto fitWith = [&](int count) { return fit(fleet, withoutAll(released(usable, free, groups, count), excluded), shape); };
--- a/scheduling/lib/Policy/decide.cpp
+++ b/scheduling/lib/Policy/decide.cpp
@@ -73,13 +73,10 @@
     return isPinned(queued) ? fitWithNewPlan(context, draft, job, lent) : fit(context.m_fleet, lent, queued.m_shape);
 }
 
-/// What keeps a job waiting for which no position was found.
+/// What keeps a job waiting that fits into the free capacity.
 static DecisionRule obstacle(const PassContext &context, const PassDraft &draft, int job)
 {
     const auto &queued = context.m_state.m_queue[job];
-    if (!fit(context.m_fleet, *draft.m_free, queued.m_shape)) {
-        return DecisionRule::WaitsForCapacity;
-    }
     const bool free = isPinned(queued) && !fit(context.m_fleet, viewFor(context, draft, job, 0, true), queued.m_shape);
     return free ? DecisionRule::WaitsForGuarantee : DecisionRule::WaitsForReservation;
 }
@@ -174,6 +171,34 @@
     }
 }
 
+/// What the units of others look like to the job: the same for all organisations without a guarantee.
+static int unitsSeenBy(const PassContext &context, int job)
+{
+    const int organisation = context.m_organisationOf[job];
+    const bool claims
+        = std::any_of(context.m_claims.begin(), context.m_claims.end(), [organisation](const Claim &claim) { return claim.m_organisation == organisation; });
+    return !isPinned(context.m_state.m_queue[job]) ? -1 : claims ? organisation : -2;
+}
+
+/// True if the shape does not fit even into everything that is free; remembered, because free capacity only shrinks.
+static bool isTooLarge(const PassContext &context, const PassDraft &draft, int job, FailedSearches &failed)
+{
+    const Shape &shape = context.m_state.m_queue[job].m_shape;
+    if (failed.m_unfitting.contains(shapeKey(shape))) {
+        return true;
+    }
+    if (fit(context.m_fleet, *draft.m_free, shape)) {
+        return false;
+    }
+    failed.m_unfitting.insert(shapeKey(shape));
+    return true;
+}
+
+static void wait(const PassContext &context, PassDraft &draft, int job, DecisionRule rule)
+{
+    explain(context, draft, job, rule, waitText(context, draft, job, rule));
+}
+
 void decideJob(const PassContext &context, int job, int level, PassDraft &draft, FailedSearches &failed)
 {
     if (refuse(context, draft, job)) {
@@ -185,13 +210,13 @@
         return;
     }
     const unsigned blocking = blockingReservations(context, draft, job, level);
-    const int units = isPinned(queued) ? context.m_organisationOf[job] : -1;
-    const SearchKey key(shapeKey(queued.m_shape), units, std::min(level, +FirstAgingLevel), blocking);
-    if (const auto found = failed.find(key); found != failed.end() && level >= UrgentLevel) {
-        explain(context, draft, job, found->second, waitText(context, draft, job, found->second));
+    const SearchKey key(shapeKey(queued.m_shape), unitsSeenBy(context, job), std::min(level, +FirstAgingLevel), blocking);
+    if (const auto found = failed.m_rules.find(key); found != failed.m_rules.end() && level >= UrgentLevel) {
+        wait(context, draft, job, found->second);
         return;
     }
-    if (const auto slots = findPosition(context, draft, job, blocking)) {
+    const bool tooLarge = isTooLarge(context, draft, job, failed);
+    if (const auto slots = tooLarge ? std::nullopt : findPosition(context, draft, job, blocking)) {
         explainPlaced(context, draft, job, level);
         place(context, draft, job, *slots);
         return;
@@ -199,12 +224,12 @@
     if (level <= UrgentLevel && tryRelease(context, draft, job, level)) {
         return;
     }
-    const DecisionRule rule = obstacle(context, draft, job);
+    const DecisionRule rule = tooLarge ? DecisionRule::WaitsForCapacity : obstacle(context, draft, job);
     if (!hasReservation(draft)) {
         reserve(context, draft, job);
     }
-    failed.emplace(key, rule);
-    explain(context, draft, job, rule, waitText(context, draft, job, rule));
+    failed.m_rules.emplace(key, rule);
+    wait(context, draft, job, rule);
 }
 
 } // namespace PrimroseBridge
--- a/scheduling/lib/Policy/release.cpp
+++ b/scheduling/lib/Policy/release.cpp
@@ -126,17 +126,17 @@
     return others;
 }
 
-static std::vector<Slots> excludedFor(const PassContext &context, const PassDraft &draft, int job)
+static std::vector<const Slots *> excludedFor(const PassContext &context, const PassDraft &draft, int job)
 {
-    std::vector<Slots> excluded;
+    std::vector<const Slots *> excluded;
     for (const auto &reservation : draft.m_reservations) {
         if (reservation.m_firm && reservation.m_job != job) {
-            excluded.push_back(reservation.m_slots);
+            excluded.push_back(&reservation.m_slots);
         }
     }
     if (isPinned(context.m_state.m_queue[job])) {
-        auto units = unitsOfOthers(*draft.m_plan, context.m_claims, context.m_organisationOf[job]);
-        excluded.insert(excluded.end(), std::make_move_iterator(units.begin()), std::make_move_iterator(units.end()));
+        const auto units = unitsOfOthers(*draft.m_plan, context.m_claims, context.m_organisationOf[job]);
+        excluded.insert(excluded.end(), units.begin(), units.end());
     }
     return excluded;
 }
--- a/scheduling/lib/Policy/reservation.cpp
+++ b/scheduling/lib/Policy/reservation.cpp
@@ -30,15 +30,15 @@
 
 Capacity viewFor(const PassContext &context, const PassDraft &draft, int job, unsigned blocking, bool spareUnits)
 {
-    std::vector<Slots> excluded;
+    std::vector<const Slots *> excluded;
     for (std::size_t i = 0; i < draft.m_reservations.size() && i < 32; ++i) {
         if ((blocking >> i & 1U) != 0) {
-            excluded.push_back(draft.m_reservations[i].m_slots);
+            excluded.push_back(&draft.m_reservations[i].m_slots);
         }
     }
     if (spareUnits) {
-        auto units = unitsOfOthers(*draft.m_plan, context.m_claims, context.m_organisationOf[job]);
-        excluded.insert(excluded.end(), std::make_move_iterator(units.begin()), std::make_move_iterator(units.end()));
+        const auto units = unitsOfOthers(*draft.m_plan, context.m_claims, context.m_organisationOf[job]);
+        excluded.insert(excluded.end(), units.begin(), units.end());
     }
     return withoutAll(*draft.m_free, excluded);
 }
@@ -73,14 +73,14 @@
     for (const auto &end : ends) {
         groups.push_back(end.second);
     }
-    std::vector<Slots> excluded;
+    std::vector<const Slots *> excluded;
     for (const auto &reservation : draft.m_reservations) {
-        excluded.push_back(reservation.m_slots);
+        excluded.push_back(&reservation.m_slots);
     }
     const auto &wanted = context.m_state.m_queue[job];
     if (isPinned(wanted)) {
-        auto units = unitsOfOthers(*draft.m_plan, context.m_claims, context.m_organisationOf[job]);
-        excluded.insert(excluded.end(), std::make_move_iterator(units.begin()), std::make_move_iterator(units.end()));
+        const auto units = unitsOfOthers(*draft.m_plan, context.m_claims, context.m_organisationOf[job]);
+        excluded.insert(excluded.end(), units.begin(), units.end());
     }
     const auto future = fitAfterRelease(context.m_fleet, context.m_usable, *draft.m_free, groups, excluded, wanted.m_shape);
     if (future) {
