Sort releasable work once in a pass

Cause: each urgent or claiming job sorted all running work and tested which of it lies on guaranteed positions. Change: the order is part of the context, the cover part of the plan.

--- a/scheduling/lib/Policy/decide.cpp
+++ b/scheduling/lib/Policy/decide.cpp
@@ -44,11 +44,11 @@
         holdings.push_back(placed);
     }
     holdings.push_back({context.m_organisationOf[job], false, *slots});
-    auto plan = std::make_shared<const GuaranteePlan>(planGuarantees(context.m_fleet, context.m_usable, holdings, context.m_claims));
-    if (!meetsAsMuch(*draft.m_plan, *plan)) {
+    auto plan = planGuarantees(context.m_fleet, context.m_usable, holdings, context.m_claims);
+    if (!meetsAsMuch(*draft.m_plan, plan)) {
         return std::nullopt;
     }
-    draft.m_plan = std::move(plan);
+    setPlan(context, draft, std::move(plan));
     return slots;
 }
 
--- a/scheduling/lib/Policy/passcontext.cpp
+++ b/scheduling/lib/Policy/passcontext.cpp
@@ -1,6 +1,8 @@
 #include "passcontext.h"
 
+#include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace PrimroseBridge {
 
@@ -19,6 +21,42 @@
     return result;
 }
 
+static std::vector<int> guaranteedAccelerators(const ZoneState &state, const std::vector<Claim> &claims)
+{
+    std::vector<int> guaranteed(state.m_organisations.size());
+    for (const auto &claim : claims) {
+        if (claim.m_organisation >= 0) {
+            guaranteed[claim.m_organisation] += claim.m_count * claim.m_shape.m_accelerators;
+        }
+    }
+    return guaranteed;
+}
+
+/// Work that a release loses, in accelerator milliseconds; a checkpoint loses none.
+static std::int64_t lostWork(const Allocation &allocation, Instant now)
+{
+    return allocation.m_checkpointable ? 0 : (now - allocation.m_startedAt).count() * std::max(1, allocation.m_shape.m_accelerators);
+}
+
+/// Batch work first, then what loses the least, the smallest and the oldest.
+static std::vector<int> releaseOrder(const ZoneState &state, Instant now)
+{
+    std::vector<std::tuple<int, std::int64_t, int, Instant, int>> costs;
+    for (int index = 0; index < static_cast<int>(state.m_allocations.size()); ++index) {
+        const auto &one = state.m_allocations[index];
+        if (one.m_checkpointable || one.m_restartable || one.m_releasing) {
+            costs.emplace_back(-static_cast<int>(one.m_tier), lostWork(one, now), one.m_shape.m_accelerators, one.m_startedAt, index);
+        }
+    }
+    std::sort(costs.begin(), costs.end());
+    std::vector<int> order;
+    order.reserve(costs.size());
+    for (const auto &cost : costs) {
+        order.push_back(std::get<4>(cost));
+    }
+    return order;
+}
+
 PassContext makeContext(const ZoneState &state, const PassSettings &settings, Instant now)
 {
     assert(settings.m_maxPlacements > 0 && settings.m_agingPeriod > Duration(0) && "the settings are positive");
@@ -26,6 +64,7 @@
     std::vector<Holding> holdings = holdingsOf(state, fleet);
     std::vector<int> order;
     std::vector<Claim> claims = claimsOf(state, order);
+    std::vector<int> guaranteed = guaranteedAccelerators(state, claims);
     return {state,
             settings,
             now,
@@ -35,23 +74,32 @@
             std::move(holdings),
             std::move(order),
             std::move(claims),
-            organisationsOfQueue(state)};
+            std::move(guaranteed),
+            organisationsOfQueue(state),
+            releaseOrder(state, now)};
+}
+
+void setPlan(const PassContext &context, PassDraft &draft, GuaranteePlan plan)
+{
+    draft.m_plan = std::make_shared<const GuaranteePlan>(std::move(plan));
+    const int workers = static_cast<int>(context.m_fleet.m_workers.size());
+    draft.m_covered = std::make_shared<const std::vector<bool>>(coveredHoldings(*draft.m_plan, context.m_claims, context.m_holdings, workers));
 }
 
 PassDraft makeDraft(const PassContext &context)
 {
-    std::vector<Slots> occupied;
+    std::vector<const Slots *> occupied;
     std::vector<int> usage(context.m_state.m_organisations.size());
     occupied.reserve(context.m_holdings.size());
     for (const auto &holding : context.m_holdings) {
-        occupied.push_back(holding.m_slots);
+        occupied.push_back(&holding.m_slots);
         if (holding.m_organisation >= 0) {
             usage[holding.m_organisation] += countAccelerators(holding.m_slots);
         }
     }
     PassDraft draft;
     draft.m_free = std::make_shared<const Capacity>(withoutAll(context.m_usable, occupied));
-    draft.m_plan = std::make_shared<const GuaranteePlan>(planGuarantees(context.m_fleet, context.m_usable, context.m_holdings, context.m_claims));
+    setPlan(context, draft, planGuarantees(context.m_fleet, context.m_usable, context.m_holdings, context.m_claims));
     draft.m_usage = std::move(usage);
     draft.m_released.resize(context.m_holdings.size());
     draft.m_explanations.resize(context.m_state.m_queue.size());
--- a/scheduling/lib/Policy/passcontext.h
+++ b/scheduling/lib/Policy/passcontext.h
@@ -28,7 +28,9 @@
     const std::vector<Holding> m_holdings; ///< In the order of the allocations.
     const std::vector<int> m_claimOrder; ///< For each claim, its index in ZoneState::m_guarantees.
     const std::vector<Claim> m_claims;
+    const std::vector<int> m_guaranteed; ///< Accelerators that each organisation is guaranteed.
     const std::vector<int> m_organisationOf; ///< For each queued job, as in Holding.
+    const std::vector<int> m_releaseOrder; ///< Allocations that can be released or are being released, cheapest first.
 };
 
 /// A position that is kept for a job which cannot start yet.
@@ -43,6 +45,7 @@
 struct PassDraft {
     std::shared_ptr<const Capacity> m_free;
     std::shared_ptr<const GuaranteePlan> m_plan;
+    std::shared_ptr<const std::vector<bool>> m_covered; ///< For each allocation, see coveredHoldings(); follows the plan.
     std::vector<int> m_usage; ///< Accelerators in use by each organisation.
     std::vector<bool> m_released; ///< For each allocation, whether this pass releases it.
     std::vector<Reservation> m_reservations;
@@ -57,6 +60,9 @@
 /// Derives the context. Preconditions as for runPass(). Thread-safe.
 PassContext makeContext(const ZoneState &state, const PassSettings &settings, Instant now);
 
+/// Replaces the plan and what follows from it. Thread-safe.
+void setPlan(const PassContext &context, PassDraft &draft, GuaranteePlan plan);
+
 /// The draft before the first decision. Thread-safe.
 PassDraft makeDraft(const PassContext &context);
 
--- a/scheduling/lib/Policy/release.cpp
+++ b/scheduling/lib/Policy/release.cpp
@@ -1,7 +1,6 @@
 #include "release.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace PrimroseBridge {
 
@@ -13,29 +12,12 @@
 /// Work of other tiers younger than this is not interrupted for urgent jobs, so that nothing is interrupted again and again.
 constexpr Duration youngestInterrupted = std::chrono::minutes(10);
 
-/// Accelerators that each organisation is guaranteed.
-static std::vector<int> guaranteedAccelerators(const PassContext &context)
+/// True if a guarantee of its own organisation protects the allocation: it lies on a unit, or the organisation does not use more
+/// than its guarantees.
+static bool isProtected(const PassContext &context, const PassDraft &draft, int index)
 {
-    std::vector<int> guaranteed(context.m_state.m_organisations.size());
-    for (const auto &claim : context.m_claims) {
-        if (claim.m_organisation >= 0) {
-            guaranteed[claim.m_organisation] += claim.m_count * claim.m_shape.m_accelerators;
-        }
-    }
-    return guaranteed;
-}
-
-/// For each allocation, whether a guarantee of its own organisation protects it: it lies on a unit, or the organisation does not
-/// use more than its guarantees.
-static std::vector<bool> protectedAllocations(const PassContext &context, const PassDraft &draft)
-{
-    auto result = coveredHoldings(*draft.m_plan, context.m_claims, context.m_holdings, static_cast<int>(context.m_fleet.m_workers.size()));
-    const auto guaranteed = guaranteedAccelerators(context);
-    for (std::size_t index = 0; index < result.size(); ++index) {
-        const int organisation = context.m_holdings[index].m_organisation;
-        result[index] = result[index] || (organisation >= 0 && draft.m_usage[organisation] <= guaranteed[organisation]);
-    }
-    return result;
+    const int organisation = context.m_holdings[index].m_organisation;
+    return (*draft.m_covered)[index] || (organisation >= 0 && draft.m_usage[organisation] <= context.m_guaranteed[organisation]);
 }
 
 static bool mayReleaseForUrgent(const PassContext &context, const Allocation &allocation)
@@ -51,7 +33,7 @@
     return allocation.m_tier == Tier::Batch || (allocation.m_tier == Tier::Standard && overdue);
 }
 
-static bool mayRelease(const PassContext &context, const std::vector<bool> &protectedOnes, int index, int job, ReleaseScope scope)
+static bool mayRelease(const PassContext &context, const PassDraft &draft, int index, int job, ReleaseScope scope)
 {
     const auto &allocation = context.m_state.m_allocations[index];
     if (!isReclaimable(allocation)) {
@@ -59,7 +41,7 @@
     }
     const bool ownBatch = context.m_holdings[index].m_organisation == context.m_organisationOf[job] && allocation.m_tier == Tier::Batch
                           && context.m_state.m_queue[job].m_tier == Tier::Urgent;
-    const bool available = !protectedOnes[index] || ownBatch;
+    const bool available = ownBatch || !isProtected(context, draft, index);
     switch (scope) {
     case ReleaseScope::Guarantee:
         return available;
@@ -73,37 +55,20 @@
     return false;
 }
 
-/// Work that a release loses, in accelerator milliseconds; a checkpoint loses none.
-static std::int64_t lostWork(const PassContext &context, int index)
-{
-    const auto &allocation = context.m_state.m_allocations[index];
-    if (allocation.m_checkpointable) {
-        return 0;
-    }
-    return (context.m_now - allocation.m_startedAt).count() * std::max(1, allocation.m_shape.m_accelerators);
-}
-
 /// Allocations that are being released already, then those that may be, cheapest first.
 static std::vector<int> releasableInOrder(const PassContext &context, const PassDraft &draft, int job, ReleaseScope scope)
 {
     const auto &allocations = context.m_state.m_allocations;
-    const auto protectedOnes = protectedAllocations(context, draft);
-    std::vector<std::tuple<int, std::int64_t, int, Instant, int>> costs;
-    for (int index = 0; index < static_cast<int>(allocations.size()); ++index) {
-        const auto &allocation = allocations[index];
-        if (allocation.m_releasing || draft.m_released[index]) {
-            costs.emplace_back(-1, 0, 0, allocation.m_startedAt, index);
-        } else if (mayRelease(context, protectedOnes, index, job, scope)) {
-            costs.emplace_back(
-                -static_cast<int>(allocation.m_tier) + 2, lostWork(context, index), allocation.m_shape.m_accelerators, allocation.m_startedAt, index);
-        }
-    }
-    std::sort(costs.begin(), costs.end());
     std::vector<int> order;
-    order.reserve(costs.size());
-    for (const auto &cost : costs) {
-        order.push_back(std::get<4>(cost));
+    std::vector<int> allowed;
+    for (const int index : context.m_releaseOrder) {
+        if (allocations[index].m_releasing || draft.m_released[index]) {
+            order.push_back(index);
+        } else if (mayRelease(context, draft, index, job, scope)) {
+            allowed.push_back(index);
+        }
     }
+    order.insert(order.end(), allowed.begin(), allowed.end());
     return order;
 }
 
