Do not try a shape again that has not fitted while planning guarantees

Cause: each claim searched free and lent capacity anew, though both only shrink while a plan is made. Change: shapes that have not fitted are remembered within one plan.

--- a/scheduling/lib/Placement/guaranteeplan.cpp
+++ b/scheduling/lib/Placement/guaranteeplan.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <memory>
 #include <numeric>
+#include <set>
+#include <string>
 #include <tuple>
 
 namespace PrimroseBridge {
@@ -50,12 +52,16 @@
     return holdings;
 }
 
+using ShapeText = std::string;
+
 /// The parts of a plan while it is made. The capacities shrink with each unit.
 struct Draft {
     std::vector<PlannedUnit> m_units;
     std::vector<int> m_met;
     std::shared_ptr<const Capacity> m_free; ///< In use by nobody.
     std::shared_ptr<const Capacity> m_unpinned; ///< Free or reclaimable.
+    std::set<ShapeText> m_notFree = {}; ///< Shapes that no longer fit into free capacity.
+    std::set<ShapeText> m_notUnpinned = {};
 };
 
 /// What one planning run looks at.
@@ -182,35 +188,36 @@
     return {std::move(sets), capacity.m_cores, capacity.m_memoryMb};
 }
 
-static void planFrom(const PlanningView &view, int claimIndex, UnitSource source, Capacity first, Draft &draft)
+static bool planUnit(const PlanningView &view, int claimIndex, UnitSource source, const Capacity &capacity, Draft &draft)
 {
-    const Claim &claim = view.m_claims[claimIndex];
-    auto capacity = std::make_shared<const Capacity>(std::move(first));
-    while (draft.m_met[claimIndex] < claim.m_count) {
-        const auto slots = fit(view.m_fleet, *capacity, claim.m_shape);
-        if (!slots) {
-            return;
-        }
-        subtract(capacity, *slots);
-        subtract(draft.m_free, *slots);
-        subtract(draft.m_unpinned, *slots);
-        addUnit(draft, claimIndex, source, *slots);
+    const auto slots = fit(view.m_fleet, capacity, view.m_claims[claimIndex].m_shape);
+    if (!slots) {
+        return false;
     }
+    subtract(draft.m_free, *slots);
+    subtract(draft.m_unpinned, *slots);
+    addUnit(draft, claimIndex, source, *slots);
+    return true;
 }
 
 /// Free capacity first, then lent capacity, and last the positions of the organisation's own work that cannot be removed.
 static void planRest(const PlanningView &view, int claimIndex, Draft &draft)
 {
     const Claim &claim = view.m_claims[claimIndex];
-    if (draft.m_met[claimIndex] < claim.m_count) {
-        planFrom(view, claimIndex, UnitSource::Free, *draft.m_free, draft);
-    }
-    if (draft.m_met[claimIndex] < claim.m_count) {
-        planFrom(view, claimIndex, UnitSource::Reclaimable, *draft.m_unpinned, draft);
+    const ShapeText shape = describe(claim.m_shape);
+    const auto isOpen = [&] { return draft.m_met[claimIndex] < claim.m_count; };
+    // Both capacities only shrink, so what does not fit once is not tried again.
+    while (isOpen() && !draft.m_notFree.contains(shape) && planUnit(view, claimIndex, UnitSource::Free, *draft.m_free, draft)) { }
+    if (!isOpen()) {
+        return;
     }
-    if (draft.m_met[claimIndex] < claim.m_count) {
-        planFrom(view, claimIndex, UnitSource::OwnWork, withOwnPinned(view, claim.m_organisation, draft), draft);
+    draft.m_notFree.insert(shape);
+    while (isOpen() && !draft.m_notUnpinned.contains(shape) && planUnit(view, claimIndex, UnitSource::Reclaimable, *draft.m_unpinned, draft)) { }
+    if (!isOpen()) {
+        return;
     }
+    draft.m_notUnpinned.insert(shape);
+    while (isOpen() && planUnit(view, claimIndex, UnitSource::OwnWork, withOwnPinned(view, claim.m_organisation, draft), draft)) { }
 }
 
 static Draft emptyDraft(const PlanningView &view)
