--- a/scheduling/benchmarks/passcost/main.cpp
+++ b/scheduling/benchmarks/passcost/main.cpp
@@ -11,7 +11,6 @@
 
 /// Sizes at the target scale; the argument of each benchmark scales them in quarters.
 constexpr int targetWorkers = 420;
-constexpr int targetAccelerators = 560;
 constexpr int targetTeams = 230;
 constexpr int targetTasks = 1800;
 /// Jobs waiting: a day's 250 jobs at once.
@@ -24,7 +23,7 @@
     return prefix + std::to_string(100'000 + number);
 }
 
-/// Three in four workers have one accelerator and every twelfth has five, which gives 4 for each 3 workers.
+/// Every twelfth worker has five accelerators and the others one, which gives the 560 of the target scale.
 static int acceleratorsOf(int worker)
 {
     return worker % 12 == 0 ? 5 : 1;
@@ -33,6 +32,7 @@
 static std::vector<WorkerState> makeWorkers(int count)
 {
     std::vector<WorkerState> workers;
+    workers.reserve(count);
     for (int i = 0; i < count; ++i) {
         workers.push_back({{WorkerId::create(numbered("w", i)).value(),
                             ZoneId::create("z").value(),
@@ -51,6 +51,7 @@
 static std::vector<Organisation> makeTeams(int count)
 {
     std::vector<Organisation> teams;
+    teams.reserve(count);
     for (int i = 0; i < count; ++i) {
         teams.push_back({OrganisationId::create(numbered("team", i)).value(), 1.0 + i % 3, 64, 1000, ""});
     }
--- a/scheduling/benchmarks/placementreplay/workload.cpp
+++ b/scheduling/benchmarks/placementreplay/workload.cpp
@@ -52,6 +52,7 @@
     const bool zwolle = deployment == Deployment::Zwolle;
     const int perRack = zwolle ? 6 : 8;
     std::vector<Worker> workers;
+    workers.reserve(2 * perRack);
     for (int i = 0; i < 2 * perRack; ++i) {
         workers.push_back({WorkerId::create("w" + std::to_string(100 + i)).value(),
                            ZoneId::create("zone").value(),
@@ -66,8 +67,9 @@
 
 static std::vector<Organisation> organisations()
 {
-    std::vector<Organisation> result;
     const std::vector<double> weights = {4, 3, 1, 1};
+    std::vector<Organisation> result;
+    result.reserve(weights.size());
     for (int i = 0; i < 4; ++i) {
         result.push_back({OrganisationId::create("org" + std::to_string(i)).value(), weights[i], 1000, 100'000, ""});
     }
--- a/scheduling/benchmarks/workerscores/main.cpp
+++ b/scheduling/benchmarks/workerscores/main.cpp
@@ -109,6 +109,7 @@
 static std::vector<Behaviour> workersWith(int bad, const Behaviour &behaviour)
 {
     std::vector<Behaviour> workers;
+    workers.reserve(12);
     for (int i = 0; i < 12; ++i) {
         workers.push_back(i < bad ? behaviour : Behaviour{400.0 + 20 * i, 0, 0, 0, 0});
     }
--- a/scheduling/lib/Placement/capacity.cpp
+++ b/scheduling/lib/Placement/capacity.cpp
@@ -11,7 +11,7 @@
 {
     std::vector<WorkerId> ids;
     std::unordered_map<WorkerId, int> indexOf;
-    std::map<RackId, std::vector<int>> byRack;
+    std::map<std::string_view, std::vector<int>> byRack;
     ids.reserve(workers.size());
     indexOf.reserve(workers.size());
     for (const auto &worker : workers) {
@@ -19,7 +19,7 @@
         ids.push_back(worker.m_worker.m_id);
         [[maybe_unused]] const bool inserted = indexOf.emplace(worker.m_worker.m_id, index).second;
         assert(inserted && "worker identifiers are unique");
-        byRack[worker.m_worker.m_rack].push_back(index);
+        byRack[worker.m_worker.m_rack.text()].push_back(index);
     }
     std::vector<std::vector<int>> racks;
     std::vector<int> rackOf(workers.size());
--- a/scheduling/lib/Placement/defragment.cpp
+++ b/scheduling/lib/Placement/defragment.cpp
@@ -22,6 +22,7 @@
 static std::vector<int> emptiestFirst(const Capacity &usable, const Capacity &free, const std::vector<Movable> &movables)
 {
     std::vector<int> uses;
+    uses.reserve(movables.size());
     for (const auto &movable : movables) {
         uses.push_back(useOfEmptiestWorker(usable, free, movable.m_slots));
     }
--- a/scheduling/lib/Policy/joborder.cpp
+++ b/scheduling/lib/Policy/joborder.cpp
@@ -138,6 +138,12 @@
     }
 }
 
+/// Order among claimed guarantees: the largest first, because smaller ones would take the position that is being freed for it.
+static int claimRank(const JobOrder &order, const PassContext &context, int job)
+{
+    return order.m_levels[job] == EntitledLevel ? -context.m_state.m_queue[job].m_shape.m_accelerators : 0;
+}
+
 static void pushHead(JobOrder &order, int organisation, const PassContext &context, const PassDraft &draft)
 {
     const auto &jobs = order.m_jobsOf[organisation];
@@ -147,7 +153,7 @@
     const auto &job = context.m_state.m_queue[jobs.back()];
     const bool known = organisation < static_cast<int>(context.m_state.m_organisations.size());
     const double share = known ? draft.m_usage[organisation] / context.m_state.m_organisations[organisation].m_weight : 0;
-    order.m_heads.push_back({{order.m_levels[jobs.back()], share, job.m_submittedAt, job.m_key.text()}, organisation});
+    order.m_heads.push_back({{order.m_levels[jobs.back()], claimRank(order, context, jobs.back()), share, job.m_submittedAt, job.m_key.text()}, organisation});
     std::push_heap(order.m_heads.begin(), order.m_heads.end(), std::greater<>());
 }
 
@@ -169,8 +175,10 @@
         order.m_jobsOf[organisation < 0 ? organisations : organisation].push_back(job);
     }
     const auto later = [&](int left, int right) {
-        return std::tie(order.m_levels[left], queue[left].m_submittedAt, queue[left].m_key.text())
-               > std::tie(order.m_levels[right], queue[right].m_submittedAt, queue[right].m_key.text());
+        const int leftRank = claimRank(order, context, left);
+        const int rightRank = claimRank(order, context, right);
+        return std::tie(order.m_levels[left], leftRank, queue[left].m_submittedAt, queue[left].m_key.text())
+               > std::tie(order.m_levels[right], rightRank, queue[right].m_submittedAt, queue[right].m_key.text());
     };
     for (std::size_t organisation = 0; organisation <= organisations; ++organisation) {
         std::sort(order.m_jobsOf[organisation].begin(), order.m_jobsOf[organisation].end(), later);
--- a/scheduling/lib/Policy/joborder.h
+++ b/scheduling/lib/Policy/joborder.h
@@ -18,7 +18,7 @@
 struct JobOrder {
     std::vector<int> m_levels; ///< One for each queued job.
     std::vector<std::vector<int>> m_jobsOf; ///< Jobs of each organisation, last first; the last entry is for unknown ones.
-    std::vector<std::pair<std::tuple<int, double, Instant, std::string_view>, int>> m_heads; ///< A heap of organisations.
+    std::vector<std::pair<std::tuple<int, int, double, Instant, std::string_view>, int>> m_heads; ///< A heap of organisations.
     int m_last = -1; ///< The organisation of the job returned last.
 };
 
--- a/scheduling/unittests/Placement/fit.cpp
+++ b/scheduling/unittests/Placement/fit.cpp
@@ -20,8 +20,9 @@
 
 static std::vector<WorkerState> randomWorkers()
 {
-    std::vector<WorkerState> workers;
     const int count = *rc::gen::inRange(1, 7);
+    std::vector<WorkerState> workers;
+    workers.reserve(count);
     for (int i = 0; i < count; ++i) {
         workers.push_back(worker(i, *rc::gen::inRange(0, 3), *rc::gen::inRange<AcceleratorSet>(0, 256), *rc::gen::inRange(0, 9)));
     }
--- a/scheduling/unittests/Policy/pass.cpp
+++ b/scheduling/unittests/Policy/pass.cpp
@@ -98,6 +98,24 @@
     CHECK(third.m_explanations[2].m_rule == DecisionRule::PlacedReclaim);
 }
 
+// Guards against small claims that take, one after the other, what is being freed for a large claim.
+TEST_CASE("a small claim does not take the position that is being freed for a large one")
+{
+    const auto lent = JobTraits{.m_tier = Tier::Batch, .m_restartable = true};
+    const std::vector allocations
+        = {running(job("going", "c", gpus(4), lent), {member("w1", 0x0f, 4)}, start, true), running(job("lent", "c", gpus(8), lent), {member("w2", 0xff, 8)})};
+    const std::vector queue = {job("small", "b", gpus(1), {.m_submittedAt = start - minutes(1)}), job("whole", "a", gpus(8))};
+    const auto state = zone({worker("w1", "r1"), worker("w2", "r1")},
+                            allocations,
+                            queue,
+                            {guarantee("a", gpus(8), 1), guarantee("b", gpus(8), 1)},
+                            {organisation("a"), organisation("b"), organisation("c")});
+    const auto result = pass(state);
+    CHECK(result.m_placements.empty());
+    REQUIRE(result.m_releases.size() == 1);
+    CHECK(result.m_releases[0].m_key.text() == "lent");
+}
+
 // Guards against a large job that small ones overtake, and against idle capacity that harmless small jobs could use.
 TEST_CASE("backfill does not delay the job that holds the reservation")
 {
--- a/scheduling/unittests/Policy/session.cpp
+++ b/scheduling/unittests/Policy/session.cpp
@@ -11,6 +11,7 @@
 static std::vector<Value> valuesOf(const std::map<std::string, Value> &values)
 {
     std::vector<Value> result;
+    result.reserve(values.size());
     for (const auto &[key, value] : values) {
         result.push_back(value);
     }
