Warm up every zone before a proof

Cause: an owner that has no answer of its workers yet places nothing, so the proof of a kill after the intent never saw an intent. Change: each proof starts with one request in each zone; the folder of an interrupted run is removed.

--- a/scripts/demorun.py
+++ b/scripts/demorun.py
@@ -42,8 +42,8 @@
     submission.first_at = time.monotonic()
     submission.submitted_ms = time.time() * 1000
     command = [
-        harness.binary("primrosectl"), "submit", f"--server=http://{harness.HOST}:{vm.http_port}", f"--token=demo-{submission.organisation}",
-        f"--class={submission.job_class}", f"--key={submission.key}", f"--payload={submission.payload}", f"--wait={seconds}", "--output=json",
+        harness.binary("primrosectl"), "submit", f"--server={harness.HOST}:{vm.http_port}", f"--token=demo-{submission.organisation}",
+        f"--class={submission.job_class}", f"--key={submission.key}", f"--payload={submission.payload}", "--wait", f"--timeout={seconds}", "--output=json",
     ]  # fmt: skip
     done = subprocess.run(command, capture_output=True, text=True, timeout=seconds + 10, check=False)
     try:
--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -17,7 +17,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-BINARIES = ROOT / "build" / "bin"
+# Another folder holds, for example, binaries built with sanitizers.
+BINARIES = Path(os.environ.get("PRIMROSEBRIDGE_BINARIES", ROOT / "build" / "bin"))
 HOST = "127.0.0.1"
 # Below the range from which the kernel takes the ports of outgoing connections, so that none of these takes a reserved port.
 FIRST_PORT, LAST_PORT = 10000, 32000
@@ -31,7 +32,7 @@
     """The path of a built binary; HarnessError if it has not been built."""
     path = BINARIES / name
     if not path.exists():
-        raise HarnessError(f"{path.relative_to(ROOT)} does not exist; run scripts/build")
+        raise HarnessError(f"{name} is not built; run scripts/build")
     return str(path)
 
 
@@ -176,9 +177,9 @@
         self.end_all()
         if self._previous is not None:
             signal.signal(signal.SIGTERM, self._previous)
-        if kind is None and not self.keep_folder:
+        if kind in (None, KeyboardInterrupt) and not self.keep_folder:
             self._remove_folder()
-        elif kind is not KeyboardInterrupt:
+        elif kind is not None:
             print(f"logs: {self.folder}", file=sys.stderr)
 
     def start(self, name, arguments):
--- a/scripts/proofs/run.py
+++ b/scripts/proofs/run.py
@@ -41,8 +41,14 @@
     def __enter__(self):
         self.deployment.start()
         self._balancer.__enter__()
+        self._warm_up()
         return self
 
+    def _warm_up(self):
+        """One request in each zone, because an owner places nothing before its workers have answered it."""
+        first = [self.submit(URGENT, 10, zone, 20) for zone in self.deployment.zones]
+        harness.wait_until(lambda: all(one.final() for one in first), 20, "every zone serves a first request")
+
     def __exit__(self, *_):
         self._pool.shutdown(wait=False, cancel_futures=True)
         self._balancer.__exit__()
