Publish outcomes while the zone shard is locked

Cause: one request in a few hundred waited for its whole wait_ms although its timeline showed the outcome after 1 ms. The pending state of a submission was published after the shard's lock was released and overwrote the outcome that the collect stage had published in between. Ruled out: the poll and the worker, whose events were on time.

Change: the outcome table is written under the shard's lock, in the documented lock order.

Conclusion: an outcome can no longer be overwritten by an older state.

--- a/service/lib/Runtime/schedulercore.h
+++ b/service/lib/Runtime/schedulercore.h
@@ -45,7 +45,6 @@
     std::vector<ExecuteCall> m_executes;
     std::vector<PollCall> m_polls;
     std::vector<RecordWrite> m_records;
-    std::vector<std::pair<RequestKey, KnownOutcome>> m_outcomes;
     std::optional<std::int64_t> m_higherFence;
     bool m_fenceLost = false;
 };
--- a/service/lib/Runtime/schedulersteps.cpp
+++ b/service/lib/Runtime/schedulersteps.cpp
@@ -154,10 +154,12 @@
     }
 }
 
-static void publish(SchedulerCore &core, Outgoing &outgoing, const Job &job, Instant now)
+// Outcomes are published while the shard's lock is held (lock order: worker group, then request key); published later, the pending state of
+// a submission overwrote the outcome of a job that had ended in the meantime.
+static void publish(SchedulerCore &core, const Job &job, Instant now)
 {
     const std::string outcome(outcomeKindName(job.m_outcome.m_kind));
-    outgoing.m_outcomes.emplace_back(job.m_request.m_key, knownOutcomeOf(job, now));
+    core.m_outcomes.publish(job.m_request.m_key, knownOutcomeOf(job, now));
     core.m_metrics.count(Counter::Outcomes, outcome);
     recordJobEvent(core,
                    job.m_request.m_key,
@@ -244,9 +246,9 @@
     }
 }
 
-static void finishJob(SchedulerCore &core, Outgoing &outgoing, const std::shared_ptr<const Job> &job, Instant now)
+static void finishJob(SchedulerCore &core, const std::shared_ptr<const Job> &job, Instant now)
 {
-    publish(core, outgoing, *job, now);
+    publish(core, *job, now);
     observeEstimate(core, *job, now);
     observeRelease(core, job->m_request.m_key, now);
     if (job->m_phase == JobPhase::Finished && !job->m_recorded) {
@@ -281,7 +283,7 @@
         queueStops(core, *job, true);
         return;
     case JobAction::PublishOutcome:
-        finishJob(core, outgoing, job, now);
+        finishJob(core, job, now);
         return;
     case JobAction::Requeue:
         requeueJob(core, outgoing, before, *job, now);
@@ -349,15 +351,15 @@
     };
     const Outcome pending{.m_kind = OutcomeKind::Pending, .m_result = {}, .m_reason = {}, .m_attempt = 0};
     const bool elsewhere = duplicate && !answer.m_existing->m_outcome && answer.m_existing->m_zone != core.m_settings.m_zone;
-    outgoing.m_outcomes.emplace_back(key,
-                                     KnownOutcome{
-                                         .m_organisation = duplicate ? answer.m_existing->m_organisation : job.m_request.m_organisation,
-                                         .m_fingerprint = duplicate ? answer.m_existing->m_fingerprint : requestFingerprint(job.m_request),
-                                         .m_outcome = duplicate ? answer.m_existing->m_outcome.value_or(pending) : refused,
-                                         .m_moved = duplicate && !answer.m_existing->m_outcome && !elsewhere,
-                                         .m_otherZone = elsewhere ? std::optional<ZoneId>(answer.m_existing->m_zone) : std::nullopt,
-                                         .m_at = now,
-                                     });
+    core.m_outcomes.publish(key,
+                            KnownOutcome{
+                                .m_organisation = duplicate ? answer.m_existing->m_organisation : job.m_request.m_organisation,
+                                .m_fingerprint = duplicate ? answer.m_existing->m_fingerprint : requestFingerprint(job.m_request),
+                                .m_outcome = duplicate ? answer.m_existing->m_outcome.value_or(pending) : refused,
+                                .m_moved = duplicate && !answer.m_existing->m_outcome && !elsewhere,
+                                .m_otherZone = elsewhere ? std::optional<ZoneId>(answer.m_existing->m_zone) : std::nullopt,
+                                .m_at = now,
+                            });
     eraseJob(core, key);
 }
 
@@ -395,7 +397,7 @@
     }
     for (const auto &job : *jobs) {
         core.m_shard.m_jobs.insert_or_assign(job.m_request.m_key, std::make_shared<const Job>(job));
-        outgoing.m_outcomes.emplace_back(job.m_request.m_key, knownOutcomeOf(job, now));
+        core.m_outcomes.publish(job.m_request.m_key, knownOutcomeOf(job, now));
         recordJobEvent(core, job.m_request.m_key, "recovered", formatFields({{"phase", std::string(jobPhaseName(job.m_phase))}}), now);
     }
     core.m_shard.m_recovering = false;
@@ -476,9 +478,6 @@
 
 void dispatch(SchedulerCore &core, Outgoing &outgoing)
 {
-    for (const auto &[key, outcome] : outgoing.m_outcomes) {
-        core.m_outcomes.publish(key, outcome);
-    }
     for (const auto &write : outgoing.m_records) {
         if (!core.m_records->enqueue(write)) {
             logEvent(LogLevel::Error, "record_queue_full", {{"key", write.m_job->m_request.m_key.text()}});
--- a/service/lib/Runtime/zonescheduler.cpp
+++ b/service/lib/Runtime/zonescheduler.cpp
@@ -243,7 +243,7 @@
 {
     const auto job = std::make_shared<const Job>(newJob(request, jobClass));
     core.m_shard.m_jobs.emplace(request.m_key, job);
-    outgoing.m_outcomes.emplace_back(request.m_key, knownOutcomeOf(*job, now));
+    core.m_outcomes.publish(request.m_key, knownOutcomeOf(*job, now));
     core.m_metrics.count(Counter::RequestsSubmitted, jobClass.m_id.text());
     recordJobEvent(core, request.m_key, "submitted", formatFields({{"class", jobClass.m_id.text()}, {"organisation", request.m_organisation.text()}}), now);
     if (jobClass.m_durable) {
