Let a planned stop overtake the events that wait

Cause: resign() waited for a place in the queue without limit and its request stood behind up to 256 events, while it promises a time limit.

Change: the request is a flag that the election's thread reads before the next event. A planned stop is logged as information, not as a warning. The header says when events are dropped and what state() shows in a callback.

--- a/service/include/primrosebridge/Election/zoneelection.h
+++ b/service/include/primrosebridge/Election/zoneelection.h
@@ -36,7 +36,7 @@
     bool operator==(const OwnerRecord &) const = default;
 };
 
-/// Called on the election's thread; must not block on it.
+/// Called on the election's thread, which sends no renewal meanwhile; must not block on it. state() already shows the new role.
 struct ElectionCallbacks {
     const std::function<void(Fence)> m_started; ///< This process now owns the zone.
     const std::function<void()> m_stopped; ///< It no longer does.
@@ -44,7 +44,8 @@
 
 /// Runs the ownership protocol of one availability zone against the store, on a thread of its own.
 ///
-/// Thread-safe. Store calls are made on the election's thread only.
+/// Thread-safe. Store calls are made on the election's thread only. The store's timeout should be at most 1 s, because a longer call
+/// delays the next renewal.
 class ZoneElection
 {
 public:
@@ -65,11 +66,13 @@
     [[nodiscard]] std::optional<OwnerRecord> owner() const;
     /// True if the last store call succeeded and is younger than 3 s.
     [[nodiscard]] bool storeReachable() const;
-    /// Tells the protocol of an event that another part observed, such as PeerReachesStore or WorkerSawHigherFence.
+    /// Tells the protocol of an event that another part observed, such as PeerReachesStore or WorkerSawHigherFence. Returns at once; the
+    /// event is dropped if 256 others wait, so one that still holds is to be reported again.
     void notify(const OwnershipEvent &event);
-    /// The ownership key changed or vanished, as a watch reported. Reads it again.
+    /// The ownership key changed or vanished, as a watch or a refused record write showed. Has it read again; returns at once.
     void ownershipKeyChanged();
-    /// Gives the zone up: deletes the ownership key and does not acquire again. Waits at most @p timeout.
+    /// Gives the zone up: deletes the ownership key and does not acquire again. Waits at most @p timeout. Afterwards owner() still follows
+    /// the key, so that callers can be forwarded until the process ends. Precondition: not called from a callback.
     void resign(Duration timeout);
 
 private:
--- a/service/lib/Election/electionlog.cpp
+++ b/service/lib/Election/electionlog.cpp
@@ -38,7 +38,8 @@
     }
     const auto name = changeName(before, after);
     const std::string reason(ownershipEventName(event.m_kind));
-    const auto level = owns(before) ? LogLevel::Warn : LogLevel::Info;
+    const bool planned = !owns(before) || after.m_stopping || name == "zone_restored";
+    const auto level = planned ? LogLevel::Info : LogLevel::Warn;
     logEvent(level, name, {{"zone", settings.m_zone.text()}, {"reason", reason}, {"fence", fenceText(after)}, {"old_fence", fenceText(before)}});
     auto text = formatFields({{"zone", settings.m_zone.text()}, {"reason", reason}, {"fence", fenceText(after)}, {"old_fence", fenceText(before)}});
     return events.record(TimerService::now(), name, "", cause, std::move(text));
--- a/service/lib/Election/zoneelection.cpp
+++ b/service/lib/Election/zoneelection.cpp
@@ -49,6 +49,7 @@
     BoundedQueue<ElectionInput> m_queue = BoundedQueue<ElectionInput>(queueCapacity);
     std::atomic<bool> m_tickQueued = false; // At most one tick and one read wait, however long a call takes.
     std::atomic<bool> m_readQueued = false;
+    std::atomic<bool> m_stopRequested = false; // Not queued, so that a planned stop overtakes the events that wait.
     std::atomic<bool> m_ending = false;
 
     // Used on the election's thread only.
@@ -246,9 +247,6 @@
         return;
     }
     handleEvent(state, *input.m_event);
-    if (input.m_event->m_kind == OwnershipEventKind::StopRequested) {
-        noteResigned(state);
-    }
 }
 
 template<class State>
@@ -258,6 +256,10 @@
         if (state.m_ending) {
             return;
         }
+        if (state.m_stopRequested.exchange(false)) {
+            handleEvent(state, {.m_kind = OwnershipEventKind::StopRequested});
+            noteResigned(state);
+        }
         handleInput(state, *input);
     }
 }
@@ -342,7 +344,9 @@
 
 void ZoneElection::resign(Duration timeout)
 {
-    m_private->m_queue.push({OwnershipEvent{.m_kind = OwnershipEventKind::StopRequested}});
+    m_private->m_stopRequested = true;
+    // Wakes the thread. If the queue is full, the thread is awake or in a call and sees the request next.
+    m_private->m_queue.tryPush({OwnershipEvent{.m_kind = OwnershipEventKind::Tick}});
     std::unique_lock lock(m_private->m_mutex);
     m_private->m_resignedChanged.wait_for(lock, timeout, [this] { return m_private->m_resigned; });
 }
