--- a/service/tools/primrosebridged/main.cpp
+++ b/service/tools/primrosebridged/main.cpp
@@ -9,6 +9,7 @@
 #include <absl/flags/usage.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -98,5 +99,6 @@
         std::cerr << "primrosebridged: " << error.what() << '\n';
         return PrimroseBridge::exitFailure;
     }
-    return 0;
+    // gRPC's threads may still be releasing their last calls; destroying protobuf's static objects under them corrupted the heap.
+    std::quick_exit(0);
 }
