Do not release work under one guarantee for a claim that its own organisation blocks

Change: a unit that own work which cannot be removed uses up is not claimable; work that holds a unit is never released for another claim.

--- a/scheduling/lib/Policy/joborder.cpp
+++ b/scheduling/lib/Policy/joborder.cpp
@@ -35,7 +35,8 @@
             continue;
         }
         const bool held = unit.m_source == UnitSource::Held;
-        left.m_unheld[unit.m_claim] += held ? 0 : 1;
+        // Own work that cannot be removed uses the unit up, and no release of other work would free it.
+        left.m_unheld[unit.m_claim] += held || unit.m_source == UnitSource::OwnWork ? 0 : 1;
         left.m_accelerators[claim.m_organisation] += held ? countAccelerators(unit.m_slots) : claim.m_shape.m_accelerators;
     }
     return left;
--- a/scheduling/lib/Policy/passcontext.cpp
+++ b/scheduling/lib/Policy/passcontext.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <tuple>
 
 namespace PrimroseBridge {
@@ -79,11 +80,19 @@
             releaseOrder(state, now)};
 }
 
+static GuaranteePlan heldPart(const GuaranteePlan &plan)
+{
+    std::vector<PlannedUnit> held;
+    std::copy_if(plan.m_units.begin(), plan.m_units.end(), std::back_inserter(held), [](const PlannedUnit &unit) { return unit.m_source == UnitSource::Held; });
+    return {std::move(held), {}};
+}
+
 void setPlan(const PassContext &context, PassDraft &draft, GuaranteePlan plan)
 {
     draft.m_plan = std::make_shared<const GuaranteePlan>(std::move(plan));
     const int workers = static_cast<int>(context.m_fleet.m_workers.size());
     draft.m_covered = std::make_shared<const std::vector<bool>>(coveredHoldings(*draft.m_plan, context.m_claims, context.m_holdings, workers));
+    draft.m_held = std::make_shared<const std::vector<bool>>(coveredHoldings(heldPart(*draft.m_plan), context.m_claims, context.m_holdings, workers));
 }
 
 PassDraft makeDraft(const PassContext &context)
--- a/scheduling/lib/Policy/passcontext.h
+++ b/scheduling/lib/Policy/passcontext.h
@@ -46,6 +46,7 @@
     std::shared_ptr<const Capacity> m_free;
     std::shared_ptr<const GuaranteePlan> m_plan;
     std::shared_ptr<const std::vector<bool>> m_covered; ///< For each allocation, see coveredHoldings(); follows the plan.
+    std::shared_ptr<const std::vector<bool>> m_held; ///< For each allocation, whether it holds a unit; follows the plan.
     std::vector<int> m_usage; ///< Accelerators in use by each organisation.
     std::vector<bool> m_released; ///< For each allocation, whether this pass releases it.
     std::vector<Reservation> m_reservations;
--- a/scheduling/lib/Policy/release.cpp
+++ b/scheduling/lib/Policy/release.cpp
@@ -46,7 +46,7 @@
     case ReleaseScope::Guarantee:
         return available;
     case ReleaseScope::GuaranteeOrCovered:
-        return true;
+        return !(*draft.m_held)[index];
     case ReleaseScope::Urgent:
         return available && mayReleaseForUrgent(context, allocation);
     case ReleaseScope::Starving:
--- a/scheduling/lib/Policy/release.h
+++ b/scheduling/lib/Policy/release.h
@@ -16,7 +16,7 @@
 /// Which allocations may be released for a job.
 enum class ReleaseScope {
     Guarantee, ///< Any that no guarantee of their own organisation covers.
-    GuaranteeOrCovered, ///< Any; for a claimed guarantee whose cores or memory are in use by covered work.
+    GuaranteeOrCovered, ///< Any that does not hold a unit; for a claimed guarantee whose cores or memory are in use by covered work.
     Urgent, ///< Of the uncovered ones, batch jobs and older standard jobs that can be checkpointed.
     Starving, ///< Of the uncovered ones, batch jobs and overdue ones; also waits for the end of the others, oldest first.
 };
--- a/scheduling/unittests/Policy/pass.cpp
+++ b/scheduling/unittests/Policy/pass.cpp
@@ -116,6 +116,19 @@
     CHECK(result.m_releases[0].m_key.text() == "lent");
 }
 
+// Guards against work under one guarantee that is interrupted for another one whose own work, which cannot be removed, is in the way.
+TEST_CASE("work that holds a guarantee is not released for a claim that its own organisation blocks")
+{
+    const std::vector allocations = {running(job("held", "a", gpus(8), {.m_checkpointable = true}), {member("w1", 0xff, 8)}),
+                                     running(job("blocking", "b", gpus(1)), {member("w2", 0x10, 1)})};
+    const std::vector guarantees = {guarantee("a", gpus(8), 1), guarantee("b", gpus(8), 1)};
+    const auto result = pass(zone({worker("w1", "r1"), worker("w2", "r1")}, allocations, {job("claim", "b", gpus(8))}, guarantees));
+    CHECK(result.m_releases.empty());
+    CHECK(result.m_explanations[0].m_rule == DecisionRule::WaitsForCapacity);
+    CHECK(result.m_guarantees[0].m_held == 1);
+    CHECK(result.m_guarantees[1].m_held == 1);
+}
+
 // Guards against a large job that small ones overtake, and against idle capacity that harmless small jobs could use.
 TEST_CASE("backfill does not delay the job that holds the reservation")
 {
