Send an extra round of heartbeats only for peers that are new

Cause: the node passes the platform's list to addPeer() regularly, and each listed VM that never answered caused an extra round of heartbeats. Change: addPeer() returns at once if the peer is known.

--- a/service/lib/Peers/peernetwork.cpp
+++ b/service/lib/Peers/peernetwork.cpp
@@ -108,13 +108,14 @@
         logEvent(LogLevel::Warn, "peer_refused", {{"peer", vm.text()}, {"reason", checked.error().what()}});
         return;
     }
+    const auto known = m_private->m_state.m_view.get();
+    if (known->m_peers.contains(vm)) {
+        return;
+    }
     const Instant now = TimerService::now();
     changeView(m_private->m_state, [&](const MembershipView &view) { return addKnownPeer(view, vm, zone, address, now); });
-    const auto current = m_private->m_state.m_view.get();
-    const auto added = current->m_peers.find(vm);
-    if (added != current->m_peers.end() && added->second.m_incarnation == 0) {
-        m_private->m_heartbeats->requestRound();
-    }
+    // A new process is known to its peers without waiting for the next period.
+    m_private->m_heartbeats->requestRound();
 }
 
 MembershipView PeerNetwork::view() const
