--- a/scheduling/lib/Policy/joborder.cpp
+++ b/scheduling/lib/Policy/joborder.cpp
@@ -35,7 +35,8 @@
             continue;
         }
         const bool held = unit.m_source == UnitSource::Held;
-        left.m_unheld[unit.m_claim] += held ? 0 : 1;
+        // Own work that cannot be removed uses the unit up, and no release of other work would free it.
+        left.m_unheld[unit.m_claim] += held || unit.m_source == UnitSource::OwnWork ? 0 : 1;
         left.m_accelerators[claim.m_organisation] += held ? countAccelerators(unit.m_slots) : claim.m_shape.m_accelerators;
     }
     return left;
@@ -138,6 +139,12 @@
     }
 }
 
+/// Order among claimed guarantees: the largest first, because smaller ones would take the position that is being freed for it.
+static int claimRank(const JobOrder &order, const PassContext &context, int job)
+{
+    return order.m_levels[job] == EntitledLevel ? -context.m_state.m_queue[job].m_shape.m_accelerators : 0;
+}
+
 static void pushHead(JobOrder &order, int organisation, const PassContext &context, const PassDraft &draft)
 {
     const auto &jobs = order.m_jobsOf[organisation];
@@ -147,7 +154,7 @@
     const auto &job = context.m_state.m_queue[jobs.back()];
     const bool known = organisation < static_cast<int>(context.m_state.m_organisations.size());
     const double share = known ? draft.m_usage[organisation] / context.m_state.m_organisations[organisation].m_weight : 0;
-    order.m_heads.push_back({{order.m_levels[jobs.back()], share, job.m_submittedAt, job.m_key.text()}, organisation});
+    order.m_heads.push_back({{order.m_levels[jobs.back()], claimRank(order, context, jobs.back()), share, job.m_submittedAt, job.m_key.text()}, organisation});
     std::push_heap(order.m_heads.begin(), order.m_heads.end(), std::greater<>());
 }
 
@@ -169,8 +176,10 @@
         order.m_jobsOf[organisation < 0 ? organisations : organisation].push_back(job);
     }
     const auto later = [&](int left, int right) {
-        return std::tie(order.m_levels[left], queue[left].m_submittedAt, queue[left].m_key.text())
-               > std::tie(order.m_levels[right], queue[right].m_submittedAt, queue[right].m_key.text());
+        const int leftRank = claimRank(order, context, left);
+        const int rightRank = claimRank(order, context, right);
+        return std::tie(order.m_levels[left], leftRank, queue[left].m_submittedAt, queue[left].m_key.text())
+               > std::tie(order.m_levels[right], rightRank, queue[right].m_submittedAt, queue[right].m_key.text());
     };
     for (std::size_t organisation = 0; organisation <= organisations; ++organisation) {
         std::sort(order.m_jobsOf[organisation].begin(), order.m_jobsOf[organisation].end(), later);
