--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -92,9 +92,10 @@
 class Deployment:
     """Starts the platform and the entry VMs of one example. Use start() first; processes.end_all() ends everything."""
 
-    def __init__(self, processes, example, vm_count=ENTRY_VMS):
+    def __init__(self, processes, example, vm_count=ENTRY_VMS, configuration=None):
+        """Takes the document examples/EXAMPLE.json, or @p configuration if one is given."""
         self.processes = processes
-        self.configuration = read_example(example)
+        self.configuration = configuration or read_example(example)
         self.zones = zones_of(self.configuration)
         self.vms = [self._vm(number) for number in range(vm_count)]
         self._workers_address = f"{harness.HOST}:{processes.ports.take()}"
--- /dev/null
+++ b/scripts/path.py
@@ -0,0 +1,108 @@
+"""The measurement behind `scripts/measure path`: requests a second and latency through one entry VM on loopback."""
+
+import http.client
+import json
+import multiprocessing
+import os
+import sys
+import threading
+import time
+
+import harness
+import usage
+from capacity import LONG, ONCE, Rest, Started
+from demorun import percentile, print_table
+
+CONNECTIONS = (1, 8, 32)
+SECONDS = 3.0
+THREADS_PER_PROCESS = 8  # One Python process executes one thread at a time.
+WAIT_MS = 10000
+
+
+def _ask(port, zone, job_class, prefix, deadline, latencies):
+    """Submits requests one after the other on one connection and appends (seconds, finished)."""
+    connection = http.client.HTTPConnection(harness.HOST, port, timeout=30)
+    headers = {"Authorization": "Bearer demo-team-001", "Content-Type": "application/json"}
+    number = 0
+    while time.monotonic() < deadline:
+        number += 1
+        body = {"key": f"{prefix}-{number}", "class": job_class, "payload": '{"runMs": 0}', "declaredRunTimeMs": 1, "zone": zone}
+        began = time.monotonic()
+        connection.request("POST", f"/v1/requests?wait_ms={WAIT_MS}", json.dumps(body), headers)
+        answer = connection.getresponse()
+        text = answer.read()
+        finished = answer.status == 200 and json.loads(text).get("outcome") == "done"
+        latencies.append((time.monotonic() - began, finished))
+    connection.close()
+
+
+def _ask_in_threads(port, zone, job_class, prefix, threads, results):
+    deadline = time.monotonic() + SECONDS
+    lists = [[] for _ in range(threads)]
+    running = [
+        threading.Thread(target=_ask, args=(port, zone, job_class, f"{prefix}-{number}", deadline, one), daemon=True) for number, one in enumerate(lists)
+    ]
+    for thread in running:
+        thread.start()
+    for thread in running:
+        thread.join(SECONDS + 30)
+    results.put([pair for one in lists for pair in one])
+
+
+def measure(deployment, vm, job_class, connections, name):
+    """One row: connections, requests a second, p50 and p99 in ms, requests that were not done, % of a core of each VM."""
+    results = multiprocessing.Queue()
+    counts = [min(THREADS_PER_PROCESS, connections - first) for first in range(0, connections, THREADS_PER_PROCESS)]
+    times = [usage.thread_times(one.process.pid) for one in deployment.vms]
+    began = time.monotonic()
+    # Daemon processes end with this one, also when it is interrupted.
+    clients = [
+        multiprocessing.Process(target=_ask_in_threads, args=(vm.http_port, vm.zone, job_class, f"{name}-{connections}-{part}", count, results), daemon=True)
+        for part, count in enumerate(counts)
+    ]
+    for client in clients:
+        client.start()
+    pairs = [pair for _ in clients for pair in results.get(timeout=SECONDS + 40)]
+    passed = time.monotonic() - began
+    for client in clients:
+        client.join(5)
+    shares = [100 * usage.seconds_between(before, usage.thread_times(one.process.pid)) / passed for before, one in zip(times, deployment.vms)]
+    latencies = [1000 * seconds for seconds, _ in pairs]
+    lost = sum(not finished for _, finished in pairs)
+    return [
+        name, str(connections), f"{len(pairs) / passed:.0f}", f"{percentile(latencies, 0.5):.1f}", f"{percentile(latencies, 0.99):.1f}", str(lost),
+        " / ".join(f"{share:.0f}" for share in shares), f"{os.getloadavg()[0]:.1f}",
+    ]  # fmt: skip
+
+
+def main():
+    with Started(2, 1, 13) as deployment:
+        rest = Rest(deployment)
+        owner, standby = rest.owners[0], rest.standbys[0]
+        deployment.vms = [owner, standby]
+        print("at rest:")
+        print_table([["role", "cpu %", "rss MB", "anon MB", "threads"]] + [
+            [role, f"{rest.cpu[vm]:.2f}", *(f"{part:.1f}" for part in rest.memory[vm]), str(rest.threads[vm])]
+            for role, vm in (("owner", owner), ("standby", standby))
+        ])  # fmt: skip
+        rows = [["path", "connections", "requests/s", "p50 ms", "p99 ms", "not done", "% of a core, owner / standby", "load"]]
+        for vm, job_class, name in ((owner, LONG, "owner"), (standby, LONG, "forwarded"), (owner, ONCE, "recorded")):
+            for connections in CONNECTIONS:
+                rows.append(measure(deployment, vm, job_class, connections, name))
+        print("\ntasks of 0 ms on 13 workers, one keep-alive connection each, one request at a time on each:")
+        print_table(rows)
+        after = {vm: usage.memory(vm.process.pid)[0] for vm in deployment.vms}
+        print(f"\nresident MB afterwards: owner {after[owner]:.1f}, standby {after[standby]:.1f}", flush=True)
+        deployment.end_vms()
+    return 0
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        print("interrupted; every process has ended", file=sys.stderr)
+        sys.exit(130)
+    except harness.HarnessError as error:
+        print(error, file=sys.stderr)
+        sys.exit(2)
