Read the VM list only once entry VMs can be told from backend servers

Cause: the platform's list names entry VMs and backend servers alike, and only the configuration tells them apart. At its start a VM read the list before it had a configuration, took every backend server for a peer, opened a connection to each and sent heartbeats to them; such peers are kept for an hour and count against the limit of 512 peers.

Change: without a configuration, the list is left out while the store answers, and for the first 4 s in any case.

A VM that reaches neither the store nor a configured peer within 4 s still takes backend servers from the list for peers; no unit test covers the order of the first reads.

--- a/service/lib/Runtime/node.cpp
+++ b/service/lib/Runtime/node.cpp
@@ -16,6 +16,7 @@
 constexpr double storeWritesPerSecond = 40.0; // 8 VMs stay under several hundred writes a second.
 constexpr double storeReadsPerSecond = 200.0; // 8 VMs stay under two thousand reads a second.
 constexpr Duration maintenancePeriod = Duration(2000);
+constexpr int roundsBeforeUnknownList = 2; // The first configuration comes from the store or a peer within 4 s.
 constexpr Duration resignTimeout = Duration(3000);
 constexpr Duration recordFlushTimeout = Duration(3000);
 
@@ -99,10 +100,19 @@
     core.m_metrics.set(Gauge::HeartbeatBytes, static_cast<double>(core.m_peers->heartbeatBytes()));
 }
 
+// Without a configuration, the list does not tell entry VMs from backend servers, and every server would become a peer with a connection
+// and heartbeats. It is used nevertheless by a VM that the store has not answered: a peer is then the only source of the configuration.
+static bool shouldReadVmList(const NodeCore &core, int rounds)
+{
+    return core.m_configuration.current() || (rounds >= roundsBeforeUnknownList && !core.m_election->storeReachable());
+}
+
 static void maintain(NodeCore &core, BoundedQueue<Instant> &due)
 {
-    while (due.pop()) {
-        readVmList(core);
+    for (int rounds = 0; due.pop(); rounds = std::min(rounds + 1, roundsBeforeUnknownList)) {
+        if (shouldReadVmList(core, rounds)) {
+            readVmList(core);
+        }
         setGauges(core);
     }
 }
