Name the endings of requests that were not done in scripts/measure path

Of 32 forwarded requests at once, 16 are answered 202 pending at once, as maxWaitingForwards bounds waiting forwards. They had counted as requests a second.

--- a/scripts/path.py
+++ b/scripts/path.py
@@ -1,5 +1,6 @@
 """The measurement behind `scripts/measure path`: requests a second and latency through one entry VM on loopback."""
 
+import collections
 import http.client
 import json
 import multiprocessing
@@ -20,7 +21,7 @@
 
 
 def _ask(port, zone, job_class, prefix, deadline, latencies):
-    """Submits requests one after the other on one connection and appends (seconds, finished)."""
+    """Submits requests one after the other on one connection and appends (seconds, ending)."""
     connection = http.client.HTTPConnection(harness.HOST, port, timeout=30)
     headers = {"Authorization": "Bearer demo-team-001", "Content-Type": "application/json"}
     number = 0
@@ -31,11 +32,16 @@
         connection.request("POST", f"/v1/requests?wait_ms={WAIT_MS}", json.dumps(body), headers)
         answer = connection.getresponse()
         text = answer.read()
-        finished = answer.status == 200 and json.loads(text).get("outcome") == "done"
-        latencies.append((time.monotonic() - began, finished))
+        latencies.append((time.monotonic() - began, _ending(answer.status, text)))
     connection.close()
 
 
+def _ending(status, text):
+    """The outcome, or the status and kind of a refusal."""
+    body = json.loads(text)
+    return body["outcome"] if "outcome" in body else f"{status} {body['error']['kind']}: {body['error']['message']}"
+
+
 def _ask_in_threads(port, zone, job_class, prefix, threads, results):
     deadline = time.monotonic() + SECONDS
     lists = [[] for _ in range(threads)]
@@ -50,7 +56,7 @@
 
 
 def measure(deployment, vm, job_class, connections, name):
-    """One row: connections, requests a second, p50 and p99 in ms, requests that were not done, % of a core of each VM."""
+    """One row: connections, requests a second, p50 and p99 in ms, requests by other endings, % of a core of each VM."""
     results = multiprocessing.Queue()
     counts = [min(THREADS_PER_PROCESS, connections - first) for first in range(0, connections, THREADS_PER_PROCESS)]
     times = [usage.thread_times(one.process.pid) for one in deployment.vms]
@@ -67,10 +73,12 @@
     for client in clients:
         client.join(5)
     shares = [100 * usage.seconds_between(before, usage.thread_times(one.process.pid)) / passed for before, one in zip(times, deployment.vms)]
-    latencies = [1000 * seconds for seconds, _ in pairs]
-    lost = sum(not finished for _, finished in pairs)
+    latencies = [1000 * seconds for seconds, ending in pairs if ending == "done"]
+    others = collections.Counter(ending for _, ending in pairs if ending != "done")
+    for ending, count in others.items():
+        print(f"{name}, {connections} connections: {count} requests ended with {ending}")
     return [
-        name, str(connections), f"{len(pairs) / passed:.0f}", f"{percentile(latencies, 0.5):.1f}", f"{percentile(latencies, 0.99):.1f}", str(lost),
+        name, str(connections), f"{len(latencies) / passed:.0f}", f"{percentile(latencies, 0.5):.1f}", f"{percentile(latencies, 0.99):.1f}", str(sum(others.values())),
         " / ".join(f"{share:.0f}" for share in shares), f"{os.getloadavg()[0]:.1f}",
     ]  # fmt: skip
 
