Keep sequences and record sizes within what workers and store accept

A worker whose configuration entry changed was addressed with sequences from 1 again, which it refuses until they pass the old ones. Members on a worker that the configuration no longer lists stayed unknown for ever. Two large payloads in one batch could exceed the store's request limit, and the batch would have been repeated for ever.

Change: sequences go on over a change of the entry; such members count as lost; a batch has at most 128 KiB of text, and a request whose record would exceed 900 KiB is refused as too large.

--- a/service/lib/Runtime/recordwriter.cpp
+++ b/service/lib/Runtime/recordwriter.cpp
@@ -14,7 +14,7 @@
 namespace PrimroseBridge {
 
 constexpr std::size_t batchLimit = 32; // Two puts each stay under the store's 128 operations in a transaction.
-constexpr std::size_t batchByteLimit = 900 * 1024; // The store refuses requests much larger than its largest value.
+constexpr std::size_t batchByteLimit = 128 * 1024; // Escaping can enlarge text sixfold, and the store refuses requests much above 1 MB.
 constexpr Duration firstBackoff = Duration(100);
 constexpr Duration longestBackoff = Duration(1000);
 
--- a/service/lib/Runtime/schedulerworkers.cpp
+++ b/service/lib/Runtime/schedulerworkers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 
 namespace PrimroseBridge {
 
@@ -266,8 +267,28 @@
     }
 }
 
+// Workers that the configuration no longer lists, but that jobs still have members on; nobody polls them.
+static std::set<WorkerId> removedWorkers(const ZoneShard &shard)
+{
+    std::set<WorkerId> removed;
+    for (const auto &[key, job] : shard.m_jobs) {
+        for (const auto &member : job->m_members) {
+            const bool open = member.m_state == MemberState::NotKnown || member.m_state == MemberState::Held || member.m_state == MemberState::Running;
+            if (open && !shard.m_workers.contains(member.m_member.m_worker)) {
+                removed.insert(member.m_member.m_worker);
+            }
+        }
+    }
+    return removed;
+}
+
 void expireWorkers(SchedulerCore &core, Outgoing &outgoing, Instant now)
 {
+    for (const auto &worker : removedWorkers(core.m_shard)) {
+        for (const auto &event : concludeLost(core.m_shard.m_jobs, worker)) {
+            applyEvent(core, outgoing, event, now);
+        }
+    }
     for (auto &[id, entry] : core.m_shard.m_workers) {
         if (!entry.m_lost && now - entry.m_heardAt > lostAfter) {
             declareLost(core, outgoing, id, entry, now);
--- a/service/lib/Runtime/zonescheduler.cpp
+++ b/service/lib/Runtime/zonescheduler.cpp
@@ -3,6 +3,7 @@
 #include "schedulercore.h"
 
 #include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Records/codec.h"
 
 #include <algorithm>
 #include <bit>
@@ -23,6 +24,9 @@
     std::thread m_pass;
 };
 
+// The store holds values of up to 1 MB; the record grows a little with its members.
+constexpr std::size_t maxRecordBytes = 900 * 1024;
+
 static Error notOwner()
 {
     return Error(
@@ -146,8 +150,15 @@
             continue;
         }
         const auto known = core.m_shard.m_workers.find(worker.m_id);
-        const bool same = known != core.m_shard.m_workers.end() && *known->second.m_worker == worker;
-        workers.emplace(worker.m_id, same ? known->second : entryFor(worker, now));
+        const bool exists = known != core.m_shard.m_workers.end();
+        if (exists && *known->second.m_worker == worker) {
+            workers.emplace(worker.m_id, known->second);
+            continue;
+        }
+        auto entry = entryFor(worker, now);
+        // The worker refuses sequences that it has seen, so they go on from the last one.
+        entry.m_sequence = exists ? known->second.m_sequence : 0;
+        workers.emplace(worker.m_id, entry);
     }
     core.m_shard.m_workers.swap(workers);
     requestPass(core);
@@ -285,6 +296,9 @@
     if (auto error = refusal(core, *organisation, *jobClass, now)) {
         return error;
     }
+    if (jobClass->m_durable && encodeJob(newJob(request, *jobClass)).size() > maxRecordBytes) {
+        return Error(ErrorKind::TooLarge, "the record of the request would exceed " + std::to_string(maxRecordBytes) + " bytes", "send a smaller payload");
+    }
     acceptJob(core, outgoing, request, *jobClass, now);
     flushWorkers(core, outgoing, now);
     return std::nullopt;
