--- a/scheduling/include/primrosebridge/Policy/pass.h
+++ b/scheduling/include/primrosebridge/Policy/pass.h
@@ -96,11 +96,17 @@
 
 /// Decides which queued jobs start where and which running jobs give up their resources.
 ///
-/// Jobs are decided in this order: those that claim an unheld unit of their organisation's guarantee; the one job that has waited
-/// longest, beyond m_longestWait; urgent jobs; the others by tier and age, among these by the organisation's weighted share.
-/// A claimed guarantee is taken back from any work that no guarantee of its own organisation covers. Urgent jobs take the place
-/// of uncovered batch jobs. The oldest large job that does not fit holds a reservation; others are placed ahead of it only if
-/// they end in time by their estimate and can be removed, or lie elsewhere.
+/// Jobs are decided in this order: those that claim a unit of their organisation's guarantee, the largest first; the one job that
+/// has waited longest, beyond m_longestWait; urgent jobs; the others by tier and age, among these by the organisation's weighted
+/// share. A job of the size of a guaranteed unit claims it unless the organisation's work of at least that size holds it or its
+/// own work that cannot be removed is in the way; smaller jobs claim what the organisation does not use of its guarantees. A claim
+/// takes capacity back from any removable work that no guarantee of its own organisation covers. Urgent jobs take the place of
+/// uncovered batch work and of standard work that can be checkpointed and has run for ten minutes. The oldest large job that does
+/// not fit holds a reservation; others go ahead of it only if they end in time by their estimate and can be removed, or lie
+/// elsewhere. Work that can be checkpointed is moved if that frees a large shape and is worth it by the weights.
+///
+/// The time that a checkpoint or stop takes is not known here: all removable work is assumed to go within each guarantee's
+/// m_reclaimWithin.
 ///
 /// Bound on waiting: let M be the longest maximum run time of the job classes, r the longest time that a checkpoint or stop
 /// takes and p the period of passes. A job that fits on the usable fleet beside the guarantees of others, within the quota of
--- a/scheduling/unittests/Policy/pass.cpp
+++ b/scheduling/unittests/Policy/pass.cpp
@@ -154,6 +154,21 @@
     CHECK(result.m_guarantees[1].m_free == 1);
 }
 
+// Guards against work that is moved although the deployment does not value large free shapes, or never moved although it does.
+TEST_CASE("work is moved for a large free shape only if the weights make it worthwhile")
+{
+    const JobTraits movable{.m_checkpointable = true, .m_runTime = hours(2)};
+    const std::vector allocations = {running(job("one", "b", gpus(4), movable), {member("w1", 0x0f, 4)}, start - minutes(20)),
+                                     running(job("two", "b", gpus(4), movable), {member("w2", 0x0f, 4)}, start - minutes(20))};
+    const auto state = zone({worker("w1", "r1"), worker("w2", "r1")}, allocations, {}, {guarantee("a", gpus(8), 1)});
+    const auto moved = pass(state);
+    REQUIRE(moved.m_releases.size() == 1);
+    CHECK(moved.m_releases[0].m_mode == ReleaseMode::Checkpoint);
+    CHECK(moved.m_fragmentation == 1);
+    const ZoneState fast{state.m_zone, state.m_workers, allocations, {}, state.m_guarantees, state.m_organisations, {0.99, 0.01}};
+    CHECK(pass(fast).m_releases.empty());
+}
+
 // Guards against urgent work that waits for batch work to end.
 TEST_CASE("urgent work takes the place of batch work")
 {
