Serve the operators' console under /console

Cause: operators had no view of the fleet and no forms in a browser.

Change: sign-in by the operators' token, lists and forms for organisations, guarantees, job classes, limits and the deployment, a preview before a change is applied, a conflict page that names the version in force, and pages for the fleet, queues, guarantees and events with an SVG picture. Every POST carries a token of its session. The pages need and allow no script.

--- a/service/lib/FrontEnd/api.cpp
+++ b/service/lib/FrontEnd/api.cpp
@@ -1,6 +1,7 @@
 #include "primrosebridge/FrontEnd/api.h"
 
 #include "access.h"
+#include "console.h"
 #include "operatorapi.h"
 
 #include "primrosebridge/Runtime/node.h"
@@ -269,6 +270,9 @@
     if (call.m_path.size() == 1 && call.m_path[0] == "metrics") {
         return HttpReply{.m_status = 200, .m_contentType = "text/plain; version=0.0.4", .m_body = node.metrics()};
     }
+    if (!call.m_path.empty() && call.m_path[0] == "console") {
+        return consoleCall(node, call);
+    }
     if (call.m_path.size() < 2 || call.m_path[0] != "v1") {
         return notFound();
     }
--- /dev/null
+++ b/service/unittests/FrontEnd/console.cpp
@@ -0,0 +1,220 @@
+#include "console.h"
+
+#include "consoleform.h"
+#include "consoleviews.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+using namespace PrimroseBridge;
+
+// A console over a configuration in memory, with version 7 in force.
+struct TestConsole {
+    std::shared_ptr<const VersionedConfiguration> m_current;
+    int m_published = 0;
+    std::int64_t m_storedVersion = 7; // What the store holds; higher than the version on this VM if another operator was first.
+    Instant m_now = fromMilliseconds(1'000'000);
+    ConsoleSessions m_sessions;
+
+    TestConsole()
+    {
+        std::ifstream file(std::string(PRIMROSEBRIDGE_EXAMPLES) + "/zwolle.json");
+        std::stringstream text;
+        text << file.rdbuf();
+        const auto configuration = withVersion(std::get<Configuration>(readConfiguration(text.str())), 7);
+        m_current = std::make_shared<const VersionedConfiguration>(VersionedConfiguration{configuration, writeConfiguration(configuration)});
+    }
+
+    Result<std::int64_t> publish(const std::string &document, std::int64_t expected)
+    {
+        if (expected != m_storedVersion) {
+            return Error(ErrorKind::Conflict, "version " + std::to_string(m_storedVersion) + " is in force", "read it");
+        }
+        ++m_published;
+        const auto next = withVersion(std::get<Configuration>(readConfiguration(document)), ++m_storedVersion);
+        m_current = std::make_shared<const VersionedConfiguration>(VersionedConfiguration{next, document});
+        return m_storedVersion;
+    }
+
+    HttpReply call(const std::string &method, const std::vector<std::string> &path, const std::string &cookie, const std::string &body = "")
+    {
+        const ConsoleSource source{
+            .m_now = [this] { return m_now; },
+            .m_configuration = [this] { return m_current; },
+            .m_publish = [this](const std::string &document, std::int64_t version) { return publish(document, version); },
+            .m_zoneReport =
+                [] {
+                    return ZoneReport{true, 3, {}, {}, 0, 1, 2};
+                },
+            .m_membership = [] { return initialMembership(VmId::create("vm1").value(), ZoneId::create("kampen").value()); },
+            .m_zoneOwner = [] { return std::string("vm1"); },
+            .m_timeline = [](Instant) { return MergedTimeline{}; },
+        };
+        auto whole = path;
+        whole.insert(whole.begin(), "console");
+        return answerConsole(source, m_sessions, HttpCall{method, whole, {}, {{"cookie", cookie}}, body});
+    }
+
+    std::string signIn()
+    {
+        const auto digest = m_current->m_configuration.m_operatorTokenSha256;
+        return "primrosebridge_session=" + m_sessions.start(digest, m_now);
+    }
+};
+
+static std::string headerIn(const HttpReply &reply, const std::string &name)
+{
+    const auto found = std::find_if(reply.m_headers.begin(), reply.m_headers.end(), [&name](const auto &header) { return header.first == name; });
+    return found == reply.m_headers.end() ? std::string() : found->second;
+}
+
+static bool contains(const HttpReply &reply, const std::string &text)
+{
+    return reply.m_body.find(text) != std::string::npos;
+}
+
+static std::string forgeryIn(const HttpReply &reply)
+{
+    const std::string before = R"(name="forgery" value=")";
+    return reply.m_body.substr(reply.m_body.find(before) + before.size(), 64);
+}
+
+static std::string guaranteeForm(const std::string &forgery, const std::string &priority)
+{
+    return "forgery=" + forgery
+           + "&version=7&action=change&index=0&/organisation=gemeente&/zone=zwolle-noord&/count=1&/shape/accelerators=8"
+             "&/shape/adjacency=SameWorker&/shape/cores=8&/shape/memoryMb=1024&/reclaimWithinMs=60000&/priority="
+           + priority;
+}
+
+TEST_CASE("signing in needs the operators' token and the form's own cookie")
+{
+    TestConsole console;
+    const auto form = console.call("GET", {"sign-in"}, "");
+    const auto cookie = headerIn(form, "Set-Cookie").substr(0, headerIn(form, "Set-Cookie").find(';'));
+    const auto body = "forgery=" + forgeryIn(form) + "&token=";
+    CHECK(console.call("POST", {"sign-in"}, "", body + "demo-operator").m_status == 403);
+    CHECK(console.call("POST", {"sign-in"}, cookie, body + "wrong").m_status == 403);
+    CHECK(console.m_sessions.size() == 0);
+    const auto done = console.call("POST", {"sign-in"}, cookie, body + "demo-operator");
+    CHECK(done.m_status == 303);
+    const auto session = headerIn(done, "Set-Cookie");
+    CHECK(session.find("HttpOnly; SameSite=Strict") != std::string::npos);
+    CHECK(console.call("GET", {"fleet"}, session.substr(0, session.find(';'))).m_status == 200);
+    console.m_now += sessionLifetime;
+    CHECK(headerIn(console.call("GET", {"fleet"}, session.substr(0, session.find(';'))), "Location") == "/console/sign-in");
+}
+
+// Guards against a page that lacks the policy, allows a script, or is shown without a session.
+TEST_CASE("every page needs a session and forbids scripts")
+{
+    TestConsole console;
+    const auto cookie = console.signIn();
+    const std::vector<std::vector<std::string>> pages = {{"fleet"},
+                                                         {"queues"},
+                                                         {"held"},
+                                                         {"events"},
+                                                         {"limits"},
+                                                         {"organisations"},
+                                                         {"guarantees"},
+                                                         {"classes"},
+                                                         {"deployment"},
+                                                         {"guarantees", "add"},
+                                                         {"guarantees", "0", "change"},
+                                                         {"guarantees", "0", "remove"},
+                                                         {"deployment", "0", "change"}};
+    for (const auto &page : pages) {
+        INFO(page.front());
+        CHECK(console.call("GET", page, "").m_status == 303);
+        const auto reply = console.call("GET", page, cookie);
+        CHECK(reply.m_status == 200);
+        CHECK(headerIn(reply, "Content-Security-Policy").starts_with("default-src 'none'"));
+        CHECK(!contains(reply, "<script"));
+    }
+    for (const auto &page :
+         std::vector<std::vector<std::string>>{{"none"}, {"guarantees", "99", "change"}, {"guarantees", "x", "change"}, {"guarantees", "0"}}) {
+        CHECK(console.call("GET", page, cookie).m_status == 404);
+    }
+    CHECK(console.call("PUT", {"guarantees"}, cookie).m_status == 405);
+}
+
+// Guards against a change that another site's form, or another session's, makes in the operator's name.
+TEST_CASE("a form without the session's forgery token changes nothing")
+{
+    TestConsole console;
+    const auto cookie = console.signIn();
+    const auto other = forgeryIn(console.call("GET", {"fleet"}, console.signIn()));
+    for (const auto &token : {std::string(), std::string(64, 'a'), other}) {
+        CHECK(console.call("POST", {"guarantees", "apply"}, cookie, guaranteeForm(token, "5")).m_status == 403);
+        CHECK(console.call("POST", {"sign-out"}, cookie, "forgery=" + token).m_status == 403);
+    }
+    CHECK(console.m_published == 0);
+    CHECK(console.call("GET", {"fleet"}, cookie).m_status == 200);
+}
+
+TEST_CASE("a change is previewed, then applied")
+{
+    TestConsole console;
+    const auto cookie = console.signIn();
+    const auto forgery = forgeryIn(console.call("GET", {"guarantees"}, cookie));
+    const auto preview = console.call("POST", {"guarantees", "preview"}, cookie, guaranteeForm(forgery, "5"));
+    CHECK(preview.m_status == 200);
+    CHECK(contains(preview, "<td>/guarantees/0/priority</td>"));
+    CHECK(console.m_published == 0);
+    const auto applied = console.call("POST", {"guarantees", "apply"}, cookie, guaranteeForm(forgery, "5"));
+    CHECK(headerIn(applied, "Location") == "/console/guarantees?published=8");
+    CHECK(console.m_current->m_configuration.m_guarantees.front().m_priority == 5);
+}
+
+// Guards against a change that silently undoes another operator's.
+TEST_CASE("a conflict names the version in force")
+{
+    TestConsole console;
+    const auto cookie = console.signIn();
+    const auto form = guaranteeForm(forgeryIn(console.call("GET", {"guarantees"}, cookie)), "5");
+    console.m_storedVersion = 9; // This VM has not heard of it yet.
+    const auto late = console.call("POST", {"guarantees", "apply"}, cookie, form);
+    CHECK(late.m_status == 409);
+    CHECK(contains(late, "version 9 is in force"));
+    console.m_current = std::make_shared<const VersionedConfiguration>(VersionedConfiguration{withVersion(console.m_current->m_configuration, 9), ""});
+    const auto stale = console.call("POST", {"guarantees", "preview"}, cookie, form);
+    CHECK(stale.m_status == 409);
+    CHECK(contains(stale, "version 9 is in force"));
+    CHECK(console.m_published == 0);
+}
+
+TEST_CASE("hostile values are shown escaped beside their field and change nothing")
+{
+    TestConsole console;
+    const auto cookie = console.signIn();
+    const auto forgery = forgeryIn(console.call("GET", {"guarantees"}, cookie));
+    const auto reply = console.call("POST", {"guarantees", "apply"}, cookie, guaranteeForm(forgery, "%22%3E%3Cscript%3E"));
+    CHECK(reply.m_status == 422);
+    CHECK(!contains(reply, "<script"));
+    CHECK(contains(reply, R"(aria-describedby="/priority-hint /priority-error")"));
+    CHECK(contains(reply, R"(id="/priority-error">is &#39;&quot;&gt;&lt;script&gt;&#39;)"));
+    CHECK(console.call("POST", {"guarantees", "apply"}, cookie, std::string(maxFormBytes + 1, 'a')).m_status == 413);
+    CHECK(console.m_published == 0);
+}
+
+TEST_CASE("the picture has a dot for each event, a line to its cause, and escapes names")
+{
+    const auto event = [](const std::string &process, std::int64_t id, const EventReference &cause) {
+        return MergedEvent{process, TimelineEvent{id, fromMilliseconds(id * 10), "placed", "k", cause, ""}};
+    };
+    const auto svg = timelineSvg({event("vm1", 1, {"", 0}), event("<vm2>", 2, {"vm1", 1}), event("vm1", 3, {"lost", 8})});
+    const auto count = [&svg](const std::string &text) {
+        int found = 0;
+        for (auto at = svg.find(text); at != std::string::npos; at = svg.find(text, at + 1)) {
+            ++found;
+        }
+        return found;
+    };
+    CHECK(count("<circle") == 3);
+    CHECK(count("#767676") == 1);
+    CHECK(count("<vm2>") == 0);
+    CHECK(timelineSvg({}).empty());
+}
