Test adding, removing and the guarantees in force through pages

Cause: the tests called the pages for a change only.

Change: tests for add and remove by form and for the columns of the guarantees in force; an assertion for the precondition of the router.

--- a/service/lib/FrontEnd/console.cpp
+++ b/service/lib/FrontEnd/console.cpp
@@ -8,6 +8,8 @@
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Pipeline/timerservice.h"
 
+#include <cassert>
+
 namespace PrimroseBridge {
 
 constexpr std::string_view sessionCookie = "primrosebridge_session";
@@ -194,6 +196,7 @@
 
 static HttpReply routeConsole(const ConsoleSource &source, ConsoleSessions &sessions, const HttpCall &call)
 {
+    assert(!call.m_path.empty() && call.m_path.front() == "console" && "only calls under /console come here");
     if (call.m_method != "GET" && call.m_method != "POST") {
         return consoleErrorPage(405, "the method is not allowed here", "use the links and forms of the console", "");
     }
--- a/service/lib/FrontEnd/console.h
+++ b/service/lib/FrontEnd/console.h
@@ -22,7 +22,8 @@
     const std::function<MergedTimeline(Instant)> m_timeline;
 };
 
-/// Answers a call under `/console`. Precondition: the first path segment is `console`. Never throws; blocks for at most 6 s. Thread-safe.
+/// Answers a call under `/console`. A form passes through these steps: session and forgery token, decoding, edit, check of the document,
+/// preview or publication, HTML. Precondition: the first path segment is `console`. Never throws; blocks for at most 6 s. Thread-safe.
 HttpReply answerConsole(const ConsoleSource &source, ConsoleSessions &sessions, const HttpCall &call);
 
 /// The same, from a node and with the sessions of this process. Thread-safe.
--- a/service/lib/FrontEnd/consoleviews.cpp
+++ b/service/lib/FrontEnd/consoleviews.cpp
@@ -125,6 +125,8 @@
 struct Point {
     const int m_x;
     const int m_y;
+
+    bool operator==(const Point &) const = default;
 };
 
 static std::string svgLine(const Point &from, const Point &to, const std::string &colour)
--- a/service/unittests/FrontEnd/console.cpp
+++ b/service/unittests/FrontEnd/console.cpp
@@ -169,6 +169,38 @@
     CHECK(console.m_current->m_configuration.m_guarantees.front().m_priority == 5);
 }
 
+TEST_CASE("a guarantee is added and removed through forms")
+{
+    TestConsole console;
+    const auto cookie = console.signIn();
+    const auto forgery = forgeryIn(console.call("GET", {"guarantees"}, cookie));
+    const auto before = console.m_current->m_configuration.m_guarantees;
+    auto add = guaranteeForm(forgery, "300");
+    add.replace(add.find("change"), 6, "add");
+    CHECK(console.call("POST", {"guarantees", "apply"}, cookie, add).m_status == 303);
+    REQUIRE(console.m_current->m_configuration.m_guarantees.size() == before.size() + 1);
+    const auto remove = "forgery=" + forgery + "&version=8&action=remove&index=" + std::to_string(before.size());
+    const auto preview = console.call("POST", {"guarantees", "preview"}, cookie, remove);
+    CHECK(contains(preview, "<td>300</td><td>(none)</td>"));
+    CHECK(console.call("POST", {"guarantees", "apply"}, cookie, remove).m_status == 303);
+    CHECK(console.m_current->m_configuration.m_guarantees == before);
+}
+
+TEST_CASE("guarantees in force are shown as held, free, lent, reclaimable and short")
+{
+    TestConsole console;
+    const auto &guarantee = console.m_current->m_configuration.m_guarantees.front();
+    const Guarantee ten{guarantee.m_organisation, guarantee.m_zone, guarantee.m_shape, 10, guarantee.m_reclaimWithin, guarantee.m_priority};
+    const auto membership = initialMembership(VmId::create("vm1").value(), guarantee.m_zone);
+    const ConsoleSession session{"forgery", "digest", console.m_now};
+    const auto report = [&ten](bool owned) { return ZoneReport{owned, 3, {}, {GuaranteeStatus{ten, 4, 1, 2, 2}}, 0, 0, 0}; };
+    const std::string row = "<td>10</td><td>4</td><td>1</td><td>3</td><td>2</td><td>2</td>";
+    CHECK(contains(guaranteeStatusPage(report(true), membership, "vm1", session), row));
+    const auto standby = guaranteeStatusPage(report(false), membership, "vm2", session);
+    CHECK(!contains(standby, row));
+    CHECK(contains(standby, "The owner is vm2."));
+}
+
 // Guards against a change that silently undoes another operator's.
 TEST_CASE("a conflict names the version in force")
 {
