--- a/scripts/demorun.py
+++ b/scripts/demorun.py
@@ -6,7 +6,6 @@
 import json
 import os
 import random
-import subprocess
 import sys
 import threading
 import time
@@ -37,7 +36,7 @@
     return made
 
 
-def with_primrosectl(vm, submission, seconds):
+def with_primrosectl(processes, vm, submission, seconds):
     """Submits through the command-line tool, as an operator at a terminal would. The outcome is checked like any other."""
     submission.first_at = time.monotonic()
     submission.submitted_ms = time.time() * 1000
@@ -45,11 +44,13 @@
         harness.binary("primrosectl"), "submit", f"--server={harness.HOST}:{vm.http_port}", f"--token=demo-{submission.organisation}",
         f"--class={submission.job_class}", f"--key={submission.key}", f"--payload={submission.payload}", "--wait", f"--timeout={seconds}", "--output=json",
     ]  # fmt: skip
-    done = subprocess.run(command, capture_output=True, text=True, timeout=seconds + 10, check=False)
+    tool = processes.start(f"primrosectl-{submission.key}", command)
+    if tool.wait(seconds + 10) is None:
+        tool.kill()
     try:
-        body = json.loads(done.stdout)
+        body = json.loads(tool.log())
     except ValueError:
-        submission.reason = (done.stderr or done.stdout).strip()
+        submission.reason = tool.log().strip()
         return submission
     submission.accepted = "outcome" in body
     submission.outcome = body.get("outcome", "pending")
@@ -64,7 +65,7 @@
 
 def submit_one(deployment, caller, submission, use_tool, deadline):
     if use_tool:
-        with_primrosectl(random.choice(deployment.vms), submission, 20)
+        with_primrosectl(deployment.processes, random.choice(deployment.vms), submission, 20)
     # Requests that the tool could not finish are asked for again over HTTP with the same key.
     return caller.run(submission, max(1.0, deadline - time.monotonic()))
 
@@ -87,7 +88,13 @@
         with LoadBalancer(deployment) as balancer, concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
             caller = Caller(balancer)
             runs = [pool.submit(submit_one, deployment, caller, one, one.key in tool_keys, deadline) for one in submissions]
-            concurrent.futures.wait(runs)
+            try:
+                concurrent.futures.wait(runs)
+            except KeyboardInterrupt:
+                caller.stop()
+                pool.shutdown(wait=False, cancel_futures=True)
+                deployment.processes.end_all()
+                raise
             for run in runs:
                 run.result()
     finally:
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -292,16 +292,21 @@
 
     def __init__(self, balancer):
         self._balancer = balancer
+        self._stopping = threading.Event()
+
+    def stop(self):
+        """Makes every run() return after the call that it is in."""
+        self._stopping.set()
 
     def run(self, submission, seconds):
         """Submits and waits up to @p seconds for a final outcome."""
         deadline = time.monotonic() + seconds
         submission.first_at = submission.first_at or time.monotonic()
         submission.submitted_ms = submission.submitted_ms or time.time() * 1000
-        while not submission.final() and time.monotonic() < deadline:
+        while not submission.final() and time.monotonic() < deadline and not self._stopping.is_set():
             vm = self._balancer.choose()
             pause = 0.2 if vm is None else self._ask(vm, submission, deadline)
-            time.sleep(min(pause, max(0.0, deadline - time.monotonic())))
+            self._stopping.wait(min(pause, max(0.0, deadline - time.monotonic())))
         return submission
 
     def cancel(self, submission):
--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -168,23 +168,28 @@
         self.keep_folder = False
         self._lock = threading.Lock()
         self._all = []
+        self._ended = False
 
     def __enter__(self):
-        self._previous = signal.signal(signal.SIGTERM, _raise_interrupt) if _in_main_thread() else None
+        # SIGINT is set as well, because a shell that starts a command in the background makes it ignore SIGINT.
+        signals = (signal.SIGTERM, signal.SIGINT) if _in_main_thread() else ()
+        self._previous = {number: signal.signal(number, _raise_interrupt) for number in signals}
         return self
 
     def __exit__(self, kind, value, traceback):
         self.end_all()
-        if self._previous is not None:
-            signal.signal(signal.SIGTERM, self._previous)
+        for number, handler in self._previous.items():
+            signal.signal(number, handler)
         if kind in (None, KeyboardInterrupt) and not self.keep_folder:
             self._remove_folder()
         elif kind is not None:
             print(f"logs: {self.folder}", file=sys.stderr)
 
     def start(self, name, arguments):
-        process = Process(name, [str(argument) for argument in arguments], self.folder)
         with self._lock:
+            if self._ended:
+                raise HarnessError(f"{name} is not started, because the run is ending")
+            process = Process(name, [str(argument) for argument in arguments], self.folder)
             self._all.append(process)
         return process
 
@@ -197,6 +202,7 @@
     def end_all(self):
         """Ends everything that is still running: SIGTERM first, SIGKILL after 3 s."""
         with self._lock:
+            self._ended = True
             running = [process for process in self._all if process.running()]
         for process in running:
             process.resume()
--- a/scripts/proofs/run.py
+++ b/scripts/proofs/run.py
@@ -50,6 +50,7 @@
         harness.wait_until(lambda: all(one.final() for one in first), 20, "every zone serves a first request")
 
     def __exit__(self, *_):
+        self.caller.stop()
         self._pool.shutdown(wait=False, cancel_futures=True)
         self.balancer.__exit__()
 
--- a/scripts/proofs/workers.py
+++ b/scripts/proofs/workers.py
@@ -120,7 +120,6 @@
 def workers_frozen_past_lease(run):
     """Workers that are silent for longer than the task lease have their tasks run a second time elsewhere."""
     zone = run.zone()
-    run.allow_unknown = True
     run.allow_failed = True  # Checked by _check_failed().
     running = [run.submit(ONCE, 2000, zone) for _ in range(10)]
     for one in running:
