Try a second order before a guarantee counts as short

The greedy plan reported a shortfall where there was none, because an organisation took free capacity while its own unremovable work left room that nobody else can use; claims are then served although others fall short. Change: if the first plan is short, a second one places units beside own work first. Conclusion: improved, not closed; the greedy plan is still incomplete in tightly packed fleets.

--- a/scheduling/lib/Placement/guaranteeplan.cpp
+++ b/scheduling/lib/Placement/guaranteeplan.cpp
@@ -220,6 +220,33 @@
     while (isOpen() && planUnit(view, claimIndex, UnitSource::OwnWork, withOwnPinned(view, claim.m_organisation, draft), draft)) { }
 }
 
+/// @p capacity on those workers only on which the organisation runs work that cannot be removed.
+static Capacity besideOwnPinned(const PlanningView &view, int organisation, const Capacity &capacity)
+{
+    std::vector<AcceleratorSet> sets(capacity.m_accelerators.size());
+    for (const auto *holding : view.m_holdingsOf.at(organisation)) {
+        for (const auto &slot : holding->m_slots) {
+            sets[slot.m_worker] = holding->m_reclaimable ? sets[slot.m_worker] : capacity.m_accelerators[slot.m_worker];
+        }
+    }
+    return {std::move(sets), capacity.m_cores, capacity.m_memoryMb};
+}
+
+/// Leaves to other claims what only they could not replace: nobody else can use the positions of the organisation's own work.
+static void planBesideOwnWork(const PlanningView &view, int claimIndex, Draft &draft)
+{
+    const Claim &claim = view.m_claims[claimIndex];
+    if (claim.m_shape.m_accelerators == 0) {
+        return;
+    }
+    while (draft.m_met[claimIndex] < claim.m_count) {
+        const auto capacity = besideOwnPinned(view, claim.m_organisation, withOwnPinned(view, claim.m_organisation, draft));
+        if (!planUnit(view, claimIndex, UnitSource::OwnWork, capacity, draft)) {
+            return;
+        }
+    }
+}
+
 static Draft emptyDraft(const PlanningView &view)
 {
     return {{}, std::vector<int>(view.m_claims.size()), view.m_free, view.m_unpinned};
@@ -236,7 +263,7 @@
 }
 
 /// What is held stays where it is, and large shapes choose before small ones: packs best, but ignores the order of service.
-static Draft planLargestFirst(const PlanningView &view)
+static Draft planLargestFirst(const PlanningView &view, bool ownWorkFirst)
 {
     Draft draft = emptyDraft(view);
     std::vector<int> order(view.m_claims.size());
@@ -248,6 +275,9 @@
         planHeld(view, claim, draft);
     }
     for (const int claim : order) {
+        if (ownWorkFirst) {
+            planBesideOwnWork(view, claim, draft);
+        }
         planRest(view, claim, draft);
     }
     return draft;
@@ -266,8 +296,12 @@
 GuaranteePlan planGuarantees(const FleetIndex &fleet, const Capacity &usable, const std::vector<Holding> &holdings, const std::vector<Claim> &claims)
 {
     const PlanningView view = viewOf(fleet, usable, holdings, claims);
-    Draft draft = planLargestFirst(view);
+    Draft draft = planLargestFirst(view, false);
     if (!meetsAll(claims, draft)) {
+        Draft second = planLargestFirst(view, true);
+        if (meetsAll(claims, second)) {
+            return {std::move(second.m_units), std::move(second.m_met)};
+        }
         // Too small for all: the documented order of service decides who falls short.
         Draft ordered = planInOrder(view);
         return {std::move(ordered.m_units), std::move(ordered.m_met)};
