--- a/scheduling/lib/Placement/guaranteeplan.cpp
+++ b/scheduling/lib/Placement/guaranteeplan.cpp
@@ -148,7 +148,7 @@
 
 /// Units that running work of the organisation of at least their size holds. Smaller work of its own does not count: it would
 /// otherwise take the organisation's claim to the whole shape away.
-static void planHeld(const PlanningView &view, int claimIndex, Draft &draft)
+static void planHeld(const PlanningView &view, int claimIndex, Draft &draft, bool keepsReclaimable)
 {
     const Claim &claim = view.m_claims[claimIndex];
     for (const auto *holding : view.m_holdingsOf.at(claim.m_organisation)) {
@@ -156,7 +156,7 @@
             return;
         }
         const bool suits = formsUnit(view.m_fleet, *holding, claim.m_shape) && isUsable(view.m_usable, holding->m_slots);
-        if (!suits || isTaken(draft, *holding)) {
+        if (!suits || (holding->m_reclaimable && !keepsReclaimable) || isTaken(draft, *holding)) {
             continue;
         }
         if (holding->m_reclaimable) {
@@ -263,7 +263,7 @@
 }
 
 /// What is held stays where it is, and large shapes choose before small ones: packs best, but ignores the order of service.
-static Draft planLargestFirst(const PlanningView &view, bool ownWorkFirst)
+static Draft planLargestFirst(const PlanningView &view, bool ownWorkFirst, bool keepsReclaimable)
 {
     Draft draft = emptyDraft(view);
     std::vector<int> order(view.m_claims.size());
@@ -272,7 +272,7 @@
         return view.m_claims[left].m_shape.m_accelerators > view.m_claims[right].m_shape.m_accelerators;
     });
     for (const int claim : order) {
-        planHeld(view, claim, draft);
+        planHeld(view, claim, draft, keepsReclaimable);
     }
     for (const int claim : order) {
         if (ownWorkFirst) {
@@ -287,7 +287,7 @@
 {
     Draft draft = emptyDraft(view);
     for (int claim = 0; claim < static_cast<int>(view.m_claims.size()); ++claim) {
-        planHeld(view, claim, draft);
+        planHeld(view, claim, draft, true);
         planRest(view, claim, draft);
     }
     return draft;
@@ -296,12 +296,17 @@
 GuaranteePlan planGuarantees(const FleetIndex &fleet, const Capacity &usable, const std::vector<Holding> &holdings, const std::vector<Claim> &claims)
 {
     const PlanningView view = viewOf(fleet, usable, holdings, claims);
-    Draft draft = planLargestFirst(view, false);
+    Draft draft = planLargestFirst(view, false, true);
     if (!meetsAll(claims, draft)) {
-        Draft second = planLargestFirst(view, true);
+        Draft second = planLargestFirst(view, true, true);
         if (meetsAll(claims, second)) {
             return {std::move(second.m_units), std::move(second.m_met)};
         }
+        // Work larger than its unit may leave room for others if it can be removed.
+        Draft third = planLargestFirst(view, true, false);
+        if (meetsAll(claims, third)) {
+            return {std::move(third.m_units), std::move(third.m_met)};
+        }
         // Too small for all: the documented order of service decides who falls short.
         Draft ordered = planInOrder(view);
         return {std::move(ordered.m_units), std::move(ordered.m_met)};
