Tell apart the guarantees of one organisation on the limits page

Cause: seen in a screenshot of the limits page: two guarantees of one organisation had the same name and the same link text.

Change: names on that page carry their position in the list.

Conclusion: each link on the page names its target.

--- a/service/lib/FrontEnd/consoleforms.cpp
+++ b/service/lib/FrontEnd/consoleforms.cpp
@@ -67,8 +67,10 @@
     std::vector<std::vector<std::string>> rows;
     std::size_t index = 0;
     for (const auto &values : sectionValues(configuration, section)) {
-        const auto name = valueOf(values, section.m_fields.front().m_pointer);
-        const auto change = link(section.m_name + "/" + std::to_string(index++) + "/change", "Change", section.m_title + " " + name);
+        const auto path = section.m_name + "/" + std::to_string(index) + "/change";
+        // An organisation can hold several guarantees, so the name alone does not identify one.
+        const auto name = valueOf(values, section.m_fields.front().m_pointer) + " (" + std::to_string(++index) + ")";
+        const auto change = link(path, "Change", section.m_title + " " + name);
         for (const auto &field : section.m_fields) {
             if (field.m_group == "Limits") {
                 rows.push_back({name, field.m_label, valueOf(values, field.m_pointer), field.m_hint, change});
--- a/service/unittests/FrontEnd/console.cpp
+++ b/service/unittests/FrontEnd/console.cpp
@@ -139,6 +139,8 @@
         CHECK(console.call("GET", page, cookie).m_status == 404);
     }
     CHECK(console.call("PUT", {"guarantees"}, cookie).m_status == 405);
+    // Two guarantees of one organisation are told apart by their position.
+    CHECK(contains(console.call("GET", {"limits"}, cookie), "/console/guarantees/1/change\" aria-label=\"Change Guarantees gemeente (2)\""));
 }
 
 // Guards against a change that another site's form, or another session's, makes in the operator's name.
