Say which failure each test of the console guards against

Cause: most of the console's tests had a title only.

Change: a comment on each of them.

Conclusion: no change of behaviour.

--- a/service/unittests/FrontEnd/console.cpp
+++ b/service/unittests/FrontEnd/console.cpp
@@ -90,6 +90,7 @@
            + priority;
 }
 
+// Guards against a session without the token, and against a sign-in that another site's form makes.
 TEST_CASE("signing in needs the operators' token and the form's own cookie")
 {
     TestConsole console;
@@ -157,6 +158,7 @@
     CHECK(console.call("GET", {"fleet"}, cookie).m_status == 200);
 }
 
+// Guards against a preview that publishes, and an application that differs from its preview.
 TEST_CASE("a change is previewed, then applied")
 {
     TestConsole console;
@@ -171,6 +173,7 @@
     CHECK(console.m_current->m_configuration.m_guarantees.front().m_priority == 5);
 }
 
+// Guards against a removal that takes away another element.
 TEST_CASE("a guarantee is added and removed through forms")
 {
     TestConsole console;
@@ -188,6 +191,7 @@
     CHECK(console.m_current->m_configuration.m_guarantees == before);
 }
 
+// Guards against a standby that shows an empty report as if it were the zone's.
 TEST_CASE("guarantees in force are shown as held, free, lent, reclaimable and short")
 {
     TestConsole console;
@@ -220,6 +224,7 @@
     CHECK(console.m_published == 0);
 }
 
+// Guards against script in a refused value that is shown again.
 TEST_CASE("hostile values are shown escaped beside their field and change nothing")
 {
     TestConsole console;
@@ -234,6 +239,7 @@
     CHECK(console.m_published == 0);
 }
 
+// Guards against causes outside the picture, and against markup in the names of processes.
 TEST_CASE("the picture has a dot for each event, a line to its cause, and escapes names")
 {
     const auto event = [](const std::string &process, std::int64_t id, const EventReference &cause) {
--- a/service/unittests/FrontEnd/consoleedit.cpp
+++ b/service/unittests/FrontEnd/consoleedit.cpp
@@ -41,6 +41,7 @@
     return faults == nullptr ? std::vector<FieldFault>{} : *faults;
 }
 
+// Guards against a form that loses or rewrites fields that the operator did not touch.
 TEST_CASE("a form that changes nothing gives the same document")
 {
     const auto configuration = example();
@@ -57,6 +58,7 @@
     }
 }
 
+// Guards against a preview that hides a change, and an edit that reaches other parts of the document.
 TEST_CASE("a changed field is shown with its old and new value")
 {
     const auto result = change("guarantees", "/priority", "77");
@@ -69,6 +71,7 @@
     CHECK(read.m_workers == example().m_workers);
 }
 
+// Guards against an added element without its defaults.
 TEST_CASE("an organisation is added with defaults and removed again")
 {
     const auto before = example();
@@ -108,6 +111,7 @@
     }
 }
 
+// Guards against a fault that is shown beside a field of another element.
 TEST_CASE("faults of objects go to their first field and faults elsewhere keep their path")
 {
     const auto placed
@@ -128,6 +132,7 @@
     CHECK(fields == std::vector<std::string>{"/shape/cores", "", "/organisation"});
 }
 
+// Guards against a truncated or crafted form that takes effect in part.
 TEST_CASE("unknown and missing fields and absent elements are refused")
 {
     CHECK(faultsOf(change("guarantees", "/surprise", "1")).front().m_field.empty());
--- a/service/unittests/FrontEnd/consoleform.cpp
+++ b/service/unittests/FrontEnd/consoleform.cpp
@@ -21,6 +21,7 @@
     CHECK(escapeHtml("zürich\n") == "zürich\n");
 }
 
+// Guards against values that change on their way through the form.
 TEST_CASE("a form is decoded with its escapes")
 {
     const auto form = decodeForm("%2Fshape%2Fcores=16&name=a+b%26c%3d&empty=&bare").value();
@@ -66,6 +67,7 @@
     }
 }
 
+// Guards against numbers that are cut off or wrap around.
 TEST_CASE("whole numbers are complete and in range")
 {
     CHECK(wholeNumberFrom("42") == 42);
@@ -74,6 +76,7 @@
     }
 }
 
+// Guards against a cookie whose name merely ends in the one that is sought.
 TEST_CASE("a cookie is found by its whole name")
 {
     const HttpCall call{.m_method = "GET", .m_path = {}, .m_query = {}, .m_headers = {{"cookie", "xid=1; id=2;other=3"}}, .m_body = ""};
@@ -82,6 +85,7 @@
     CHECK(cookieOf(call, "absent").empty());
 }
 
+// Guards against a cookie that stays valid after the operators' token has been replaced.
 TEST_CASE("a session ends by time, by sign-out and with the operators' token")
 {
     ConsoleSessions sessions;
