--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -184,14 +184,15 @@
         return "other"
 
     def _traffic(self, vm, before, after, passed):
-        """Payload bytes a second by kind, and "wire" with the headers of all three."""
-        rates = dict.fromkeys(("peers", "workers", "store", "other", "wire"), 0.0)
-        for ends, (payload, segments) in after.items():
-            old_payload, old_segments = before.get(ends, (0, 0))
+        """Payload bytes a second by kind, and with the headers of all three "sent" and, in both directions, "wire"."""
+        rates = dict.fromkeys(("peers", "workers", "store", "other", "sent", "wire"), 0.0)
+        for ends, now in after.items():
+            sent, received, segments_out, segments_in = (new - old for new, old in zip(now, before.get(ends, (0, 0, 0, 0))))
             kind = self._kind(vm, ends)
-            rates[kind] += (payload - old_payload) / passed
+            rates[kind] += (sent + received) / passed
             if kind != "other":
-                rates["wire"] += (payload - old_payload + usage.HEADER_BYTES * (segments - old_segments)) / passed
+                rates["sent"] += (sent + usage.HEADER_BYTES * segments_out) / passed
+                rates["wire"] += (sent + received + usage.HEADER_BYTES * (segments_out + segments_in)) / passed
         return rates
 
     def row(self):
@@ -201,11 +202,11 @@
             cells += [_mean(self.cpu, vms), _mean({vm: pair[0] for vm, pair in self.memory.items()}, vms)]
             cells += [_mean({vm: pair[1] for vm, pair in self.memory.items()}, vms), _mean(self.threads, vms)]
             cells += [_mean(self.heartbeat, vms)]
-            cells += [_mean({vm: rates[kind] for vm, rates in self.traffic.items()}, vms) for kind in ("peers", "workers", "store", "wire")]
+            cells += [_mean({vm: rates[kind] for vm, rates in self.traffic.items()}, vms) for kind in ("peers", "workers", "store", "sent", "wire")]
         return cells
 
 
-ROW = ["cpu %", "rss MB", "anon MB", "threads", "heartbeat B/s", "peers B/s", "workers B/s", "store B/s", "wire B/s"]
+ROW = ["cpu %", "rss MB", "anon MB", "threads", "heartbeat B/s", "peers B/s", "workers B/s", "store B/s", "sent B/s", "wire B/s"]
 
 
 def _mean(values, vms):
--- a/scripts/usage.py
+++ b/scripts/usage.py
@@ -6,6 +6,7 @@
 
 # IPv4 and TCP headers with the time stamp option; loopback has no other frame.
 HEADER_BYTES = 52
+FIELDS = ("bytes_sent", "bytes_received", "segs_out", "segs_in")
 
 
 def thread_times(pid):
@@ -35,7 +36,7 @@
 
 
 def connections(pids):
-    """Per process and connection: (payload bytes, segments), sent and received. Empty without iproute2."""
+    """Per process and connection: (bytes sent, bytes received, segments sent, segments received). Empty without iproute2."""
     try:
         text = subprocess.run(["ss", "-tinpHO", "state", "established"], capture_output=True, text=True, timeout=20, check=True).stdout
     except (OSError, subprocess.SubprocessError):
@@ -45,9 +46,10 @@
         owner = re.search(r"pid=(\d+)", line)
         if owner and int(owner.group(1)) in found:
             fields = line.split()
-            found[int(owner.group(1))][fields[2], fields[3]] = tuple(_sum(line, names) for names in (("bytes_sent", "bytes_received"), ("segs_out", "segs_in")))
+            found[int(owner.group(1))][fields[2], fields[3]] = tuple(_field(line, name) for name in FIELDS)
     return found
 
 
-def _sum(line, names):
-    return sum(int(match.group(1)) for name in names if (match := re.search(rf"\b{name}:(\d+)", line)))
+def _field(line, name):
+    match = re.search(rf"\b{name}:(\d+)", line)
+    return int(match.group(1)) if match else 0
