Submit the other jobs of the bound test after the large one

Change: the clock advances by 1 ms before the other jobs are submitted; the bound itself stays as strict as before. Conclusion: the test now states the case of the oldest job, for which the bound is given.

--- a/scheduling/unittests/Policy/sessions.cpp
+++ b/scheduling/unittests/Policy/sessions.cpp
@@ -121,6 +121,8 @@
         session.m_guarantees.clear();
         const auto longest = minutes(60);
         session.m_queue.emplace("large", job("large", "c", gpus(8, Adjacency::SameRack)));
+        // The bound is stated for the oldest waiting job; one submitted at the same instant could count as older by its key.
+        session.m_now += Duration(1);
         std::map<std::string, Instant> ends;
         const Duration period = minutes(1);
         const Instant bound = start + session.m_settings.m_longestWait + longest + 2 * period;
