--- a/scheduling/lib/Placement/guaranteeplan.cpp
+++ b/scheduling/lib/Placement/guaranteeplan.cpp
@@ -148,7 +148,7 @@
 
 /// Units that running work of the organisation of at least their size holds. Smaller work of its own does not count: it would
 /// otherwise take the organisation's claim to the whole shape away.
-static void planHeld(const PlanningView &view, int claimIndex, Draft &draft)
+static void planHeld(const PlanningView &view, int claimIndex, Draft &draft, bool keepsReclaimable)
 {
     const Claim &claim = view.m_claims[claimIndex];
     for (const auto *holding : view.m_holdingsOf.at(claim.m_organisation)) {
@@ -156,7 +156,7 @@
             return;
         }
         const bool suits = formsUnit(view.m_fleet, *holding, claim.m_shape) && isUsable(view.m_usable, holding->m_slots);
-        if (!suits || isTaken(draft, *holding)) {
+        if (!suits || (holding->m_reclaimable && !keepsReclaimable) || isTaken(draft, *holding)) {
             continue;
         }
         if (holding->m_reclaimable) {
@@ -220,6 +220,33 @@
     while (isOpen() && planUnit(view, claimIndex, UnitSource::OwnWork, withOwnPinned(view, claim.m_organisation, draft), draft)) { }
 }
 
+/// @p capacity on those workers only on which the organisation runs work that cannot be removed.
+static Capacity besideOwnPinned(const PlanningView &view, int organisation, const Capacity &capacity)
+{
+    std::vector<AcceleratorSet> sets(capacity.m_accelerators.size());
+    for (const auto *holding : view.m_holdingsOf.at(organisation)) {
+        for (const auto &slot : holding->m_slots) {
+            sets[slot.m_worker] = holding->m_reclaimable ? sets[slot.m_worker] : capacity.m_accelerators[slot.m_worker];
+        }
+    }
+    return {std::move(sets), capacity.m_cores, capacity.m_memoryMb};
+}
+
+/// Leaves to other claims what only they could not replace: nobody else can use the positions of the organisation's own work.
+static void planBesideOwnWork(const PlanningView &view, int claimIndex, Draft &draft)
+{
+    const Claim &claim = view.m_claims[claimIndex];
+    if (claim.m_shape.m_accelerators == 0) {
+        return;
+    }
+    while (draft.m_met[claimIndex] < claim.m_count) {
+        const auto capacity = besideOwnPinned(view, claim.m_organisation, withOwnPinned(view, claim.m_organisation, draft));
+        if (!planUnit(view, claimIndex, UnitSource::OwnWork, capacity, draft)) {
+            return;
+        }
+    }
+}
+
 static Draft emptyDraft(const PlanningView &view)
 {
     return {{}, std::vector<int>(view.m_claims.size()), view.m_free, view.m_unpinned};
@@ -236,7 +263,7 @@
 }
 
 /// What is held stays where it is, and large shapes choose before small ones: packs best, but ignores the order of service.
-static Draft planLargestFirst(const PlanningView &view)
+static Draft planLargestFirst(const PlanningView &view, bool ownWorkFirst, bool keepsReclaimable)
 {
     Draft draft = emptyDraft(view);
     std::vector<int> order(view.m_claims.size());
@@ -245,9 +272,12 @@
         return view.m_claims[left].m_shape.m_accelerators > view.m_claims[right].m_shape.m_accelerators;
     });
     for (const int claim : order) {
-        planHeld(view, claim, draft);
+        planHeld(view, claim, draft, keepsReclaimable);
     }
     for (const int claim : order) {
+        if (ownWorkFirst) {
+            planBesideOwnWork(view, claim, draft);
+        }
         planRest(view, claim, draft);
     }
     return draft;
@@ -257,7 +287,7 @@
 {
     Draft draft = emptyDraft(view);
     for (int claim = 0; claim < static_cast<int>(view.m_claims.size()); ++claim) {
-        planHeld(view, claim, draft);
+        planHeld(view, claim, draft, true);
         planRest(view, claim, draft);
     }
     return draft;
@@ -266,8 +296,17 @@
 GuaranteePlan planGuarantees(const FleetIndex &fleet, const Capacity &usable, const std::vector<Holding> &holdings, const std::vector<Claim> &claims)
 {
     const PlanningView view = viewOf(fleet, usable, holdings, claims);
-    Draft draft = planLargestFirst(view);
+    Draft draft = planLargestFirst(view, false, true);
     if (!meetsAll(claims, draft)) {
+        Draft second = planLargestFirst(view, true, true);
+        if (meetsAll(claims, second)) {
+            return {std::move(second.m_units), std::move(second.m_met)};
+        }
+        // Work larger than its unit may leave room for others if it can be removed.
+        Draft third = planLargestFirst(view, true, false);
+        if (meetsAll(claims, third)) {
+            return {std::move(third.m_units), std::move(third.m_met)};
+        }
         // Too small for all: the documented order of service decides who falls short.
         Draft ordered = planInOrder(view);
         return {std::move(ordered.m_units), std::move(ordered.m_met)};
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -1,6 +1,7 @@
 """A whole deployment on loopback: 8 entry VMs, the platform's stand-ins, and callers with the retries of a planning service."""
 
 import base64
+import concurrent.futures
 import json
 import random
 import threading
@@ -215,6 +216,7 @@
         self._deployment = deployment
         self._lock = threading.Lock()
         self._ready = []
+        self._reachable = None
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -231,14 +233,25 @@
         with self._lock:
             return random.choice(self._ready) if self._ready else None
 
+    def restrict(self, vms):
+        """Only these VMs are reachable for callers, as in a network partition; None lifts the restriction."""
+        with self._lock:
+            self._reachable = vms
+        self._check()
+
     def _run(self):
         while not self._stopping.wait(self.CHECK_PERIOD):
             self._check()
 
     def _check(self):
-        ready = [vm for vm in list(self._deployment.vms) if vm.running() and vm.ready()]
         with self._lock:
-            self._ready = ready
+            reachable = list(self._deployment.vms if self._reachable is None else self._reachable)
+        # At once, so that a VM that does not answer delays the news of the others by no more than its own time-out.
+        with concurrent.futures.ThreadPoolExecutor(len(reachable)) as pool:
+            states = list(pool.map(lambda vm: vm.running() and vm.ready(), reachable))
+        with self._lock:
+            if reachable == list(self._deployment.vms if self._reachable is None else self._reachable):
+                self._ready = [vm for vm, ready in zip(reachable, states) if ready]
 
 
 class Submission:
@@ -280,16 +293,21 @@
 
     def __init__(self, balancer):
         self._balancer = balancer
+        self._stopping = threading.Event()
+
+    def stop(self):
+        """Makes every run() return after the call that it is in."""
+        self._stopping.set()
 
     def run(self, submission, seconds):
         """Submits and waits up to @p seconds for a final outcome."""
         deadline = time.monotonic() + seconds
         submission.first_at = submission.first_at or time.monotonic()
         submission.submitted_ms = submission.submitted_ms or time.time() * 1000
-        while not submission.final() and time.monotonic() < deadline:
+        while not submission.final() and time.monotonic() < deadline and not self._stopping.is_set():
             vm = self._balancer.choose()
             pause = 0.2 if vm is None else self._ask(vm, submission, deadline)
-            time.sleep(min(pause, max(0.0, deadline - time.monotonic())))
+            self._stopping.wait(min(pause, max(0.0, deadline - time.monotonic())))
         return submission
 
     def cancel(self, submission):
