--- a/scripts/proofs/workers.py
+++ b/scripts/proofs/workers.py
@@ -1,5 +1,6 @@
 """Workers fail, leave, and send wrong answers; callers cancel in bursts."""
 
+import collections
 import time
 
 from proofs.registry import proof
@@ -14,7 +15,10 @@
 def worker_fails_everything(run):
     """A worker that fails every task at once looks fast and draws all the work to itself."""
     zone = run.zone()
-    bad = _workers_in(run, zone)[0]
+    # The worker that placement chooses most often, as one that it does not choose would prove nothing.
+    probes = [run.submit(URGENT, 100, zone) for _ in range(16)]
+    time.sleep(1)
+    bad = collections.Counter(task["worker"] for one in probes for task in run.tasks(one)).most_common(1)[0][0]
     run.allow_failed = True  # Checked by _check_failed().
     run.platform.worker_faults(worker=bad, failTasks=True)
     for _ in range(2):
@@ -23,6 +27,8 @@
             for _ in range(8):
                 run.submit(URGENT, 100, zone)
             time.sleep(0.5)
+    if not any(task["worker"] == bad and task["ending"] == "failed" for task in run.platform.worker_books()["tasks"]):
+        run.violation("no task has failed, so the proof shows nothing")
     _check_share(run, zone, bad, half_ms)
     run.settle()
     _check_failed(run)
