Prove that no work is sent while its intent cannot be written

Change: store-down-before-intent accepts requests while every worker is leaving, takes the store down, lets the workers return, and reads the workers' books.

--- a/scripts/proofs/store.py
+++ b/scripts/proofs/store.py
@@ -2,8 +2,9 @@
 
 import time
 
+import harness
 from proofs.registry import proof
-from proofs.run import TASK_LEASE_S, URGENT, ONCE
+from proofs.run import ONCE, STORE_LEASE_S, TASK_LEASE_S, URGENT, URGENT_START_S
 
 
 @proof(short=True)
@@ -23,6 +24,29 @@
     run.deployment.heal_platform()
 
 
+@proof(short=True)
+def store_down_before_intent(run):
+    """A non-idempotent request starts while its intent cannot be written, and a second time under the next owner."""
+    zone = run.zone()
+    # While every worker is leaving, a request is accepted but not placed.
+    run.platform.worker_faults(zone=zone, leaving=True)
+    time.sleep(1)
+    requests = [run.submit(ONCE, 1000, zone) for _ in range(6)]
+    accepted = {f"active/{zone}/{one.key}" for one in requests}
+    harness.wait_until(lambda: accepted <= set(run.deployment.store_list(f"active/{zone}/")), 20, "every request is accepted")
+    owner = run.owner(zone)
+    run.platform.store_faults(down="close")
+    run.platform.worker_faults(zone=zone, leaving=False)
+    time.sleep(STORE_LEASE_S)
+    sent = sum(len(run.tasks(one)) for one in requests)
+    run.figures["sent_without_intent"] = sent
+    if sent:
+        run.violation(f"{sent} tasks were sent to workers while their intents could not be written")
+    owner.process.kill()
+    run.deployment.heal_platform()
+    run.expect_within("takeover after the outage", URGENT_START_S, lambda: run.deployment.owner(zone) not in (None, owner))
+
+
 @proof()
 def store_hangs_longer_than_every_lease(run):
     """Calls to a store that accepts connections and never answers occupy every thread."""
