Prove that no member of a gang starts before every member is held

Change: gang-member-frozen keeps one worker of each gang from receiving its hold and reads the books; the account of every proof reports an attempt whose members started before the last hold. Its unit test covers both directions.

--- a/scripts/account.py
+++ b/scripts/account.py
@@ -63,9 +63,20 @@
             else:
                 self.counts["doubled"] += 1
                 self._violation(submission, f"doubled: {summary['repeatedRuns']} repeated and {summary['overlappingRuns']} overlapping runs")
+        if self._early_starts(submission):
+            self._violation(submission, f"{self._early_starts(submission)} of its attempts started a member before every member was held")
         if summary["longestPartialMs"] > GANG_BOUND_MS:
             self._violation(submission, f"its gang ran partially for {summary['longestPartialMs']} ms, above {GANG_BOUND_MS} ms")
 
+    def _early_starts(self, submission):
+        """Attempts with a member that started before another one was held. One process stamps all times, in whole milliseconds."""
+        attempts = {}
+        for task in self.books["tasks"]:
+            if task["key"] == submission.key and "heldMs" in task:
+                attempts.setdefault((task["fence"], task["attempt"]), []).append(task)
+        last_holds = ((tasks, max(task["heldMs"] for task in tasks)) for tasks in attempts.values())
+        return sum(any(task["startedMs"] is not None and task["startedMs"] < held for task in tasks) for tasks, held in last_holds)
+
     def _check_workers(self):
         out_of_order = self.books["counts"].get("acceptedOutOfOrder", 0)
         if out_of_order:
--- a/scripts/proofs/workers.py
+++ b/scripts/proofs/workers.py
@@ -2,6 +2,7 @@
 
 import time
 
+import harness
 from proofs.registry import proof
 from proofs.run import GANG, ONCE, URGENT
 
@@ -95,6 +96,25 @@
         run.platform.worker_faults(worker=worker, restart=True)
 
 
+@proof(short=True)
+def gang_member_frozen(run):
+    """Members of a gang start although one of its workers has not received the hold."""
+    zone = run.zone()
+    frozen = _workers_in(run, zone)[::2]
+    for worker in frozen:
+        run.platform.worker_faults(worker=worker, frozen=True)
+    gangs = [run.submit(GANG, 1000, zone) for _ in range(3)]
+    harness.wait_until(lambda: all(run.tasks(one) for one in gangs), 20, "every gang has a held member")
+    time.sleep(1)
+    held = [task for one in gangs for task in run.tasks(one)]
+    started = sum(task["startedMs"] is not None for task in held)
+    run.figures["held_before_thaw"], run.figures["started_before_thaw"] = len(held), started
+    if started:
+        run.violation(f"{started} of {len(held)} held members started while workers of their gangs were frozen")
+    for worker in frozen:
+        run.platform.worker_faults(worker=worker, frozen=False)
+
+
 @proof()
 def workers_frozen_past_lease(run):
     """Workers that are silent for longer than the task lease have their tasks run a second time elsewhere."""
--- a/standins/unittests/Standin/account_test.py
+++ b/standins/unittests/Standin/account_test.py
@@ -42,6 +42,14 @@
     }
 
 
+def gang_books(first_started_ms):
+    """The books of a gang of two whose last member was held at 20 ms."""
+    gang = books()
+    common = {"key": "k", "state": "done", "fence": 3, "attempt": 1}
+    gang["tasks"] = [{**common, "heldMs": 10, "startedMs": first_started_ms}, {**common, "heldMs": 20, "startedMs": 20}]
+    return gang
+
+
 class AccountTest(unittest.TestCase):
     def check(self, one, worker_books, **options):
         return Account(FakeDeployment(worker_books), [one], **options)
@@ -51,6 +59,10 @@
         account = self.check(submission(), books())
         self.assertEqual((account.violations, account.counts["done"]), ([], 1))
 
+    def test_members_that_start_after_the_last_hold_are_no_violation(self):
+        """Guards against a false alarm for a gang whose members start in the millisecond of the last hold."""
+        self.assertEqual(self.check(submission(), gang_books(first_started_ms=20)).violations, [])
+
     def test_each_broken_promise_is_seen(self):
         """Guards against proofs that pass whatever happens."""
         cut = submission()
@@ -66,6 +78,7 @@
             "failed, but": (submission("failed"), books(state="failed")),
             "refused by every call": (submission("pending", accepted=False), books(state=None)),
             "every call was refused, but": (submission("pending", accepted=False), books(state="running")),
+            "before every member was held": (submission(), gang_books(first_started_ms=19)),
             "ran partially": (submission(), books(longestPartialMs=GANG_BOUND_MS + 1)),
             "former owner": (submission(), books(counts={"acceptedOutOfOrder": 1})),
         }
