Prove that a former owner cannot write over its successor's records

Change: owner-paused-with-unwritten-intents pauses an owner whose intents wait for the store, lets a successor finish the requests, and resumes the owner.

--- a/scripts/proofs/owner.py
+++ b/scripts/proofs/owner.py
@@ -87,6 +87,33 @@
         run.violation("the paused owner took the zone back from its successor")
 
 
+@proof(short=True)
+def owner_paused_with_unwritten_intents(run):
+    """A former owner writes an intent over the records of its successor, and the next takeover runs the request again."""
+    zone = run.zone()
+    # While every worker is leaving, a request is accepted but not placed; its intent then waits for the store.
+    run.platform.worker_faults(zone=zone, leaving=True)
+    time.sleep(1)
+    requests = [run.submit(ONCE, 200, zone) for _ in range(6)]
+    records = {f"active/{zone}/{one.key}" for one in requests}
+    harness.wait_until(lambda: records <= set(run.deployment.store_list(f"active/{zone}/")), 20, "every request is accepted")
+    former = run.owner(zone)
+    run.platform.store_faults(down="close")
+    run.platform.worker_faults(zone=zone, leaving=False)
+    time.sleep(1)
+    former.process.pause()
+    run.deployment.heal_platform()
+    harness.wait_until(lambda: run.deployment.owner(zone) not in (None, former), 15, f"another entry VM owns {zone}")
+    harness.wait_until(lambda: not records & set(run.deployment.store_list(f"active/{zone}/")), 20, "the successor has written every outcome")
+    former.process.resume()
+    time.sleep(2)
+    rewritten = len(records & set(run.deployment.store_list(f"active/{zone}/")))
+    run.figures["records_rewritten"] = rewritten
+    if rewritten:
+        run.violation(f"the former owner rewrote {rewritten} of {len(records)} records of finished requests")
+    run.kill_owner(zone)
+
+
 @proof()
 def owner_paused_again_and_again(run):
     """Ownership that moves back and forth doubles or loses work."""
