--- a/scripts/proofs/run.py
+++ b/scripts/proofs/run.py
@@ -85,6 +85,13 @@
         self._runs.append(self._pool.submit(self.caller.run, submission, seconds))
         return submission
 
+    def submit_again(self, submission, zone, seconds=60):
+        """Submits the same request under the same key in another zone in the background."""
+        again = Submission(submission.key, submission.job_class, submission.organisation, submission.run_ms, zone)
+        self.submissions.append(again)
+        self._runs.append(self._pool.submit(self.caller.run, again, seconds))
+        return again
+
     def submit_mix(self, count, zone=None, seconds=60):
         """Submits a mixed load of about @p count requests in the background."""
         weights = [share for _, _, share in MIX]
--- a/scripts/proofs/zones.py
+++ b/scripts/proofs/zones.py
@@ -6,7 +6,7 @@
 
 import harness
 from proofs.registry import proof
-from proofs.run import TASK_LEASE_S, URGENT
+from proofs.run import ONCE, TASK_LEASE_S, URGENT
 
 
 def _inside(run, zone):
@@ -87,3 +87,15 @@
     run.load_during(6, per_second=5, zone=zone)
     harness.wait_until(lambda: run.deployment.owner(zone) not in (None, owner), 15, "a peer takes the zone over")
     run.deployment.heal_platform()
+
+
+@proof(short=True)
+def same_key_in_two_zones(run):
+    """A request that is submitted in two zones at once runs in both."""
+    for number in range(10):
+        first = run.submit(ONCE, 300, run.zone(number % 4))
+        run.submit_again(first, run.zone((number + 1) % 4))
+    run.settle()
+    open_ones = [one for one in run.submissions if one.outcome != "done"]
+    if open_ones:
+        run.violation(f"{len(open_ones)} submissions did not receive the answer, for example {open_ones[0].outcome} ({open_ones[0].reason})")
