Count the holds that leaving workers refuse

Cause: the late-work check of worker-leaves looks at tasks in the workers' books, and a worker that leaves refuses every hold, so no hold that was sent to one can appear there.

Change: the stand-in counts these refusals, and worker-leaves allows none later than 1 s after the workers have left.

Conclusion: the late-work check now sees the holds themselves.

--- a/scripts/proofs/workers.py
+++ b/scripts/proofs/workers.py
@@ -11,6 +11,10 @@
     return [worker["id"] for worker in run.deployment.configuration["workers"] if worker["zone"] == zone]
 
 
+def _refused_leaving(run):
+    return run.platform.worker_books()["counts"].get("refusedLeaving", 0)
+
+
 @proof(short=True)
 def worker_fails_everything(run):
     """A worker that fails every task at once looks fast and draws all the work to itself."""
@@ -42,7 +46,14 @@
         run.platform.worker_faults(worker=worker, leaving=True)
     run.deployment.publish_vm_list(leaving)
     left_ms = time.time() * 1000
-    run.load_during(8, per_second=10, zone=zone)
+    run.load_during(1, per_second=10, zone=zone)
+    refused_at_first = _refused_leaving(run)
+    run.load_during(7, per_second=10, zone=zone)
+    refused_late = _refused_leaving(run) - refused_at_first
+    run.figures["refused_first_s"], run.figures["refused_late"] = refused_at_first, refused_late
+    # The workers refuse every hold, so a hold that was sent shows only in the count of refusals.
+    if refused_late:
+        run.violation(f"{refused_late} holds were sent to leaving workers more than 1 s after they had left")
     late = [task for task in run.platform.worker_books()["tasks"] if task["worker"] in leaving and task["heldMs"] > left_ms + 1000]
     if late:
         run.violation(f"{len(late)} tasks were held on leaving workers more than 1 s after they had left")
--- a/standins/tools/primrosebridge-standin/workercommands.cpp
+++ b/standins/tools/primrosebridge-standin/workercommands.cpp
@@ -52,6 +52,9 @@
         return !occupies(*known->second) ? refused("the task has ended") : CommandAnswer{CommandCode::Ok, ""};
     }
     if (const auto refusal = refusalOfHold(command.m_demand)) {
+        if (refusal->m_code == CommandCode::Leaving) {
+            m_books.count("refusedLeaving");
+        }
         return *refusal;
     }
     const auto &name = command.m_task;
