Check the result of two RapidCheck properties

Cause: two unit tests discarded the result of rc::check and could not fail.

Change: both results are checked.

Conclusion: the holder's property now guards the version in force. The property of the zone summaries was not tried with its mechanism taken out.

--- a/recovery/unittests/Membership/membership.cpp
+++ b/recovery/unittests/Membership/membership.cpp
@@ -173,7 +173,7 @@
 // An older summary that arrives at second hand must not hide the present owner of a zone.
 TEST_CASE("the summary with the highest fence and sequence wins in any order")
 {
-    rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>> &stamps) {
+    CHECK(rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>> &stamps) {
         auto view = std::make_unique<const MembershipView>(viewOf({}));
         std::pair<std::int64_t, std::int64_t> highest{0, 0};
         for (const auto &[fence, sequence] : stamps) {
@@ -183,7 +183,7 @@
         RC_PRE(!stamps.empty());
         const auto &known = view->m_zones.at(zone("south"));
         RC_ASSERT(std::pair(known.m_fence, known.m_sequence) == highest);
-    });
+    }));
 }
 
 // Every heartbeat with every zone would exceed the bandwidth of a node at the target scale.
--- a/service/unittests/Peers/configurationholder.cpp
+++ b/service/unittests/Peers/configurationholder.cpp
@@ -26,7 +26,7 @@
 // The version in force must not go backwards, whatever the order in which the store and the peers deliver documents.
 TEST_CASE("an older document never replaces a newer one")
 {
-    rc::check([](const std::vector<std::uint8_t> &order) {
+    CHECK(rc::check([](const std::vector<std::uint8_t> &order) {
         ConfigurationHolder holder;
         std::vector<std::int64_t> seen;
         holder.subscribe([&seen](const VersionedConfiguration &current) { seen.push_back(current.m_configuration.m_version); });
@@ -38,7 +38,7 @@
             RC_ASSERT(holder.version() == highest);
         }
         RC_ASSERT(std::is_sorted(seen.begin(), seen.end()) && std::adjacent_find(seen.begin(), seen.end()) == seen.end());
-    });
+    }));
 }
 
 // Subscribers that saw versions out of order would put an older one in force.
