--- a/scripts/proofs/planned.py
+++ b/scripts/proofs/planned.py
@@ -1,5 +1,6 @@
 """Planned stops and replacements under load."""
 
+import json
 import threading
 
 import harness
@@ -32,6 +33,12 @@
     load = _in_background(run, 8)
     owner = run.owner(run.zone())
     _stop_cleanly(run, owner)
+    # A lease that has yet to end would give the zone another owner too, but later.
+    key = f"control/owners/{owner.zone}"
+    named = json.loads(run.deployment.store_list(key).get(key, "{}")).get("vm")
+    run.figures["owner_named_after_exit"] = named
+    if named == owner.name:
+        run.violation(f"{owner.name} has exited and the store still names it as the owner of {owner.zone}")
     run.expect_within("another owner", URGENT_START_S, lambda: run.deployment.owner(owner.zone) not in (None, owner))
     load.join()
     run.settle()
