--- a/scripts/proofs/workers.py
+++ b/scripts/proofs/workers.py
@@ -3,6 +3,7 @@
 import collections
 import time
 
+import harness
 from proofs.registry import proof
 from proofs.run import GANG, ONCE, URGENT
 
@@ -11,6 +12,10 @@
     return [worker["id"] for worker in run.deployment.configuration["workers"] if worker["zone"] == zone]
 
 
+def _refused_leaving(run):
+    return run.platform.worker_books()["counts"].get("refusedLeaving", 0)
+
+
 @proof(short=True)
 def worker_fails_everything(run):
     """A worker that fails every task at once looks fast and draws all the work to itself."""
@@ -68,7 +73,14 @@
         run.platform.worker_faults(worker=worker, leaving=True)
     run.deployment.publish_vm_list(leaving)
     left_ms = time.time() * 1000
-    run.load_during(8, per_second=10, zone=zone)
+    run.load_during(1, per_second=10, zone=zone)
+    refused_at_first = _refused_leaving(run)
+    run.load_during(7, per_second=10, zone=zone)
+    refused_late = _refused_leaving(run) - refused_at_first
+    run.figures["refused_first_s"], run.figures["refused_late"] = refused_at_first, refused_late
+    # The workers refuse every hold, so a hold that was sent shows only in the count of refusals.
+    if refused_late:
+        run.violation(f"{refused_late} holds were sent to leaving workers more than 1 s after they had left")
     late = [task for task in run.platform.worker_books()["tasks"] if task["worker"] in leaving and task["heldMs"] > left_ms + 1000]
     if late:
         run.violation(f"{len(late)} tasks were held on leaving workers more than 1 s after they had left")
@@ -122,6 +134,25 @@
         run.platform.worker_faults(worker=worker, restart=True)
 
 
+@proof(short=True)
+def gang_member_frozen(run):
+    """Members of a gang start although one of its workers has not received the hold."""
+    zone = run.zone()
+    frozen = _workers_in(run, zone)[::2]
+    for worker in frozen:
+        run.platform.worker_faults(worker=worker, frozen=True)
+    gangs = [run.submit(GANG, 1000, zone) for _ in range(3)]
+    harness.wait_until(lambda: all(run.tasks(one) for one in gangs), 20, "every gang has a held member")
+    time.sleep(1)
+    held = [task for one in gangs for task in run.tasks(one)]
+    started = sum(task["startedMs"] is not None for task in held)
+    run.figures["held_before_thaw"], run.figures["started_before_thaw"] = len(held), started
+    if started:
+        run.violation(f"{started} of {len(held)} held members started while workers of their gangs were frozen")
+    for worker in frozen:
+        run.platform.worker_faults(worker=worker, frozen=False)
+
+
 @proof()
 def workers_frozen_past_lease(run):
     """Workers that are silent for longer than the task lease have their tasks run a second time elsewhere."""
