Score failed attempts, take up members that turn out to be alive, lint clean

Also: a former owner repeated refused commands without a pause.

Change: the score takes the job before the report; a lost member that is live goes on if its whole attempt is live and wanted, else it is stopped; after a refusal for a higher fence the next try waits 250 ms. Findings of the linter.

--- a/core/include/primrosebridge/Model/fleet.h
+++ b/core/include/primrosebridge/Model/fleet.h
@@ -44,7 +44,7 @@
 struct Fence {
     const std::int64_t m_number;
 
-    auto operator<=>(const Fence &) const = default;
+    auto operator<=>(const Fence &) const = default; // NOLINT(modernize-use-nullptr): false alarm on the generated comparison with zero.
 };
 
 } // namespace PrimroseBridge
--- a/core/include/primrosebridge/Model/id.h
+++ b/core/include/primrosebridge/Model/id.h
@@ -41,7 +41,7 @@
     }
 
     bool operator==(const Id &) const = default;
-    auto operator<=>(const Id &) const = default;
+    auto operator<=>(const Id &) const = default; // NOLINT(modernize-use-nullptr): false alarm on the generated comparison with zero.
 
 private:
     explicit Id(std::string text)
--- a/core/include/primrosebridge/Model/request.h
+++ b/core/include/primrosebridge/Model/request.h
@@ -80,7 +80,7 @@
     const int m_member; ///< Index in the allocation's members.
 
     bool operator==(const TaskId &) const = default;
-    auto operator<=>(const TaskId &) const = default;
+    auto operator<=>(const TaskId &) const = default; // NOLINT(modernize-use-nullptr): false alarm on the generated comparison with zero.
 };
 
 /// The state of a task as its worker reports it.
--- a/recovery/lib/Records/lifecycle.cpp
+++ b/recovery/lib/Records/lifecycle.cpp
@@ -206,6 +206,20 @@
     return JobStep{.m_job = draft.build(), .m_actions = {}};
 }
 
+// A member that was lost is live after all, so nothing about it is settled any more. The attempt goes on if every member is live and
+// nobody wanted it to end; else what is live is stopped.
+static JobStep continueOrStop(JobDraft draft, Instant now)
+{
+    const bool wanted = draft.m_stopCause == StopCause::MemberLost && !draft.m_cancelRequested;
+    if (wanted && allAre(draft, {MemberState::Held, MemberState::Running, MemberState::Done})) {
+        draft.m_phase = JobPhase::Recovering;
+        draft.m_stopCause = StopCause::None;
+        return startOrRun(draft, now);
+    }
+    draft.m_phase = JobPhase::Stopping;
+    return JobStep{.m_job = draft.build(), .m_actions = {JobAction::SendStop}};
+}
+
 static JobStep evaluateMembers(const JobDraft &draft, Instant now)
 {
     switch (draft.m_phase) {
@@ -272,6 +286,11 @@
         const bool isReported = index == event.m_index;
         draft.m_members.push_back(isReported ? withState(member, next, std::max(event.m_sequence, member.m_heldAt), event.m_result) : job.m_members[index]);
     }
+    const bool ending = draft.m_phase == JobPhase::Stopping || draft.m_phase == JobPhase::Unknown;
+    const bool live = next == MemberState::Held || next == MemberState::Running;
+    if (ending && live && member.m_state == MemberState::Lost) {
+        return continueOrStop(draft, now);
+    }
     return evaluateMembers(draft, now);
 }
 
--- a/recovery/lib/Routing/routing.cpp
+++ b/recovery/lib/Routing/routing.cpp
@@ -22,7 +22,7 @@
     int m_queued;
     ZoneId m_zone;
 
-    auto operator<=>(const ZoneRank &) const = default;
+    auto operator<=>(const ZoneRank &) const = default; // NOLINT(modernize-use-nullptr): false alarm on the generated comparison with zero.
 };
 
 static std::map<ZoneId, ZoneFleet> fleetsOf(const Configuration &configuration)
--- a/recovery/unittests/Records/lifecycle.cpp
+++ b/recovery/unittests/Records/lifecycle.cpp
@@ -43,6 +43,7 @@
 static std::vector<MemberStatus> makeMembers(int count)
 {
     std::vector<MemberStatus> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         members.push_back(MemberStatus{
             .m_member = Member{.m_worker = WorkerId::create("w" + std::to_string(index)).value(), .m_accelerators = 0xff, .m_cores = 4, .m_memoryMb = 512},
@@ -60,7 +61,7 @@
     return JobEvent{.m_kind = JobEventKind::MemberReported, .m_index = index, .m_state = state, .m_sequence = sequence, .m_result = result};
 }
 
-static Job afterEvents(Job job, const std::vector<JobEvent> &events)
+static Job afterEvents(const Job &job, const std::vector<JobEvent> &events)
 {
     auto current = std::make_unique<const Job>(job);
     for (const auto &event : events) {
@@ -129,6 +130,19 @@
     CHECK(answered.m_job.m_outcome.m_result == "ph 4.1");
 }
 
+// A worker that thaws after its lease may take a delayed hold; left alone, its accelerators would stay held for ever.
+TEST_CASE("a lost member that turns out to be held is started if its job is still wanted and stopped if not")
+{
+    const Job unknown = afterEvents(heldJob(false, 1), {report(0, MemberState::Lost)});
+    REQUIRE(unknown.m_phase == JobPhase::Unknown);
+    const auto held = stepJob(unknown, report(0, MemberState::Held, 9), start);
+    CHECK(held.m_actions == std::vector<JobAction>{JobAction::SendStart});
+    const Job gang = afterEvents(heldJob(false, 2), {report(0, MemberState::Lost), report(1, MemberState::Lost)});
+    const auto half = stepJob(gang, report(0, MemberState::Held, 9), start);
+    CHECK(half.m_actions == std::vector<JobAction>{JobAction::SendStop});
+    CHECK(half.m_job.m_phase == JobPhase::Stopping);
+}
+
 // A poll sampled before the hold must not be taken for the worker having forgotten it.
 TEST_CASE("an old report of absence says nothing about a later hold")
 {
--- a/service/include/primrosebridge/Pipeline/shardedmap.h
+++ b/service/include/primrosebridge/Pipeline/shardedmap.h
@@ -44,7 +44,7 @@
         auto &shard = shardOf(key);
         const std::lock_guard lock(shard.m_mutex);
         const auto found = shard.m_values.find(key);
-        const Pointer next = change(found == shard.m_values.end() ? nullptr : found->second);
+        Pointer next = change(found == shard.m_values.end() ? nullptr : found->second);
         if (!next) {
             shard.m_values.erase(key);
             return nullptr;
--- a/service/lib/FrontEnd/httpserver.cpp
+++ b/service/lib/FrontEnd/httpserver.cpp
@@ -20,7 +20,6 @@
 
 namespace PrimroseBridge {
 
-constexpr int maxHeaderFields = 64;
 constexpr int keepAliveSeconds = 2; // An idle connection holds a thread, so it is closed soon.
 constexpr int maxCallsPerConnection = 1000;
 constexpr int requestTimeoutSeconds = 10; // For the whole request to arrive; a slow sender must not hold a thread.
--- a/service/lib/Runtime/noderouting.cpp
+++ b/service/lib/Runtime/noderouting.cpp
@@ -162,7 +162,7 @@
     const auto waitEnds = began + call.m_wait;
     const auto patienceEnds = began + std::max(call.m_wait, routingPatience);
     while (true) {
-        const auto answer = callOwner(core, withWait(call, call.m_zone, call.m_kind, remaining(waitEnds)));
+        auto answer = callOwner(core, withWait(call, call.m_zone, call.m_kind, remaining(waitEnds)));
         const bool failedForNow = !answer.ok() && passesSoon(answer.error()) && remaining(patienceEnds) > routingPause;
         const bool again = failedForNow || (answer.ok() && answeredEarly(answer.value(), waitEnds));
         if (!again) {
@@ -346,7 +346,7 @@
         .m_declaredRunTime = Duration(0),
     };
     if (ownsZone(core, core.m_settings.m_zone)) {
-        const auto local = answerLocally(core, call);
+        auto local = answerLocally(core, call);
         if (local.ok()) {
             return local;
         }
--- a/service/lib/Runtime/schedulersteps.cpp
+++ b/service/lib/Runtime/schedulersteps.cpp
@@ -184,18 +184,19 @@
     return true;
 }
 
-static void observeScore(SchedulerCore &core, const Job &job, const JobEvent &event, Instant now)
+// Takes the job as it was before the report: a failed attempt that is queued again no longer names its workers.
+static void observeScore(SchedulerCore &core, const Job &before, const JobEvent &event, Instant now)
 {
     const bool ended = event.m_state == MemberState::Done || event.m_state == MemberState::Failed;
-    const bool known = event.m_index < job.m_members.size();
-    if (!ended || !known || job.m_members[event.m_index].m_state != event.m_state) {
+    const bool known = event.m_index < before.m_members.size();
+    if (!ended || !known || !isUnsettled(before.m_members[event.m_index].m_state)) {
         return;
     }
-    const auto found = core.m_shard.m_workers.find(job.m_members[event.m_index].m_member.m_worker);
+    const auto found = core.m_shard.m_workers.find(before.m_members[event.m_index].m_member.m_worker);
     if (found == core.m_shard.m_workers.end()) {
         return;
     }
-    const auto runTime = job.m_startedAt ? std::max(Duration(0), now - *job.m_startedAt) : Duration(0);
+    const auto runTime = before.m_startedAt ? std::max(Duration(0), now - *before.m_startedAt) : Duration(0);
     const auto score = found->second.m_score ? *found->second.m_score : initialScore();
     found->second.m_score = std::make_shared<const WorkerScore>(observeTask(score, event.m_state == MemberState::Done, runTime, now));
 }
@@ -302,7 +303,7 @@
     const auto after = std::make_shared<const Job>(step.m_job);
     found->second = after;
     if (event.m_event.m_kind == JobEventKind::MemberReported && before->m_members != after->m_members) {
-        observeScore(core, *after, event.m_event, now);
+        observeScore(core, *before, event.m_event, now);
         // A settled member frees its worker even if the gang has not settled yet.
         requestPass(core);
     }
--- a/service/lib/Runtime/schedulerworkers.cpp
+++ b/service/lib/Runtime/schedulerworkers.cpp
@@ -112,6 +112,13 @@
     return answer.m_accepted;
 }
 
+// A refused sequence under the same fence only means that a newer message overtook this one, so it is sent again at once; waiting for the
+// next tick delayed answers by 250 ms. After a refusal for a higher fence, sending again at once would only repeat it.
+static bool wasOvertaken(const WorkerAnswer &answer)
+{
+    return answer.m_delivered && answer.m_currentFence <= answer.m_authority.m_fence;
+}
+
 void onExecuted(SchedulerCore &core, Outgoing &outgoing, const ExecuteAnswer &answer, Instant now)
 {
     const auto found = core.m_shard.m_workers.find(answer.m_answer.m_worker);
@@ -122,8 +129,7 @@
     entry.m_executeInFlight = false;
     if (!checkAccepted(core, outgoing, entry, answer.m_answer)) {
         restoreCommands(core, entry, answer.m_commands);
-        // A refused sequence only means that a newer message overtook this one, so it is sent again at once.
-        entry.m_nextExecuteAt = answer.m_answer.m_delivered ? now : now + retryPause;
+        entry.m_nextExecuteAt = wasOvertaken(answer.m_answer) ? now : now + retryPause;
         return;
     }
     hearFrom(entry, answer.m_answer, now);
@@ -212,9 +218,7 @@
     auto &entry = found->second;
     entry.m_pollInFlight = false;
     if (!checkAccepted(core, outgoing, entry, answer.m_answer)) {
-        // A refused sequence only means that a command overtook this poll, so the worker is polled again at once; waiting for the next tick
-        // delayed answers by 250 ms.
-        entry.m_nextPollAt = answer.m_answer.m_delivered ? now : now + retryPause;
+        entry.m_nextPollAt = wasOvertaken(answer.m_answer) ? now : now + retryPause;
         pollWorkers(core, outgoing, now);
         return;
     }
--- a/service/lib/Runtime/zonescheduler.cpp
+++ b/service/lib/Runtime/zonescheduler.cpp
@@ -214,7 +214,7 @@
 // A known outcome that answers the submission, or nothing if it has to be accepted.
 static std::shared_ptr<const KnownOutcome> earlierOutcome(const SchedulerCore &core, const RequestKey &key)
 {
-    const auto known = core.m_outcomes.find(key);
+    auto known = core.m_outcomes.find(key);
     if (!known || known->m_moved || known->m_outcome.m_kind == OutcomeKind::NotRun) {
         return nullptr;
     }
--- a/service/unittests/FrontEnd/access.cpp
+++ b/service/unittests/FrontEnd/access.cpp
@@ -16,6 +16,7 @@
 TEST_CASE("digests are computed on many threads at once")
 {
     std::vector<std::thread> threads;
+    threads.reserve(16);
     for (int index = 0; index < 16; ++index) {
         threads.emplace_back([] {
             for (int round = 0; round < 2000; ++round) {
--- a/service/unittests/Pipeline/pipeline.cpp
+++ b/service/unittests/Pipeline/pipeline.cpp
@@ -54,6 +54,7 @@
     ShardedMap<std::string, int> map;
     std::atomic<int> inserted = 0;
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int index = 0; index < 8; ++index) {
         threads.emplace_back([&, index] { inserted += map.insert("key", std::make_shared<const int>(index)).second ? 1 : 0; });
     }
--- a/standins/tools/primrosebridge-standin/worker.h
+++ b/standins/tools/primrosebridge-standin/worker.h
@@ -24,7 +24,7 @@
     const std::int64_t m_sequence;
 
     bool operator==(const Authority &) const = default;
-    auto operator<=>(const Authority &) const = default;
+    auto operator<=>(const Authority &) const = default; // NOLINT(modernize-use-nullptr): false alarm on the generated comparison with zero.
 };
 
 enum class CommandKind {
