--- a/service/lib/Runtime/schedulercore.h
+++ b/service/lib/Runtime/schedulercore.h
@@ -74,6 +74,12 @@
 /// Adds a timeline event to the history of a request, caused by the one before. Precondition: the shard's lock is held.
 void recordJobEvent(SchedulerCore &core, const RequestKey &key, std::string_view kind, std::string text, Instant now);
 
+/// Tells the workers that they may forget the tasks of a job whose outcome is safe. Precondition: the shard's lock is held.
+void forgetTasks(SchedulerCore &core, const Job &job);
+
+/// Removes a job and what is kept along with it. Precondition: the shard's lock is held.
+void eraseJob(SchedulerCore &core, const RequestKey &key);
+
 /// What is known of a job, as callers wait for it.
 KnownOutcome knownOutcomeOf(const Job &job, Instant now);
 
@@ -96,6 +102,12 @@
 /// Preconditions: the shard's lock is held and the job is in the table, being accepted.
 bool adoptOrphan(SchedulerCore &core, Outgoing &outgoing, const RequestKey &key, Instant now);
 
+/// The owned zone for heartbeats; empty if this process does not own it. Takes the shard's lock.
+std::optional<ZoneSummary> summarizeZone(SchedulerCore &core, const std::string &peerAddress);
+
+/// The owned zone as operators see it. Takes the shard's lock.
+ZoneReport reportZone(SchedulerCore &core);
+
 /// Marks a pass as due. Precondition: the shard's lock is held.
 void requestPass(SchedulerCore &core);
 
