--- a/scripts/proofs/__init__.py
+++ b/scripts/proofs/__init__.py
@@ -1,3 +1,3 @@
 """Failure proofs with real processes. Each proof is one function; its docstring says which failure it guards against."""
 
-from proofs import combined, configuration, hostile, owner, planned, store, workers, zones  # noqa: F401  (registers the proofs)
+from proofs import combined, configuration, documents, hostile, owner, planned, store, workers, zones  # noqa: F401  (registers the proofs)
