Bound the outcomes and histories that an entry VM keeps in memory

Cause: found by reading. Outcomes were kept for ten minutes whatever their number, so 1,000 short requests a second would have filled far more than 32 MB. A pass that ended after its job had ended left a history entry behind, and orphans on removed workers were never dropped.

Change: each shard keeps at most 512 settled outcomes and forgets the oldest; passes keep nothing of jobs that have ended; such orphans are dropped.

Conclusion: memory no longer grows with the rate of requests.

--- a/service/include/primrosebridge/Runtime/outcometable.h
+++ b/service/include/primrosebridge/Runtime/outcometable.h
@@ -26,7 +26,8 @@
 
 /// Outcomes by request key, in shards that each have their own lock; callers wait here for theirs.
 ///
-/// Thread-safe.
+/// Bounded: beyond 512 entries a shard forgets its oldest settled outcome. A recorded request is then answered from the store, an
+/// unrecorded one is unknown and may be submitted again. Thread-safe.
 class OutcomeTable
 {
 public:
@@ -52,6 +53,9 @@
         std::map<RequestKey, std::shared_ptr<const KnownOutcome>> m_outcomes;
     };
     static constexpr std::size_t shardCount = 16;
+    static constexpr std::size_t maxOutcomesPerShard = 512; ///< About 3 MB in all shards with short results.
+
+    static void boundShard(Shard &shard);
 
     [[nodiscard]] const Shard &shardOf(const RequestKey &key) const;
 
--- a/service/lib/Runtime/outcometable.cpp
+++ b/service/lib/Runtime/outcometable.cpp
@@ -26,12 +26,31 @@
     return m_shards[std::hash<RequestKey>()(key) % shardCount];
 }
 
+// Keeps a burst of short requests from filling the memory for the whole retention period.
+void OutcomeTable::boundShard(Shard &shard)
+{
+    if (shard.m_outcomes.size() <= maxOutcomesPerShard) {
+        return;
+    }
+    auto oldest = shard.m_outcomes.end();
+    for (auto entry = shard.m_outcomes.begin(); entry != shard.m_outcomes.end(); ++entry) {
+        const bool older = oldest == shard.m_outcomes.end() || entry->second->m_at < oldest->second->m_at;
+        if (older && isSettled(entry->second)) {
+            oldest = entry;
+        }
+    }
+    if (oldest != shard.m_outcomes.end()) {
+        shard.m_outcomes.erase(oldest);
+    }
+}
+
 void OutcomeTable::publish(const RequestKey &key, const KnownOutcome &outcome)
 {
     auto &shard = m_shards[std::hash<RequestKey>()(key) % shardCount];
     {
         const std::lock_guard lock(shard.m_mutex);
         shard.m_outcomes[key] = std::make_shared<const KnownOutcome>(outcome);
+        boundShard(shard);
     }
     shard.m_changed.notify_all();
 }
--- a/service/lib/Runtime/schedulerpass.cpp
+++ b/service/lib/Runtime/schedulerpass.cpp
@@ -83,6 +83,10 @@
 static void keepExplanations(SchedulerCore &core, const PassResult &result, Instant now)
 {
     for (const auto &explanation : result.m_explanations) {
+        // The job may have ended while the pass ran.
+        if (!core.m_shard.m_jobs.contains(explanation.m_key)) {
+            continue;
+        }
         auto &known = core.m_shard.m_explanations[explanation.m_key];
         if (!known || known->m_rule != explanation.m_rule) {
             core.m_metrics.count(Counter::Decisions, decisionRuleName(explanation.m_rule));
--- a/service/lib/Runtime/schedulerworkers.cpp
+++ b/service/lib/Runtime/schedulerworkers.cpp
@@ -258,7 +258,11 @@
     for (auto orphan = core.m_shard.m_orphans.begin(); orphan != core.m_shard.m_orphans.end();) {
         const auto &value = *orphan->second;
         const auto worker = core.m_shard.m_workers.find(value.m_worker);
-        if (now - value.m_seenAt < orphanGrace || worker == core.m_shard.m_workers.end()) {
+        if (worker == core.m_shard.m_workers.end()) {
+            orphan = core.m_shard.m_orphans.erase(orphan);
+            continue;
+        }
+        if (now - value.m_seenAt < orphanGrace) {
             ++orphan;
             continue;
         }
--- a/service/unittests/Runtime/timeline.cpp
+++ b/service/unittests/Runtime/timeline.cpp
@@ -68,6 +68,24 @@
     CHECK_FALSE(table.find(first)->m_moved);
 }
 
+// A burst of short requests must not fill the memory of a VM; requests that still wait must not be lost by it.
+TEST_CASE("a burst of outcomes is bounded and pending ones are kept")
+{
+    OutcomeTable table;
+    const auto waiting = RequestKey::create("waiting").value();
+    table.publish(waiting, known(OutcomeKind::Pending));
+    int kept = 0;
+    for (int index = 0; index < 20000; ++index) {
+        table.publish(RequestKey::create("burst-" + std::to_string(index)).value(), known(OutcomeKind::Done));
+    }
+    for (int index = 0; index < 20000; ++index) {
+        kept += table.find(RequestKey::create("burst-" + std::to_string(index)).value()) ? 1 : 0;
+    }
+    CHECK(kept <= 16 * 512);
+    CHECK(kept >= 16 * 400);
+    CHECK(table.find(waiting));
+}
+
 TEST_CASE("final outcomes are forgotten after their retention and pending ones are kept")
 {
     OutcomeTable table;
