Do not repeat a hold that a finished task no longer needs

Cause: a hold and start whose answer was lost waited to be sent again while the poll reported the task as done.

Change: commands of a finished job are dropped before its tasks are forgotten, and no worker forgets tasks while commands to it are on their way.

--- a/service/lib/Runtime/schedulersteps.cpp
+++ b/service/lib/Runtime/schedulersteps.cpp
@@ -122,13 +122,25 @@
     }
 }
 
+static void dropCommands(WorkerEntry &entry, const TaskId &task)
+{
+    std::vector<WorkerCommand> kept;
+    std::copy_if(
+        entry.m_pending.begin(), entry.m_pending.end(), std::back_inserter(kept), [&task](const WorkerCommand &command) { return command.m_task != task; });
+    entry.m_pending.swap(kept);
+}
+
 void forgetTasks(SchedulerCore &core, const Job &job)
 {
     for (std::size_t index = 0; index < job.m_members.size(); ++index) {
         const auto found = core.m_shard.m_workers.find(job.m_members[index].m_member.m_worker);
-        if (found != core.m_shard.m_workers.end()) {
-            found->second.m_taken.push_back(taskIdOf(job, index));
+        if (found == core.m_shard.m_workers.end()) {
+            continue;
         }
+        const auto task = taskIdOf(job, index);
+        // A hold that is to be repeated after a lost answer would start the task again on a worker that has forgotten it.
+        dropCommands(found->second, task);
+        found->second.m_taken.push_back(task);
     }
 }
 
--- a/service/lib/Runtime/schedulerworkers.cpp
+++ b/service/lib/Runtime/schedulerworkers.cpp
@@ -45,7 +45,8 @@
         .m_lease = taskLease,
         .m_wait = entry.m_fenced ? pollWait : Duration(0),
         .m_seenVersion = entry.m_seenVersion,
-        .m_taken = entry.m_taken,
+        // While commands are on their way, a worker must not forget a task that they may hold again.
+        .m_taken = entry.m_executeInFlight ? std::vector<TaskId>{} : entry.m_taken,
     });
 }
 
