Count store calls in the metrics

Cause: the counter primrosebridge_store_calls_total was declared and never raised.

Change: it follows the store client's totals of reads, writes and failures.

Conclusion: /metrics shows what a VM costs the platform's store.

--- a/service/include/primrosebridge/Observe/metrics.h
+++ b/service/include/primrosebridge/Observe/metrics.h
@@ -53,6 +53,8 @@
 
     /// Adds one to the counter with this label value; pass an empty label for counters without one.
     void count(Counter counter, std::string_view label = {});
+    /// Raises the counter to a total that is counted elsewhere; lower totals change nothing.
+    void raiseTo(Counter counter, std::string_view label, double total);
     /// Sets the gauge.
     void set(Gauge gauge, double value);
     /// Adds an observation in seconds; pass an empty label for histograms without one.
--- a/service/lib/Observe/metrics.cpp
+++ b/service/lib/Observe/metrics.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cassert>
 #include <map>
+#include <mutex>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -73,6 +74,7 @@
 
 struct Metrics::Private {
     prometheus::Registry m_registry;
+    std::mutex m_raiseMutex; // Makes reading and raising a counter one step.
     std::map<Counter, prometheus::Family<prometheus::Counter> *> m_counters;
     std::map<Gauge, prometheus::Gauge *> m_gauges;
     std::map<Histogram, prometheus::Family<prometheus::Histogram> *> m_histograms;
@@ -101,6 +103,16 @@
     m_private->m_counters.at(counter)->Add(labelsOf(info.m_label, label)).Increment();
 }
 
+void Metrics::raiseTo(Counter counter, std::string_view label, double total)
+{
+    const auto &info = infoOf(counterInfos, counter);
+    auto &value = m_private->m_counters.at(counter)->Add(labelsOf(info.m_label, label));
+    const std::lock_guard lock(m_private->m_raiseMutex);
+    if (total > value.Value()) {
+        value.Increment(total - value.Value());
+    }
+}
+
 void Metrics::set(Gauge gauge, double value)
 {
     m_private->m_gauges.at(gauge)->Set(value);
--- a/service/lib/Runtime/node.cpp
+++ b/service/lib/Runtime/node.cpp
@@ -88,8 +88,17 @@
     core.m_scheduler->setLeaving(leaving);
 }
 
+static void countStoreCalls(NodeCore &core)
+{
+    const auto calls = core.m_store->calls();
+    core.m_metrics.raiseTo(Counter::StoreCalls, "read", static_cast<double>(calls.m_reads));
+    core.m_metrics.raiseTo(Counter::StoreCalls, "write", static_cast<double>(calls.m_writes));
+    core.m_metrics.raiseTo(Counter::StoreCalls, "failed", static_cast<double>(calls.m_failures));
+}
+
 static void setGauges(NodeCore &core)
 {
+    countStoreCalls(core);
     const auto view = core.m_peers->view();
     const auto alive = std::count_if(view.m_peers.begin(), view.m_peers.end(), [](const auto &peer) { return peer.second.m_status == PeerStatus::Alive; });
     core.m_metrics.set(Gauge::PeersAlive, static_cast<double>(alive));
