--- /dev/null
+++ b/recovery/include/primrosebridge/Progress/jobstate.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "primrosebridge/Model/time.h"
+#include "primrosebridge/Work/job.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// Where a task stands.
+enum class TaskPhase {
+    Waiting, ///< Runs nowhere, as far as is known for certain.
+    Starting, ///< The start order is under way or its outcome is unknown.
+    Running,
+    Stopping, ///< A stop order is under way; the worker's capacity is still taken.
+    Done,
+};
+
+/// One life of a worker: the same identifier with another start time is another life, which knows nothing of this one.
+struct WorkerLife {
+    const std::string m_worker;
+    const std::int64_t m_bornAt; ///< Unix milliseconds of the worker's start.
+
+    bool operator==(const WorkerLife &) const = default;
+    auto operator<=>(const WorkerLife &) const = default; // NOLINT(modernize-use-nullptr): false alarm on the generated comparison with zero.
+};
+
+/// The state of one task. Immutable; the functions below return changed copies.
+struct TaskState {
+    const TaskPhase m_phase;
+    const std::shared_ptr<const WorkerLife> m_place; ///< Null unless starting, running or stopping.
+    const std::int64_t m_run; ///< Highest run number used so far.
+    const int m_failures; ///< Runs that ended as failed.
+    const std::string m_checkpoint; ///< Newest known; empty if none.
+    const int m_percent; ///< Of the current run's work.
+    const Instant m_phaseSince; ///< Boot clock of this VM.
+    const Instant m_progressAt; ///< Boot clock at the last change of m_percent.
+    const bool m_unconfirmed; ///< The last order got no answer.
+    const std::vector<std::string> m_failedOn; ///< Workers on which a run failed.
+
+    bool operator==(const TaskState &) const = default;
+};
+
+using TaskPointer = std::shared_ptr<const TaskState>;
+
+/// One step of one occurrence.
+struct StepState {
+    const std::vector<TaskPointer> m_tasks;
+    const int m_gangFailures; ///< Runs of the gang that failed.
+    const int m_done; ///< Tasks in phase Done.
+
+    bool operator==(const StepState &) const = default;
+};
+
+using StepPointer = std::shared_ptr<const StepState>;
+
+/// One occurrence of a job.
+struct OccurrenceState {
+    const std::int64_t m_number;
+    const std::vector<StepPointer> m_steps;
+
+    bool operator==(const OccurrenceState &) const = default;
+};
+
+using OccurrencePointer = std::shared_ptr<const OccurrenceState>;
+
+/// What a caller is told about a job.
+enum class JobOutcome {
+    Active,
+    Complete,
+    Failed,
+    Cancelled,
+};
+
+/// The state of one job.
+struct JobState {
+    const JobSpecPointer m_spec;
+    const int m_attempts; ///< Of the queue at the time of acceptance or takeover.
+    const JobOutcome m_outcome;
+    const std::vector<OccurrencePointer> m_occurrences; ///< Those that are due and not complete; all of them for a job that runs once.
+    const std::int64_t m_nextOccurrence; ///< First one that is not due yet.
+    const std::int64_t m_version; ///< Rises with each change that must be recorded.
+    const std::int64_t m_recordedVersion; ///< Newest version that the store has acknowledged.
+    const JobOutcome m_recordedOutcome; ///< Outcome in that version; callers are told no other.
+    const Instant m_changedAt; ///< Boot clock at the last change of the outcome.
+
+    bool operator==(const JobState &) const = default;
+};
+
+using JobPointer = std::shared_ptr<const JobState>;
+
+/// How a run ended, as the worker lists it.
+enum class EndKind {
+    Done,
+    Failed,
+    Stopped,
+    Lapsed, ///< Its lease ran out.
+    Broken, ///< Another member of its gang ended.
+    Alone, ///< The other members of its gang did not arrive in time.
+};
+
+/// The end of one run.
+struct RunEnd {
+    const std::int64_t m_number; ///< The worker's own count.
+    const TaskReference m_task;
+    const std::int64_t m_run;
+    const EndKind m_kind;
+    const std::string m_checkpoint;
+
+    bool operator==(const RunEnd &) const = default;
+};
+
+/// A job that has just been accepted, or one read from the store without recorded progress. Thread-safe.
+JobPointer newJob(JobSpecPointer spec, int attempts, Instant now);
+
+/// The task, or null if the job has no such task at present. Thread-safe.
+TaskPointer findTask(const JobState &job, const TaskReference &task);
+
+/// The step that holds the task, or null. Thread-safe.
+StepPointer findStep(const JobState &job, std::int64_t occurrence, int step);
+
+/// The job with one task replaced. Precondition: findTask() finds it. Thread-safe.
+JobPointer withTask(const JobState &job, const TaskReference &reference, TaskPointer task);
+
+/// Occurrences that are due by @p wallNow added. Returns @p job if none is. Thread-safe.
+JobPointer withDueOccurrences(const JobPointer &job, Instant wallNow, Instant now);
+
+/// The task after an order to start it as @p run on @p place was issued. Thread-safe.
+TaskPointer taskStarting(const TaskState &task, std::shared_ptr<const WorkerLife> place, std::int64_t run, Instant now);
+/// The task in another phase at the same place. Thread-safe.
+TaskPointer taskInPhase(const TaskState &task, TaskPhase phase, bool unconfirmed, Instant now);
+/// The task, no longer at any worker. Thread-safe.
+TaskPointer taskWaiting(const TaskState &task, Instant now);
+/// The task as the worker reports it while it runs. Thread-safe.
+TaskPointer
+taskReported(const TaskState &task, std::shared_ptr<const WorkerLife> place, std::int64_t run, const std::string &checkpoint, int percent, Instant now);
+
+/// What an end means for the job.
+struct EndEffect {
+    const JobPointer m_job;
+    const bool m_mustRecord; ///< The job's progress must be in the store before the worker may forget the end.
+    const bool m_countedFailure;
+
+    bool operator==(const EndEffect &) const = default;
+};
+
+/// Applies an end that a worker lists. Ends of runs that are no longer current change nothing but may still be done. Thread-safe.
+EndEffect applyEnd(const JobPointer &job, const RunEnd &end, const std::string &worker, Instant now);
+
+/// The job after its cancellation. Thread-safe.
+JobPointer cancelled(const JobState &job, Instant now);
+
+/// The job after the store has acknowledged @p version with @p outcome. Thread-safe.
+JobPointer recorded(const JobState &job, std::int64_t version, JobOutcome outcome);
+
+/// True if every step that @p step waits for is done. Thread-safe.
+bool isStepReady(const JobSpec &spec, const OccurrenceState &occurrence, int step);
+
+/// True if a task of the job has started or ended. Thread-safe.
+bool hasBegun(const JobState &job);
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/recovery/lib/Progress/record.cpp
@@ -0,0 +1,268 @@
+#include "primrosebridge/Progress/record.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::json;
+
+// Version of the records' layout. A reader refuses records of a later layout, which a newer release may have written.
+constexpr int recordLayout = 1;
+
+static Error malformed(const std::string &what, const std::string &reason)
+{
+    return {ErrorKind::Internal, "the " + what + " record is malformed: " + reason, "check which release wrote it"};
+}
+
+static Json encodeStep(const JobStep &step)
+{
+    return Json{
+        {"tasks", step.m_taskCount},
+        {"cores", step.m_needs.m_milliCores},
+        {"memory", step.m_needs.m_memoryMb},
+        {"accelerators", step.m_needs.m_accelerators},
+        {"estimate", step.m_estimate.count()},
+        {"after", step.m_after},
+        {"gang", step.m_gang},
+        {"same_rack", step.m_sameRack},
+        {"label", step.m_requiredLabel},
+        {"data_rack", step.m_dataRack},
+        {"max_per_worker", step.m_maxPerWorker},
+        {"speculative", step.m_speculative},
+        {"checkpointing", step.m_checkpointing},
+        {"long_running", step.m_longRunning},
+        {"image", step.m_image},
+        {"tail_latency", step.m_tailLatencyTarget.count()},
+        {"filler", step.m_filler},
+        {"max_unavailable", step.m_maxUnavailable},
+    };
+}
+
+static JobStep decodeStep(const Json &json)
+{
+    return JobStep{
+        .m_taskCount = json.at("tasks").get<int>(),
+        .m_needs = Resources{.m_milliCores = json.at("cores").get<std::int64_t>(),
+                             .m_memoryMb = json.at("memory").get<std::int64_t>(),
+                             .m_accelerators = json.at("accelerators").get<std::int64_t>()},
+        .m_estimate = Duration(json.at("estimate").get<std::int64_t>()),
+        .m_after = json.at("after").get<std::vector<int>>(),
+        .m_gang = json.at("gang").get<bool>(),
+        .m_sameRack = json.at("same_rack").get<bool>(),
+        .m_requiredLabel = json.at("label").get<std::string>(),
+        .m_dataRack = json.at("data_rack").get<std::string>(),
+        .m_maxPerWorker = json.at("max_per_worker").get<int>(),
+        .m_speculative = json.at("speculative").get<bool>(),
+        .m_checkpointing = json.at("checkpointing").get<bool>(),
+        .m_longRunning = json.at("long_running").get<bool>(),
+        .m_image = json.at("image").get<std::string>(),
+        .m_tailLatencyTarget = Duration(json.at("tail_latency").get<std::int64_t>()),
+        .m_filler = json.at("filler").get<bool>(),
+        .m_maxUnavailable = json.at("max_unavailable").get<int>(),
+    };
+}
+
+std::string encodeSubmission(const JobSpec &spec)
+{
+    Json steps = Json::array();
+    for (const auto &step : spec.m_steps) {
+        steps.push_back(encodeStep(step));
+    }
+    const Json record{
+        {"layout", recordLayout},
+        {"id", spec.m_id},
+        {"queue", spec.m_queue},
+        {"organisation", spec.m_organisation},
+        {"accepted", toMilliseconds(spec.m_acceptedAt)},
+        {"payload", spec.m_payload},
+        {"steps", std::move(steps)},
+        {"times", spec.m_schedule.m_count},
+        {"first_due", toMilliseconds(spec.m_schedule.m_firstDue)},
+        {"interval", spec.m_schedule.m_interval.count()},
+    };
+    return record.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<JobSpec> decodeSubmission(const std::string &text)
+{
+    try {
+        const auto record = Json::parse(text);
+        if (record.at("layout").get<int>() > recordLayout) {
+            return malformed("submission", "layout " + std::to_string(record.at("layout").get<int>()) + " is newer than this release");
+        }
+        std::vector<JobStep> steps;
+        for (const auto &step : record.at("steps")) {
+            steps.push_back(decodeStep(step));
+        }
+        return JobSpec{
+            .m_id = record.at("id").get<std::string>(),
+            .m_queue = record.at("queue").get<std::string>(),
+            .m_organisation = record.at("organisation").get<std::string>(),
+            .m_acceptedAt = fromMilliseconds(record.at("accepted").get<long long>()),
+            .m_payload = record.at("payload").get<std::string>(),
+            .m_steps = std::move(steps),
+            .m_schedule = JobSchedule{.m_count = record.at("times").get<std::int64_t>(),
+                                      .m_firstDue = fromMilliseconds(record.at("first_due").get<long long>()),
+                                      .m_interval = Duration(record.at("interval").get<std::int64_t>())},
+        };
+    } catch (const Json::exception &error) {
+        return malformed("submission", error.what());
+    }
+}
+
+// One character a task: '1' done, '0' not.
+static std::string doneMarks(const StepState &step)
+{
+    std::string marks;
+    marks.reserve(step.m_tasks.size());
+    for (const auto &task : step.m_tasks) {
+        marks += task->m_phase == TaskPhase::Done ? '1' : '0';
+    }
+    return marks;
+}
+
+// Tasks that have something to remember beyond being done: [index, highest run, failures, checkpoint].
+static Json taskNotes(const StepState &step)
+{
+    Json notes = Json::array();
+    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
+        const auto &task = *step.m_tasks[index];
+        if (task.m_phase != TaskPhase::Done && (task.m_run > 0 || task.m_failures > 0)) {
+            notes.push_back(Json::array({index, task.m_run, task.m_failures, task.m_checkpoint}));
+        }
+    }
+    return notes;
+}
+
+static std::string_view outcomeName(JobOutcome outcome)
+{
+    switch (outcome) {
+    case JobOutcome::Active:
+        return "active";
+    case JobOutcome::Complete:
+        return "complete";
+    case JobOutcome::Failed:
+        return "failed";
+    case JobOutcome::Cancelled:
+        return "cancelled";
+    }
+    return "active";
+}
+
+static Result<JobOutcome> outcomeFromName(const std::string &name)
+{
+    for (const auto outcome : {JobOutcome::Active, JobOutcome::Complete, JobOutcome::Failed, JobOutcome::Cancelled}) {
+        if (name == outcomeName(outcome)) {
+            return outcome;
+        }
+    }
+    return malformed("progress", "outcome '" + name + "'");
+}
+
+std::string encodeProgress(const JobState &job)
+{
+    Json occurrences = Json::array();
+    if (job.m_outcome == JobOutcome::Active) {
+        for (const auto &occurrence : job.m_occurrences) {
+            Json steps = Json::array();
+            for (const auto &step : occurrence->m_steps) {
+                steps.push_back(Json{{"done", doneMarks(*step)}, {"gang_failures", step->m_gangFailures}, {"tasks", taskNotes(*step)}});
+            }
+            occurrences.push_back(Json{{"number", occurrence->m_number}, {"steps", std::move(steps)}});
+        }
+    }
+    const Json record{
+        {"layout", recordLayout},
+        {"outcome", std::string(outcomeName(job.m_outcome))},
+        {"version", job.m_version},
+        {"next", job.m_nextOccurrence},
+        {"occurrences", std::move(occurrences)},
+    };
+    return record.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+static StepPointer restoreStep(const Json &json, std::size_t taskCount, Instant now)
+{
+    const auto marks = json.at("done").get<std::string>();
+    std::vector<std::int64_t> runs(taskCount, 0);
+    std::vector<int> failures(taskCount, 0);
+    std::vector<std::string> checkpoints(taskCount);
+    for (const auto &note : json.at("tasks")) {
+        const auto index = note.at(0).get<std::size_t>();
+        if (index < taskCount) {
+            runs[index] = note.at(1).get<std::int64_t>();
+            failures[index] = note.at(2).get<int>();
+            checkpoints[index] = note.at(3).get<std::string>();
+        }
+    }
+    std::vector<TaskPointer> tasks;
+    int done = 0;
+    for (std::size_t index = 0; index < taskCount; ++index) {
+        const bool isDone = index < marks.size() && marks[index] == '1';
+        done += isDone ? 1 : 0;
+        tasks.push_back(std::make_shared<const TaskState>(TaskState{
+            .m_phase = isDone ? TaskPhase::Done : TaskPhase::Waiting,
+            .m_place = nullptr,
+            .m_run = runs[index],
+            .m_failures = failures[index],
+            .m_checkpoint = checkpoints[index],
+            .m_percent = isDone ? 100 : 0,
+            .m_phaseSince = now,
+            .m_progressAt = now,
+            .m_unconfirmed = false,
+            .m_failedOn = {},
+        }));
+    }
+    return std::make_shared<const StepState>(StepState{.m_tasks = std::move(tasks), .m_gangFailures = json.at("gang_failures").get<int>(), .m_done = done});
+}
+
+static OccurrencePointer restoreOccurrence(const Json &json, const JobSpec &spec, Instant now)
+{
+    std::vector<StepPointer> steps;
+    for (std::size_t step = 0; step < spec.m_steps.size(); ++step) {
+        steps.push_back(restoreStep(json.at("steps").at(step), static_cast<std::size_t>(spec.m_steps[step].m_taskCount), now));
+    }
+    return std::make_shared<const OccurrenceState>(OccurrenceState{.m_number = json.at("number").get<std::int64_t>(), .m_steps = std::move(steps)});
+}
+
+Result<JobPointer> restoreJob(JobSpecPointer spec, int attempts, const std::string &progress, Instant now)
+{
+    try {
+        const auto record = Json::parse(progress);
+        const auto outcome = outcomeFromName(record.at("outcome").get<std::string>());
+        if (!outcome.ok()) {
+            return outcome.error();
+        }
+        std::vector<OccurrencePointer> occurrences;
+        for (const auto &occurrence : record.at("occurrences")) {
+            occurrences.push_back(restoreOccurrence(occurrence, *spec, now));
+        }
+        const auto version = record.at("version").get<std::int64_t>();
+        return std::make_shared<const JobState>(JobState{
+            .m_spec = std::move(spec),
+            .m_attempts = attempts,
+            .m_outcome = outcome.value(),
+            .m_occurrences = std::move(occurrences),
+            .m_nextOccurrence = record.at("next").get<std::int64_t>(),
+            .m_version = version,
+            .m_recordedVersion = version,
+            .m_recordedOutcome = outcome.value(),
+            .m_changedAt = now,
+        });
+    } catch (const Json::exception &error) {
+        return malformed("progress", error.what());
+    }
+}
+
+Result<JobOutcome> decodeOutcome(const std::string &progress)
+{
+    try {
+        return outcomeFromName(Json::parse(progress).at("outcome").get<std::string>());
+    } catch (const Json::exception &error) {
+        return malformed("progress", error.what());
+    }
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/include/primrosebridge/Fleet/placement.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "primrosebridge/Fleet/worker.h"
+#include "primrosebridge/Progress/jobstate.h"
+#include "primrosebridge/Work/fleetconfiguration.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// What one pass decides from. Nothing here is read from a clock or the network.
+struct PlacementInput {
+    const Instant m_now; ///< Boot clock of the deciding VM.
+    const Instant m_wallNow; ///< Wall clock, for the age of jobs.
+    const FleetConfigurationPointer m_configuration;
+    const std::vector<JobPointer> m_jobs; ///< In the order of acceptance.
+    const std::vector<PlacementWorker> m_workers;
+    const double m_remoteFactor; ///< Run time of a task away from its data or of a gang over several racks, as a multiple.
+    const std::vector<std::string> m_lockedJobs; ///< Sorted; their waiting tasks may still run on a worker that has not answered.
+};
+
+/// Why a task is stopped.
+enum class StopReason {
+    Cancelled,
+    Preempted, ///< Its place is needed for more urgent work.
+    Superseded, ///< Its job has ended or another run took its place.
+    GangIncomplete,
+    Stalled,
+    WorkerLeaves,
+    Unconfirmed, ///< Its start got no answer and the worker does not list it.
+};
+
+/// The reason's name in lower_snake_case, for logs. Thread-safe.
+std::string_view stopReasonName(StopReason reason);
+
+/// One task to start.
+struct StartDecision {
+    const TaskReference m_task;
+    const std::size_t m_worker; ///< Index in PlacementInput::m_workers.
+    const std::int64_t m_run;
+    const std::string m_checkpoint;
+
+    bool operator==(const StartDecision &) const = default;
+};
+
+/// One run to stop.
+struct StopDecision {
+    const TaskReference m_task;
+    const WorkerLife m_place;
+    const std::int64_t m_run;
+    const StopReason m_reason;
+
+    bool operator==(const StopDecision &) const = default;
+};
+
+/// What a pass decided.
+struct PlacementDecisions {
+    const std::vector<StartDecision> m_starts; ///< The members of a gang are adjacent.
+    const std::vector<StopDecision> m_stops;
+    const int m_waitingSteps; ///< Steps that are ready and could not be placed.
+};
+
+/// How urgent work is; a lower rank goes first and may preempt a higher one, see mayPreempt().
+enum class UrgencyRank {
+    Guaranteed, ///< Priority 0 within its organisation's guarantee.
+    Urgent, ///< Priority 0 beyond the guarantee.
+    Normal, ///< Priority 1.
+    Background, ///< Priority 2 and higher.
+};
+
+/// True if work of rank @p rank may stop running work of rank @p victim. Thread-safe.
+bool mayPreempt(UrgencyRank rank, UrgencyRank victim);
+
+/// Decides which waiting tasks start where, and which running ones are stopped for more urgent work.
+///
+/// Gangs are placed whole or not at all. A step that cannot be placed reserves the places that it waits for, so that less
+/// urgent work does not take them. Pure; thread-safe.
+PlacementDecisions decidePlacement(const PlacementInput &input);
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/lib/Fleet/candidates.cpp
@@ -0,0 +1,147 @@
+#include "candidates.h"
+
+#include <algorithm>
+#include <map>
+
+namespace PrimroseBridge {
+
+// A result is worth something until three times the latency objective has passed.
+constexpr double latestUsefulObjectives = 3.0;
+
+static std::int64_t acceleratorsOf(const JobSpec &spec)
+{
+    std::int64_t most = 0;
+    for (const auto &step : spec.m_steps) {
+        most = std::max(most, step.m_taskCount * step.m_needs.m_accelerators);
+    }
+    return most;
+}
+
+static UrgencyRank rankOfPriority(int priority)
+{
+    if (priority <= 0) {
+        return UrgencyRank::Urgent;
+    }
+    return priority == 1 ? UrgencyRank::Normal : UrgencyRank::Background;
+}
+
+static std::int64_t guaranteeOf(const FleetConfiguration &configuration, const std::string &organisation)
+{
+    for (const auto &candidate : configuration.m_organisations) {
+        if (candidate.m_name == organisation) {
+            return candidate.m_guaranteedAccelerators;
+        }
+    }
+    return 0;
+}
+
+std::vector<UrgencyRank> rankJobs(const PlacementInput &input)
+{
+    std::map<std::string, std::int64_t> used;
+    std::vector<UrgencyRank> ranks;
+    ranks.reserve(input.m_jobs.size());
+    for (const auto &job : input.m_jobs) {
+        const auto *queue = queueNamed(*input.m_configuration, job->m_spec->m_queue);
+        const auto rank = rankOfPriority(queue ? queue->m_priority : 1);
+        if (rank != UrgencyRank::Urgent || job->m_outcome != JobOutcome::Active) {
+            ranks.push_back(rank);
+            continue;
+        }
+        const auto &organisation = job->m_spec->m_organisation;
+        const auto needed = acceleratorsOf(*job->m_spec);
+        auto &total = used[organisation];
+        const bool within = total + needed <= guaranteeOf(*input.m_configuration, organisation);
+        total += within ? needed : 0;
+        ranks.push_back(within ? UrgencyRank::Guaranteed : UrgencyRank::Urgent);
+    }
+    return ranks;
+}
+
+// Longest chain of estimated run times from the first step to the last.
+static Duration chainEstimate(const JobSpec &spec, int firstStep)
+{
+    std::vector<Duration> ends(spec.m_steps.size(), Duration(0));
+    Duration longest(0);
+    for (std::size_t step = static_cast<std::size_t>(firstStep); step < spec.m_steps.size(); ++step) {
+        Duration start(0);
+        for (const auto before : spec.m_steps[step].m_after) {
+            start = std::max(start, ends[static_cast<std::size_t>(before)]);
+        }
+        ends[step] = start + spec.m_steps[step].m_estimate;
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+static Instant dueTime(const JobSpec &spec, std::int64_t occurrence)
+{
+    return spec.m_schedule.m_count > 0 ? spec.m_schedule.m_firstDue + spec.m_schedule.m_interval * occurrence : spec.m_acceptedAt;
+}
+
+static std::vector<int> waitingTasks(const StepState &step)
+{
+    std::vector<int> waiting;
+    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
+        if (step.m_tasks[index]->m_phase == TaskPhase::Waiting) {
+            waiting.push_back(static_cast<int>(index));
+        }
+    }
+    return waiting;
+}
+
+static void addSteps(const PlacementInput &input, std::size_t index, const OccurrenceState &occurrence, UrgencyRank rank, std::vector<Candidate> &candidates)
+{
+    const auto &spec = *input.m_jobs[index]->m_spec;
+    const auto *queue = queueNamed(*input.m_configuration, spec.m_queue);
+    if (!queue) {
+        return;
+    }
+    for (std::size_t step = 0; step < spec.m_steps.size(); ++step) {
+        const auto &state = *occurrence.m_steps[step];
+        if (state.m_done == static_cast<int>(state.m_tasks.size()) || !isStepReady(spec, occurrence, static_cast<int>(step))) {
+            continue;
+        }
+        auto waiting = waitingTasks(state);
+        // The members of a gang start together, so every one of them must be free to start.
+        if (waiting.empty() || (spec.m_steps[step].m_gang && waiting.size() != state.m_tasks.size())) {
+            continue;
+        }
+        const auto chain = chainEstimate(spec, 0);
+        const auto objective = std::chrono::duration_cast<Duration>(chain * queue->m_slackFactor) + queue->m_latencyGoal;
+        const auto end = input.m_wallNow + chainEstimate(spec, static_cast<int>(step));
+        const auto due = dueTime(spec, occurrence.m_number);
+        candidates.push_back(Candidate{
+            .m_job = index,
+            .m_occurrence = occurrence.m_number,
+            .m_step = static_cast<int>(step),
+            .m_rank = rank,
+            .m_hopeless = end > due + std::chrono::duration_cast<Duration>(objective * latestUsefulObjectives),
+            .m_late = end > due + objective,
+            .m_waiting = std::move(waiting),
+        });
+    }
+}
+
+std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<UrgencyRank> &ranks)
+{
+    std::vector<Candidate> candidates;
+    for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
+        const auto &job = *input.m_jobs[index];
+        if (job.m_outcome != JobOutcome::Active || std::binary_search(input.m_lockedJobs.begin(), input.m_lockedJobs.end(), job.m_spec->m_id)) {
+            continue;
+        }
+        for (const auto &occurrence : job.m_occurrences) {
+            addSteps(input, index, *occurrence, ranks[index], candidates);
+        }
+    }
+    // Work that is late already gains less from running next; within a group the order of acceptance holds.
+    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        const bool leftLate = left.m_late && left.m_rank != UrgencyRank::Guaranteed;
+        const bool rightLate = right.m_late && right.m_rank != UrgencyRank::Guaranteed;
+        return std::tuple(left.m_hopeless && left.m_rank != UrgencyRank::Guaranteed, left.m_rank, leftLate)
+               < std::tuple(right.m_hopeless && right.m_rank != UrgencyRank::Guaranteed, right.m_rank, rightLate);
+    });
+    return candidates;
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/lib/Fleet/candidates.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "primrosebridge/Fleet/placement.h"
+
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// A step of one occurrence that has waiting tasks and whose earlier steps are done.
+struct Candidate {
+    std::size_t m_job; ///< Index in PlacementInput::m_jobs.
+    std::int64_t m_occurrence;
+    int m_step;
+    UrgencyRank m_rank;
+    bool m_hopeless; ///< It can no longer end while its result is worth anything to its submitter.
+    bool m_late; ///< It can no longer meet its latency objective.
+    std::vector<int> m_waiting; ///< Indices of the waiting tasks.
+};
+
+/// The rank of each job of @p input. Guarantees are used up in the order of acceptance.
+std::vector<UrgencyRank> rankJobs(const PlacementInput &input);
+
+/// Every step that could start now, the most urgent first.
+std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<UrgencyRank> &ranks);
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/lib/Fleet/floorplan.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "candidates.h"
+
+#include "primrosebridge/Fleet/placement.h"
+
+#include <optional>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// Amounts that change while a pass plans.
+struct Room {
+    std::int64_t m_milliCores = 0;
+    std::int64_t m_memoryMb = 0;
+    std::int64_t m_accelerators = 0;
+};
+
+void addTo(Room &room, const JobStep &step, int tasks);
+void takeFrom(Room &room, const JobStep &step, int tasks);
+/// Tasks of the step that fit into the room, at most @p limit.
+int fittingTasks(const Room &room, const JobStep &step, int limit);
+
+/// A task that takes up room on a worker.
+struct PlacedTask {
+    std::size_t m_job;
+    TaskReference m_task;
+    const TaskState *m_state;
+    const JobStep *m_step;
+    UrgencyRank m_rank;
+    bool m_stopping;
+    bool m_gang;
+    double m_loss; ///< Core-seconds of work that stopping it throws away; an accelerator counts as eight cores.
+};
+
+/// The workers with what is free on them, updated as the pass takes decisions.
+struct FloorPlan {
+    const PlacementInput *m_input = nullptr;
+    std::vector<Room> m_free; ///< By worker; may be negative after a worker's capacity shrank.
+    std::vector<Room> m_soonFree; ///< Held by tasks that are being stopped.
+    std::vector<std::vector<std::size_t>> m_tasksOn; ///< By worker; indices in m_placed.
+    std::vector<PlacedTask> m_placed;
+    std::vector<bool> m_evicted; ///< By index in m_placed: the pass stops this task.
+};
+
+/// The plan before any decision of the pass.
+FloorPlan makeFloorPlan(const PlacementInput &input, const std::vector<UrgencyRank> &ranks);
+
+/// Where a step's tasks go.
+struct StepPlacement {
+    std::vector<std::size_t> m_workers; ///< One entry a task; indices of workers.
+    std::vector<std::size_t> m_victims; ///< Indices in FloorPlan::m_placed.
+    bool m_mustWait; ///< Some places are free only once tasks that are being stopped have ended.
+    double m_loss; ///< Of all victims.
+};
+
+/// What a placement may use.
+struct PlacementScope {
+    const std::vector<std::size_t> &m_workers;
+    bool m_useSoonFree;
+    bool m_mayEvict;
+    bool m_partial; ///< Fewer tasks than wanted are acceptable.
+};
+
+/// Finds places for up to @p wanted tasks of the candidate's step. Empty if none was found.
+std::optional<StepPlacement> placeTasks(const FloorPlan &plan, const Candidate &candidate, int wanted, const PlacementScope &scope);
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -0,0 +1,350 @@
+#include "primrosebridge/Fleet/placement.h"
+
+#include "candidates.h"
+#include "floorplan.h"
+
+#include <algorithm>
+#include <map>
+
+namespace PrimroseBridge {
+
+// Steps that wait for places keep them from less urgent work; more of them at a time would leave too much idle.
+constexpr int maxReservations = 4;
+// A gang may be spread over racks, at a multiple of its run time, only while at least this share of the accelerators is free.
+constexpr double spreadFreeShare = 0.5;
+
+std::string_view stopReasonName(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::Cancelled:
+        return "cancelled";
+    case StopReason::Preempted:
+        return "preempted";
+    case StopReason::Superseded:
+        return "superseded";
+    case StopReason::GangIncomplete:
+        return "gang_incomplete";
+    case StopReason::Stalled:
+        return "stalled";
+    case StopReason::WorkerLeaves:
+        return "worker_leaves";
+    case StopReason::Unconfirmed:
+        return "unconfirmed";
+    }
+    return "unknown";
+}
+
+bool mayPreempt(UrgencyRank rank, UrgencyRank victim)
+{
+    switch (rank) {
+    case UrgencyRank::Guaranteed:
+        return victim != UrgencyRank::Guaranteed;
+    case UrgencyRank::Urgent:
+        return victim == UrgencyRank::Normal || victim == UrgencyRank::Background;
+    case UrgencyRank::Normal:
+    case UrgencyRank::Background:
+        return false;
+    }
+    return false;
+}
+
+namespace {
+
+// One group of workers within which a step may be placed, and the run time that it has there.
+struct Scope {
+    std::vector<std::size_t> m_workers;
+    bool m_remote; // Away from the data, or a same-rack gang spread over racks.
+};
+
+struct Pass {
+    const PlacementInput &m_input;
+    FloorPlan m_plan;
+    std::vector<StartDecision> m_starts;
+    std::vector<StopDecision> m_stops;
+    int m_waiting = 0;
+    int m_reservations = 0;
+    std::vector<bool> m_reservedFor = std::vector<bool>(4, false); // By rank: a step of that rank waits for places.
+};
+
+} // namespace
+
+static const JobStep &stepOf(const Pass &pass, const Candidate &candidate)
+{
+    return pass.m_input.m_jobs[candidate.m_job]->m_spec->m_steps[static_cast<std::size_t>(candidate.m_step)];
+}
+
+static const StepState &stateOf(const Pass &pass, const Candidate &candidate)
+{
+    for (const auto &occurrence : pass.m_input.m_jobs[candidate.m_job]->m_occurrences) {
+        if (occurrence->m_number == candidate.m_occurrence) {
+            return *occurrence->m_steps[static_cast<std::size_t>(candidate.m_step)];
+        }
+    }
+    throw Error(ErrorKind::Internal, "a candidate names an occurrence that its job does not have", "report this as a fault of the scheduler");
+}
+
+static bool isEligible(const PlacementWorker &worker, const JobStep &step, const std::string &pool)
+{
+    const auto &report = *worker.m_report;
+    if (!worker.m_usable || report.m_pool != pool) {
+        return false;
+    }
+    return step.m_requiredLabel.empty() || std::find(report.m_labels.begin(), report.m_labels.end(), step.m_requiredLabel) != report.m_labels.end();
+}
+
+static bool hasFailedOn(const StepState &state, const std::string &worker)
+{
+    return std::any_of(state.m_tasks.begin(), state.m_tasks.end(), [&](const auto &task) {
+        return std::find(task->m_failedOn.begin(), task->m_failedOn.end(), worker) != task->m_failedOn.end();
+    });
+}
+
+// Workers that may run the step. Isolated ones, and those on which a run of the step failed, count only if @p lenient.
+static std::vector<std::size_t> eligibleWorkers(const Pass &pass, const Candidate &candidate, bool lenient)
+{
+    const auto &job = *pass.m_input.m_jobs[candidate.m_job];
+    const auto *queue = queueNamed(*pass.m_input.m_configuration, job.m_spec->m_queue);
+    const auto &step = stepOf(pass, candidate);
+    const auto &state = stateOf(pass, candidate);
+    std::vector<std::size_t> workers;
+    for (std::size_t index = 0; index < pass.m_input.m_workers.size(); ++index) {
+        const auto &worker = pass.m_input.m_workers[index];
+        if (isEligible(worker, step, queue->m_service) && (lenient || (!worker.m_isolated && !hasFailedOn(state, worker.m_life->m_worker)))) {
+            workers.push_back(index);
+        }
+    }
+    return workers;
+}
+
+static bool fitsWhenEmpty(const Pass &pass, const std::vector<std::size_t> &workers, const JobStep &step, int tasks)
+{
+    int places = 0;
+    for (const auto worker : workers) {
+        const auto &capacity = pass.m_input.m_workers[worker].m_report->m_capacity;
+        const Room empty{.m_milliCores = capacity.m_milliCores, .m_memoryMb = capacity.m_memoryMb, .m_accelerators = capacity.m_accelerators};
+        places += fittingTasks(empty, step, step.m_maxPerWorker > 0 ? std::min(tasks, step.m_maxPerWorker) : tasks);
+        if (places >= tasks) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static std::map<std::string, std::vector<std::size_t>> byRack(const Pass &pass, const std::vector<std::size_t> &workers)
+{
+    std::map<std::string, std::vector<std::size_t>> racks;
+    for (const auto worker : workers) {
+        racks[pass.m_input.m_workers[worker].m_report->m_rack].push_back(worker);
+    }
+    return racks;
+}
+
+static double freeShare(const Pass &pass, const std::vector<std::size_t> &workers)
+{
+    double free = 0.0;
+    double all = 0.0;
+    for (const auto worker : workers) {
+        free += static_cast<double>(std::max<std::int64_t>(pass.m_plan.m_free[worker].m_accelerators, 0));
+        all += static_cast<double>(pass.m_input.m_workers[worker].m_report->m_capacity.m_accelerators);
+    }
+    return all > 0.0 ? free / all : 0.0;
+}
+
+// The groups of workers to try, the better ones first.
+static std::vector<Scope> scopesFor(const Pass &pass, const Candidate &candidate, const std::vector<std::size_t> &workers)
+{
+    const auto &step = stepOf(pass, candidate);
+    const auto tasks = static_cast<int>(candidate.m_waiting.size());
+    const bool bound = (step.m_gang && step.m_sameRack) || !step.m_dataRack.empty();
+    if (!bound) {
+        return {Scope{.m_workers = workers, .m_remote = false}};
+    }
+    std::vector<Scope> scopes;
+    for (const auto &[rack, members] : byRack(pass, workers)) {
+        const bool hasData = step.m_dataRack.empty() || step.m_dataRack == rack;
+        const bool wholeStep = !(step.m_gang && step.m_sameRack) || fitsWhenEmpty(pass, members, step, tasks);
+        if (hasData && wholeStep) {
+            scopes.push_back(Scope{.m_workers = members, .m_remote = false});
+        }
+    }
+    if (scopes.empty() || freeShare(pass, workers) >= spreadFreeShare) {
+        scopes.push_back(Scope{.m_workers = workers, .m_remote = true});
+    }
+    return scopes;
+}
+
+static std::int64_t freeAccelerators(const Pass &pass, const std::vector<std::size_t> &workers)
+{
+    std::int64_t free = 0;
+    for (const auto worker : workers) {
+        free += std::max<std::int64_t>(pass.m_plan.m_free[worker].m_accelerators, 0);
+    }
+    return free;
+}
+
+static bool isBetter(const Pass &pass, const StepPlacement &left, const Scope &leftScope, const StepPlacement &right, const Scope &rightScope)
+{
+    if (leftScope.m_remote != rightScope.m_remote) {
+        return !leftScope.m_remote;
+    }
+    if (left.m_workers.size() != right.m_workers.size()) {
+        return left.m_workers.size() > right.m_workers.size();
+    }
+    if (left.m_mustWait != right.m_mustWait) {
+        return !left.m_mustWait;
+    }
+    if (left.m_loss != right.m_loss) {
+        return left.m_loss < right.m_loss;
+    }
+    // The fullest rack that fits, so that another stays whole for the largest gangs.
+    return freeAccelerators(pass, leftScope.m_workers) < freeAccelerators(pass, rightScope.m_workers);
+}
+
+static std::optional<StepPlacement> bestPlacement(const Pass &pass, const Candidate &candidate, const std::vector<Scope> &scopes, bool evicting)
+{
+    const auto &step = stepOf(pass, candidate);
+    std::optional<StepPlacement> best;
+    const Scope *bestScope = nullptr;
+    for (const auto &scope : scopes) {
+        auto placement = placeTasks(pass.m_plan,
+                                    candidate,
+                                    static_cast<int>(candidate.m_waiting.size()),
+                                    PlacementScope{.m_workers = scope.m_workers, .m_useSoonFree = evicting, .m_mayEvict = evicting, .m_partial = !step.m_gang});
+        if (placement && (!best || isBetter(pass, *placement, scope, *best, *bestScope))) {
+            best = std::move(placement);
+            bestScope = &scope;
+        }
+    }
+    return best;
+}
+
+static void reserve(Pass &pass, const Candidate &candidate, const StepPlacement &placement)
+{
+    const auto &step = stepOf(pass, candidate);
+    for (const auto worker : placement.m_workers) {
+        takeFrom(pass.m_plan.m_free[worker], step, 1);
+    }
+}
+
+static std::int64_t nextRun(const StepState &state, const std::vector<int> &tasks, bool gang)
+{
+    std::int64_t run = 0;
+    for (std::size_t index = 0; index < state.m_tasks.size(); ++index) {
+        if (gang || std::find(tasks.begin(), tasks.end(), static_cast<int>(index)) != tasks.end()) {
+            run = std::max(run, state.m_tasks[index]->m_run);
+        }
+    }
+    return run + 1;
+}
+
+// Every member of a gang must carry the same checkpoint; that of any member will do.
+static std::string gangCheckpoint(const StepState &state)
+{
+    std::string newest;
+    for (const auto &task : state.m_tasks) {
+        newest = std::max(newest, task->m_checkpoint);
+    }
+    return newest;
+}
+
+static void start(Pass &pass, const Candidate &candidate, const StepPlacement &placement)
+{
+    const auto &step = stepOf(pass, candidate);
+    const auto &state = stateOf(pass, candidate);
+    const auto gangRun = nextRun(state, {}, true);
+    const auto shared = step.m_gang && step.m_checkpointing ? gangCheckpoint(state) : std::string();
+    for (std::size_t position = 0; position < placement.m_workers.size(); ++position) {
+        const int index = candidate.m_waiting[position];
+        const auto &task = *state.m_tasks[static_cast<std::size_t>(index)];
+        pass.m_starts.push_back(StartDecision{
+            .m_task = TaskReference{.m_job = pass.m_input.m_jobs[candidate.m_job]->m_spec->m_id,
+                                    .m_occurrence = candidate.m_occurrence,
+                                    .m_step = candidate.m_step,
+                                    .m_index = index},
+            .m_worker = placement.m_workers[position],
+            .m_run = step.m_gang ? gangRun : task.m_run + 1,
+            .m_checkpoint = step.m_gang ? shared : (step.m_checkpointing ? task.m_checkpoint : std::string()),
+        });
+    }
+}
+
+static void stopVictims(Pass &pass, const StepPlacement &placement)
+{
+    for (const auto victim : placement.m_victims) {
+        const auto &placed = pass.m_plan.m_placed[victim];
+        if (pass.m_plan.m_evicted[victim]) {
+            continue;
+        }
+        pass.m_plan.m_evicted[victim] = true;
+        for (std::size_t worker = 0; worker < pass.m_plan.m_tasksOn.size(); ++worker) {
+            const auto &here = pass.m_plan.m_tasksOn[worker];
+            if (std::find(here.begin(), here.end(), victim) != here.end()) {
+                addTo(pass.m_plan.m_soonFree[worker], *placed.m_step, 1);
+            }
+        }
+        pass.m_stops.push_back(
+            StopDecision{.m_task = placed.m_task, .m_place = *placed.m_state->m_place, .m_run = placed.m_state->m_run, .m_reason = StopReason::Preempted});
+    }
+}
+
+// Starts what fits now. Returns the number of tasks that were not placed.
+static std::size_t startWhatFits(Pass &pass, const Candidate &candidate, const std::vector<Scope> &scopes)
+{
+    const auto placement = bestPlacement(pass, candidate, scopes, false);
+    if (!placement) {
+        return candidate.m_waiting.size();
+    }
+    start(pass, candidate, *placement);
+    reserve(pass, candidate, *placement);
+    return candidate.m_waiting.size() - placement->m_workers.size();
+}
+
+static void reservePlaces(Pass &pass, const Candidate &candidate, const std::vector<Scope> &scopes)
+{
+    const auto placement = bestPlacement(pass, candidate, scopes, true);
+    if (!placement) {
+        return;
+    }
+    stopVictims(pass, *placement);
+    reserve(pass, candidate, *placement);
+}
+
+static void placeCandidate(Pass &pass, Candidate candidate)
+{
+    for (const bool lenient : {false, true}) {
+        const auto workers = eligibleWorkers(pass, candidate, lenient);
+        if (workers.empty()) {
+            continue;
+        }
+        const auto scopes = scopesFor(pass, candidate, workers);
+        const auto left = startWhatFits(pass, candidate, scopes);
+        if (left == 0) {
+            return;
+        }
+        candidate.m_waiting.erase(candidate.m_waiting.begin(), candidate.m_waiting.end() - static_cast<std::ptrdiff_t>(left));
+        const auto &step = stepOf(pass, candidate);
+        if (!lenient && !fitsWhenEmpty(pass, workers, step, step.m_gang ? static_cast<int>(left) : 1)) {
+            continue;
+        }
+        ++pass.m_waiting;
+        const bool urgent = candidate.m_rank == UrgencyRank::Guaranteed || candidate.m_rank == UrgencyRank::Urgent;
+        if (urgent || pass.m_reservations < maxReservations) {
+            pass.m_reservations += urgent ? 0 : 1;
+            reservePlaces(pass, candidate, scopes);
+        }
+        return;
+    }
+    ++pass.m_waiting;
+}
+
+PlacementDecisions decidePlacement(const PlacementInput &input)
+{
+    const auto ranks = rankJobs(input);
+    Pass pass{.m_input = input, .m_plan = makeFloorPlan(input, ranks), .m_starts = {}, .m_stops = {}};
+    for (auto &candidate : findCandidates(input, ranks)) {
+        placeCandidate(pass, std::move(candidate));
+    }
+    return PlacementDecisions{.m_starts = std::move(pass.m_starts), .m_stops = std::move(pass.m_stops), .m_waitingSteps = pass.m_waiting};
+}
+
+} // namespace PrimroseBridge
--- a/service/include/primrosebridge/FrontEnd/http.h
+++ b/service/include/primrosebridge/FrontEnd/http.h
@@ -14,6 +14,7 @@
     const std::map<std::string, std::string> m_query;
     const std::map<std::string, std::string> m_headers; ///< Names in lower case.
     const std::string m_body;
+    const std::string m_rawPath = {}; ///< As it was sent, without the query.
 
     bool operator==(const HttpCall &) const = default;
 };
--- a/service/include/primrosebridge/FrontEnd/httpserver.h
+++ b/service/include/primrosebridge/FrontEnd/httpserver.h
@@ -16,6 +16,7 @@
     const int m_threads; ///< Connections served at once.
     const std::size_t m_maxBodyBytes;
     const int m_maxQueuedConnections;
+    const Duration m_keepAlive = Duration(2000); ///< An idle connection holds a thread, so it is closed after this time.
 
     bool operator==(const HttpServerSettings &) const = default;
 };
--- /dev/null
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -0,0 +1,538 @@
+#include "primrosebridge/Fleetservice/fleetnode.h"
+
+#include "session.h"
+#include "storewatch.h"
+
+#include "primrosebridge/Fleetservice/fleetowner.h"
+#include "primrosebridge/Fleetservice/keys.h"
+#include "primrosebridge/Fleetservice/peercalls.h"
+#include "primrosebridge/Fleetservice/progresswriter.h"
+#include "primrosebridge/Fleetwire/decode.h"
+#include "primrosebridge/Http/httpclient.h"
+#include "primrosebridge/Kv/platformstore.h"
+#include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Pipeline/bootclock.h"
+#include "primrosebridge/Pipeline/timerservice.h"
+#include "primrosebridge/Progress/record.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <set>
+#include <thread>
+
+namespace PrimroseBridge {
+
+// A VM whose store calls have all failed for this long asks its peers instead, and fails its readiness check.
+static constexpr Duration storeSilence(1500);
+// Time for a peer to answer a question, and to write to the store for this VM.
+static constexpr Duration questionTimeout(600);
+static constexpr Duration recordTimeout(2000);
+// Peers that are asked to write for this VM before it gives up.
+static constexpr std::size_t maxRecordPeers = 2;
+static constexpr Duration snapshotRetry(100);
+
+namespace {
+
+// Revisions from which the owner follows the store.
+struct OwnerTerm {
+    std::int64_t m_fence = 0;
+    std::int64_t m_inboxRevision = 0;
+    std::int64_t m_workersRevision = 0;
+};
+
+} // namespace
+
+struct FleetNode::Private {
+    explicit Private(const FleetSettings &settings)
+        : m_settings(settings)
+        , m_self{.m_vm = settings.m_vm.text(),
+                 .m_address = settings.m_peerAddress,
+                 .m_incarnation = std::to_string(toMilliseconds(TimerService::now())) + "-" + std::to_string(toMilliseconds(bootNow()))}
+    {
+    }
+    ~Private();
+
+    const FleetSettings m_settings;
+    const PeerVm m_self;
+    ConfigurationCell m_configuration;
+    PeerDirectory m_directory;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<bool> m_closed = false;
+    std::shared_ptr<HttpClient> m_http;
+    std::shared_ptr<PlatformStore> m_store;
+    std::unique_ptr<FleetOwner> m_owner;
+    std::unique_ptr<ProgressWriter> m_writer;
+    std::unique_ptr<Session> m_session;
+    std::unique_ptr<PeerDesk> m_desk;
+    PeerCalls m_peers;
+    std::mutex m_termMutex; // Guards m_term.
+    std::condition_variable m_termChanged;
+    OwnerTerm m_term;
+    std::thread m_configurationThread;
+    std::thread m_controlThread;
+    std::thread m_inboxThread;
+    std::thread m_workersThread;
+
+    Result<bool> start();
+    void followConfiguration();
+    void followControl();
+    void followInbox();
+    void followWorkers();
+    void applyConfiguration(const std::string &text);
+    void applyControl(const std::string &key, const std::string &value, std::int64_t revision, bool removed);
+    void applyInbox(const std::string &key, const std::string &value);
+    void applyWorker(const std::string &key, const std::string &value);
+    void gain(std::int64_t fence);
+    void lose(std::int64_t fence, const std::string &reason);
+    bool loadSnapshot(std::int64_t fence);
+    std::optional<OwnerTerm> waitForTerm();
+    bool holds(std::int64_t fence);
+    int attemptsOf(const std::string &queue) const;
+    InboxOutcome recordElsewhere(const std::string &job, const std::string &submission);
+};
+
+FleetNode::Private::~Private()
+{
+    m_closed = true;
+    {
+        const std::lock_guard lock(m_termMutex);
+    }
+    m_termChanged.notify_all();
+    for (auto *thread : {&m_configurationThread, &m_controlThread, &m_inboxThread, &m_workersThread}) {
+        if (thread->joinable()) {
+            thread->join();
+        }
+    }
+}
+
+void FleetNode::Private::applyConfiguration(const std::string &text)
+{
+    const auto decoded = decodeConfiguration(text);
+    if (!decoded.ok()) {
+        logEvent(LogLevel::Error, "configuration_refused", {{"error", decoded.error().message()}});
+        return;
+    }
+    if (m_configuration.offer(std::make_shared<const FleetConfiguration>(decoded.value()))) {
+        logEvent(LogLevel::Info,
+                 "configuration_in_force",
+                 {{"version", std::to_string(decoded.value().m_version)}, {"queues", std::to_string(decoded.value().m_queues.size())}});
+    }
+}
+
+void FleetNode::Private::followConfiguration()
+{
+    const WatchHandlers handlers{
+        .m_listed =
+            [this](const StoreListing &listing) {
+                for (const auto &item : listing.m_items) {
+                    if (item.m_key == configurationKey) {
+                        applyConfiguration(item.m_value);
+                    }
+                }
+            },
+        .m_changed =
+            [this](const StoreChange &change) {
+                if (change.m_key == configurationKey && !change.m_removed) {
+                    applyConfiguration(change.m_value);
+                }
+            },
+    };
+    followPrefix(*m_store, std::string(operatorPrefix), std::nullopt, handlers, [this] { return !m_closed; });
+}
+
+void FleetNode::Private::applyControl(const std::string &key, const std::string &value, std::int64_t revision, bool removed)
+{
+    const bool isOwner = key == StoreKeys::owner;
+    if (removed) {
+        if (isOwner) {
+            m_directory.setOwner(std::nullopt);
+        } else if (key.starts_with(StoreKeys::vms)) {
+            m_directory.removePeer(key.substr(StoreKeys::vms.size()));
+        }
+        return;
+    }
+    const auto peer = decodePeer(value);
+    if (!peer) {
+        logEvent(LogLevel::Warn, "record_skipped", {{"key", key}, {"reason", "it is no record of a VM"}});
+        return;
+    }
+    if (isOwner) {
+        m_directory.setOwner(FleetOwnerRecord{.m_vm = *peer, .m_fence = revision});
+    } else {
+        m_directory.setPeer(*peer);
+    }
+}
+
+void FleetNode::Private::followControl()
+{
+    const WatchHandlers handlers{
+        .m_listed =
+            [this](const StoreListing &listing) {
+                m_directory.setOwner(std::nullopt);
+                m_directory.clearPeers();
+                for (const auto &item : listing.m_items) {
+                    applyControl(item.m_key, item.m_value, item.m_revision, false);
+                }
+                m_session->noteOwner(m_directory.owner());
+            },
+        .m_changed =
+            [this](const StoreChange &change) {
+                applyControl(change.m_key, change.m_value, change.m_revision, change.m_removed);
+                m_session->noteOwner(m_directory.owner());
+            },
+    };
+    followPrefix(*m_store, std::string(StoreKeys::control), std::nullopt, handlers, [this] { return !m_closed; });
+}
+
+int FleetNode::Private::attemptsOf(const std::string &queue) const
+{
+    const auto configuration = m_configuration.current();
+    const auto *settings = configuration ? queueNamed(*configuration, queue) : nullptr;
+    return settings ? settings->m_attempts : 1;
+}
+
+static void skipRecord(const std::string &key, const Error &error)
+{
+    logEvent(LogLevel::Warn, "record_skipped", {{"key", key}, {"reason", error.message()}});
+}
+
+bool FleetNode::Private::loadSnapshot(std::int64_t fence)
+{
+    const auto inbox = m_store->list(std::string(StoreKeys::inbox));
+    const auto progress = inbox.ok() ? m_store->list(std::string(StoreKeys::progress)) : Result<StoreListing>(inbox.error());
+    const auto workers = progress.ok() ? m_store->list(std::string(workerPrefix)) : Result<StoreListing>(progress.error());
+    if (!workers.ok()) {
+        logEvent(LogLevel::Warn, "snapshot_not_read", {{"fence", std::to_string(fence)}, {"error", workers.error().message()}});
+        return false;
+    }
+    const auto now = bootNow();
+    std::map<std::string, const StoreItem *> records;
+    std::vector<RecordRevision> revisions;
+    for (const auto &item : progress.value().m_items) {
+        const auto job = item.m_key.substr(StoreKeys::progress.size());
+        records[job] = &item;
+        revisions.push_back(RecordRevision{.m_job = job, .m_revision = item.m_revision});
+    }
+    std::vector<JobPointer> jobs;
+    std::vector<std::string> cancellations;
+    for (const auto &item : inbox.value().m_items) {
+        if (item.m_key.starts_with(StoreKeys::cancellations)) {
+            cancellations.push_back(item.m_key.substr(StoreKeys::cancellations.size()));
+            continue;
+        }
+        const auto spec = decodeSubmission(item.m_value);
+        if (!spec.ok()) {
+            skipRecord(item.m_key, spec.error());
+            continue;
+        }
+        const auto pointer = std::make_shared<const JobSpec>(spec.value());
+        const auto record = records.find(pointer->m_id);
+        const auto attempts = attemptsOf(pointer->m_queue);
+        if (record == records.end()) {
+            jobs.push_back(newJob(pointer, attempts, now));
+            continue;
+        }
+        const auto restored = restoreJob(pointer, attempts, record->second->m_value, now);
+        if (!restored.ok()) {
+            skipRecord(record->second->m_key, restored.error());
+            continue;
+        }
+        jobs.push_back(restored.value());
+    }
+    std::vector<WorkerReportPointer> reports;
+    for (const auto &item : workers.value().m_items) {
+        const auto report = decodeWorkerReport(item.m_key.substr(workerPrefix.size()), item.m_value);
+        if (report.ok()) {
+            reports.push_back(std::make_shared<const WorkerReport>(report.value()));
+        } else {
+            skipRecord(item.m_key, report.error());
+        }
+    }
+    m_writer->begin(fence, revisions);
+    m_owner->post(
+        OwnershipGained{.m_snapshot = std::make_shared<const FleetSnapshot>(FleetSnapshot{
+                            .m_fence = fence, .m_jobs = std::move(jobs), .m_cancelledJobs = std::move(cancellations), .m_workers = std::move(reports)})});
+    {
+        const std::lock_guard lock(m_termMutex);
+        m_term = OwnerTerm{.m_fence = fence, .m_inboxRevision = inbox.value().m_revision, .m_workersRevision = workers.value().m_revision};
+    }
+    m_termChanged.notify_all();
+    return true;
+}
+
+void FleetNode::Private::gain(std::int64_t fence)
+{
+    {
+        const std::lock_guard lock(m_termMutex);
+        m_term = OwnerTerm{.m_fence = fence};
+    }
+    while (!m_closed && holds(fence) && !loadSnapshot(fence)) {
+        std::this_thread::sleep_for(snapshotRetry);
+    }
+}
+
+void FleetNode::Private::lose(std::int64_t fence, const std::string &reason)
+{
+    {
+        const std::lock_guard lock(m_termMutex);
+        if (m_term.m_fence == fence) {
+            m_term = OwnerTerm{};
+        }
+    }
+    m_writer->end();
+    m_owner->post(OwnershipLost{.m_fence = fence, .m_reason = reason});
+}
+
+bool FleetNode::Private::holds(std::int64_t fence)
+{
+    const std::lock_guard lock(m_termMutex);
+    return m_term.m_fence == fence;
+}
+
+std::optional<OwnerTerm> FleetNode::Private::waitForTerm()
+{
+    std::unique_lock lock(m_termMutex);
+    m_termChanged.wait(lock, [&] { return m_closed || m_term.m_inboxRevision != 0; });
+    return m_closed ? std::nullopt : std::optional(m_term);
+}
+
+void FleetNode::Private::applyInbox(const std::string &key, const std::string &value)
+{
+    if (key.starts_with(StoreKeys::cancellations)) {
+        m_owner->post(JobCancelled{.m_job = key.substr(StoreKeys::cancellations.size())});
+        return;
+    }
+    const auto spec = decodeSubmission(value);
+    if (spec.ok()) {
+        m_owner->post(JobSubmitted{.m_spec = std::make_shared<const JobSpec>(spec.value())});
+    } else {
+        skipRecord(key, spec.error());
+    }
+}
+
+void FleetNode::Private::followInbox()
+{
+    while (const auto term = waitForTerm()) {
+        const WatchHandlers handlers{
+            .m_listed =
+                [this](const StoreListing &listing) {
+                    for (const auto &item : listing.m_items) {
+                        applyInbox(item.m_key, item.m_value);
+                    }
+                },
+            .m_changed =
+                [this](const StoreChange &change) {
+                    if (!change.m_removed) {
+                        applyInbox(change.m_key, change.m_value);
+                    }
+                },
+        };
+        followPrefix(*m_store, std::string(StoreKeys::inbox), term->m_inboxRevision, handlers, [&] { return !m_closed && holds(term->m_fence); });
+    }
+}
+
+void FleetNode::Private::applyWorker(const std::string &key, const std::string &value)
+{
+    const auto report = decodeWorkerReport(key.substr(workerPrefix.size()), value);
+    if (report.ok()) {
+        m_owner->post(WorkerReported{.m_report = std::make_shared<const WorkerReport>(report.value())});
+    } else {
+        skipRecord(key, report.error());
+    }
+}
+
+void FleetNode::Private::followWorkers()
+{
+    while (const auto term = waitForTerm()) {
+        std::set<std::string> known;
+        const WatchHandlers handlers{
+            .m_listed =
+                [&](const StoreListing &listing) {
+                    std::set<std::string> listed;
+                    for (const auto &item : listing.m_items) {
+                        listed.insert(item.m_key);
+                        applyWorker(item.m_key, item.m_value);
+                    }
+                    for (const auto &key : known) {
+                        if (!listed.contains(key)) {
+                            m_owner->post(WorkerEntryRemoved{.m_worker = key.substr(workerPrefix.size())});
+                        }
+                    }
+                    known = std::move(listed);
+                },
+            .m_changed =
+                [&](const StoreChange &change) {
+                    if (change.m_removed) {
+                        known.erase(change.m_key);
+                        m_owner->post(WorkerEntryRemoved{.m_worker = change.m_key.substr(workerPrefix.size())});
+                    } else {
+                        known.insert(change.m_key);
+                        applyWorker(change.m_key, change.m_value);
+                    }
+                },
+        };
+        followPrefix(*m_store, std::string(workerPrefix), std::nullopt, handlers, [&] { return !m_closed && holds(term->m_fence); });
+    }
+}
+
+Result<bool> FleetNode::Private::start()
+{
+    m_http = HttpClient::create().take();
+    m_store = std::make_shared<PlatformStore>(m_settings.m_storeAddress, m_http);
+    m_writer = ProgressWriter::create(m_store,
+                                      ProgressCallbacks{
+                                          .m_recorded =
+                                              [this](const std::string &job, std::int64_t version, JobOutcome outcome) {
+                                                  m_owner->post(ProgressRecorded{.m_job = job, .m_version = version, .m_outcome = outcome});
+                                              },
+                                          .m_ownershipLost = [this](std::int64_t fence) { m_session->noteSuperseded(fence, "the store refused a write"); },
+                                      })
+                   .take();
+    m_owner = FleetOwner::create(OwnerContext{
+                                     .m_settings = m_settings,
+                                     .m_workers = HttpClient::create().take(),
+                                     .m_configuration = m_configuration,
+                                     .m_record = [this](const JobPointer &job) { m_writer->record(job); },
+                                     .m_superseded =
+                                         [this](std::int64_t fence, const std::string &reason) {
+                                             // The session calls the store, which the owner's thread must not wait for.
+                                             std::thread([this, fence, reason] { m_session->noteSuperseded(fence, reason); }).detach();
+                                         },
+                                 })
+                  .take();
+    m_session = std::make_unique<Session>(m_self,
+                                          m_settings.m_shortestStoreLease,
+                                          m_store,
+                                          SessionCallbacks{
+                                              .m_mayOwn = [this] { return !m_stopping && m_configuration.current() != nullptr; },
+                                              .m_gained = [this](std::int64_t fence) { gain(fence); },
+                                              .m_lost = [this](std::int64_t fence, const std::string &reason) { lose(fence, reason); },
+                                          });
+    auto desk = PeerDesk::create(m_settings.m_peerAddress, *m_owner, m_store);
+    if (!desk.ok()) {
+        return desk.error();
+    }
+    m_desk = desk.take();
+    m_configurationThread = std::thread([this] { followConfiguration(); });
+    m_controlThread = std::thread([this] { followControl(); });
+    m_inboxThread = std::thread([this] { followInbox(); });
+    m_workersThread = std::thread([this] { followWorkers(); });
+    return true;
+}
+
+Result<std::unique_ptr<FleetNode>> FleetNode::create(const FleetSettings &settings)
+{
+    auto state = std::make_unique<Private>(settings);
+    const auto started = state->start();
+    if (!started.ok()) {
+        return started.error();
+    }
+    return std::unique_ptr<FleetNode>(new FleetNode(std::move(state)));
+}
+
+FleetNode::FleetNode(std::unique_ptr<Private> state)
+    : m_private(std::move(state))
+{
+}
+
+FleetNode::~FleetNode() = default;
+
+FleetConfigurationPointer FleetNode::configuration() const
+{
+    return m_private->m_configuration.current();
+}
+
+bool FleetNode::ready() const
+{
+    return !m_private->m_stopping && m_private->m_configuration.current() && m_private->m_store->answeredWithin(storeSilence);
+}
+
+// Has peers write to the store, the owner first: it reaches the store more often than others.
+InboxOutcome FleetNode::Private::recordElsewhere(const std::string &job, const std::string &submission)
+{
+    std::vector<std::string> addresses;
+    if (const auto owner = m_directory.owner(); owner && owner->m_vm != m_self) {
+        addresses.push_back(owner->m_vm.m_address);
+    }
+    for (const auto &peer : m_directory.peers()) {
+        if (peer != m_self && std::find(addresses.begin(), addresses.end(), peer.m_address) == addresses.end()) {
+            addresses.push_back(peer.m_address);
+        }
+    }
+    addresses.erase(addresses.begin() + static_cast<std::ptrdiff_t>(std::min(addresses.size(), maxRecordPeers)), addresses.end());
+    bool uncertain = false;
+    for (const auto &address : addresses) {
+        const auto outcome = m_peers.record(address, job, submission, recordTimeout);
+        if (outcome == InboxOutcome::Recorded || outcome == InboxOutcome::NoSuchJob) {
+            return outcome;
+        }
+        uncertain = uncertain || outcome == InboxOutcome::Unknown;
+    }
+    return uncertain ? InboxOutcome::Unknown : InboxOutcome::NotRecorded;
+}
+
+InboxOutcome FleetNode::submit(const JobSpec &spec)
+{
+    const auto record = encodeSubmission(spec);
+    if (m_private->m_store->answeredWithin(storeSilence)) {
+        const auto outcome = recordSubmission(*m_private->m_store, spec.m_id, record);
+        if (outcome != InboxOutcome::NotRecorded) {
+            return outcome;
+        }
+    }
+    return m_private->recordElsewhere(spec.m_id, record);
+}
+
+InboxOutcome FleetNode::cancel(const std::string &job)
+{
+    if (m_private->m_store->answeredWithin(storeSilence)) {
+        const auto outcome = recordCancellation(*m_private->m_store, job);
+        if (outcome != InboxOutcome::NotRecorded) {
+            return outcome;
+        }
+    }
+    return m_private->recordElsewhere(job, {});
+}
+
+RecordedStatus FleetNode::status(const std::string &queue, const std::string &job)
+{
+    const auto own = m_private->m_owner->status(queue, job);
+    if (own.m_owner && own.m_status) {
+        return {.m_known = true, .m_status = own.m_status};
+    }
+    const auto owner = m_private->m_directory.owner();
+    if (!own.m_owner && owner && owner->m_vm != m_private->m_self) {
+        const auto answer = m_private->m_peers.jobStatus(owner->m_vm.m_address, queue, job, questionTimeout);
+        if (answer.ok() && answer.value().m_owner && answer.value().m_status) {
+            return {.m_known = true, .m_status = answer.value().m_status};
+        }
+    }
+    return readStatus(*m_private->m_store, queue, job);
+}
+
+std::optional<std::int64_t> FleetNode::waitingJobs(const std::string &queue)
+{
+    if (const auto own = m_private->m_owner->waitingJobs(queue)) {
+        return own;
+    }
+    const auto owner = m_private->m_directory.owner();
+    if (!owner || owner->m_vm == m_private->m_self) {
+        return std::nullopt;
+    }
+    const auto answer = m_private->m_peers.waitingJobs(owner->m_vm.m_address, queue, questionTimeout);
+    return answer.ok() ? answer.value() : std::nullopt;
+}
+
+void FleetNode::announceStop()
+{
+    m_private->m_stopping = true;
+}
+
+void FleetNode::handOver()
+{
+    m_private->m_session->close();
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/inbox.cpp
@@ -0,0 +1,87 @@
+#include "primrosebridge/Fleetservice/inbox.h"
+
+#include "primrosebridge/Fleetservice/keys.h"
+#include "primrosebridge/Progress/record.h"
+
+namespace PrimroseBridge {
+
+static bool nothingDone(const Error &error)
+{
+    return error.kind() != ErrorKind::DeadlineExceeded;
+}
+
+InboxOutcome recordSubmission(PlatformStore &store, const std::string &job, const std::string &submission)
+{
+    const auto key = submissionKey(job);
+    const auto result = store.commit(StoreTransaction{
+        .m_expectations = {{.m_key = key, .m_revision = 0}}, .m_writes = {{.m_key = key, .m_value = submission, .m_lease = 0}}, .m_removals = {}});
+    if (result.ok()) {
+        return InboxOutcome::Recorded; // Also if the key exists: an earlier attempt of the same submission wrote it.
+    }
+    if (nothingDone(result.error())) {
+        return InboxOutcome::NotRecorded;
+    }
+    const auto found = store.get(key);
+    return found.ok() && found.value() ? InboxOutcome::Recorded : InboxOutcome::Unknown;
+}
+
+InboxOutcome recordCancellation(PlatformStore &store, const std::string &job)
+{
+    const auto submission = store.get(submissionKey(job));
+    if (!submission.ok()) {
+        return InboxOutcome::NotRecorded;
+    }
+    if (!submission.value()) {
+        return InboxOutcome::NoSuchJob;
+    }
+    const auto result
+        = store.commit(StoreTransaction{.m_expectations = {}, .m_writes = {{.m_key = cancellationKey(job), .m_value = "{}", .m_lease = 0}}, .m_removals = {}});
+    if (result.ok()) {
+        return InboxOutcome::Recorded;
+    }
+    return nothingDone(result.error()) ? InboxOutcome::NotRecorded : InboxOutcome::Unknown;
+}
+
+static std::optional<JobStatus> finalStatus(JobOutcome outcome)
+{
+    switch (outcome) {
+    case JobOutcome::Complete:
+        return JobStatus::Complete;
+    case JobOutcome::Failed:
+        return JobStatus::Failed;
+    case JobOutcome::Cancelled:
+        return JobStatus::Cancelled;
+    case JobOutcome::Active:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+RecordedStatus readStatus(PlatformStore &store, const std::string &queue, const std::string &job)
+{
+    const auto item = store.get(submissionKey(job));
+    if (!item.ok()) {
+        return {.m_known = false, .m_status = std::nullopt};
+    }
+    if (!item.value()) {
+        return {.m_known = true, .m_status = std::nullopt};
+    }
+    const auto submission = decodeSubmission(item.value()->m_value);
+    if (!submission.ok() || submission.value().m_queue != queue) {
+        return {.m_known = submission.ok(), .m_status = std::nullopt};
+    }
+    const auto progress = store.get(progressKey(job));
+    if (!progress.ok()) {
+        return {.m_known = false, .m_status = std::nullopt};
+    }
+    if (!progress.value()) {
+        return {.m_known = true, .m_status = JobStatus::Queued};
+    }
+    const auto outcome = decodeOutcome(progress.value()->m_value);
+    if (!outcome.ok()) {
+        return {.m_known = false, .m_status = std::nullopt};
+    }
+    return {.m_known = true, .m_status = finalStatus(outcome.value()).value_or(JobStatus::Running)};
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -0,0 +1,364 @@
+#include "ownerstate.h"
+
+#include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Pipeline/timerservice.h"
+
+#include <algorithm>
+
+namespace PrimroseBridge {
+
+// Clocks of workers may be 2% slow; the rest covers the way of the last renewal.
+static constexpr double leaseStretch = 1.03;
+static constexpr Duration leaseSlack(300);
+
+WorkerEntry *findWorker(OwnerState &state, const WorkerLife &life)
+{
+    const auto found = state.m_workers.find(life.m_worker);
+    return found == state.m_workers.end() || *found->second.m_life != life ? nullptr : &found->second;
+}
+
+void recordIfChanged(const OwnerState &state, const JobPointer &job)
+{
+    if (job->m_version > job->m_recordedVersion) {
+        state.m_context.m_record(job);
+    }
+}
+
+static void unlist(OwnerState &state, const TaskReference &reference, const TaskPointer &task)
+{
+    if (task && task->m_place) {
+        if (auto *worker = findWorker(state, *task->m_place)) {
+            worker->m_tasks.erase(reference);
+        }
+    }
+}
+
+static void list(OwnerState &state, const TaskReference &reference, const TaskPointer &task)
+{
+    if (task && task->m_place) {
+        if (auto *worker = findWorker(state, *task->m_place)) {
+            worker->m_tasks.insert(reference);
+        }
+    }
+}
+
+void setTask(OwnerState &state, const TaskReference &reference, const TaskPointer &task)
+{
+    const auto job = state.m_jobs.find(reference.m_job);
+    if (!job || !findTask(*job, reference)) {
+        return;
+    }
+    unlist(state, reference, findTask(*job, reference));
+    const auto changed = withTask(*job, reference, task);
+    state.m_jobs.update(reference.m_job, [&](const auto &) { return changed; });
+    list(state, reference, task);
+}
+
+template<class Visit>
+static void visitTasks(const JobState &job, Visit visit)
+{
+    for (const auto &occurrence : job.m_occurrences) {
+        for (std::size_t step = 0; step < occurrence->m_steps.size(); ++step) {
+            const auto &tasks = occurrence->m_steps[step]->m_tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                visit(
+                    TaskReference{
+                        .m_job = job.m_spec->m_id, .m_occurrence = occurrence->m_number, .m_step = static_cast<int>(step), .m_index = static_cast<int>(index)},
+                    tasks[index]);
+            }
+        }
+    }
+}
+
+void setJob(OwnerState &state, const JobPointer &job)
+{
+    const auto &name = job->m_spec->m_id;
+    if (const auto before = state.m_jobs.find(name)) {
+        visitTasks(*before, [&](const auto &reference, const auto &task) { unlist(state, reference, task); });
+    }
+    state.m_jobs.update(name, [&](const auto &) { return job; });
+    visitTasks(*job, [&](const auto &reference, const auto &task) { list(state, reference, task); });
+}
+
+void stopRuns(OwnerState &state, const JobPointer &job, StopReason reason, Instant now)
+{
+    visitTasks(*job, [&](const auto &reference, const auto &task) {
+        if (task->m_place && task->m_phase != TaskPhase::Stopping) {
+            orderStop(state, *task->m_place, reference, task->m_run, reason, now);
+        }
+    });
+}
+
+void releaseTasks(OwnerState &state, WorkerEntry &worker, std::string_view reason, Instant now)
+{
+    const auto tasks = worker.m_tasks;
+    for (const auto &reference : tasks) {
+        const auto job = state.m_jobs.find(reference.m_job);
+        const auto task = job ? findTask(*job, reference) : nullptr;
+        if (task && task->m_place && *task->m_place == *worker.m_life) {
+            setTask(state, reference, taskWaiting(*task, now));
+        }
+    }
+    if (!tasks.empty()) {
+        logEvent(LogLevel::Info,
+                 "worker_tasks_released",
+                 {{"worker", worker.m_life->m_worker}, {"tasks", std::to_string(tasks.size())}, {"reason", std::string(reason)}});
+    }
+    worker.m_tasks.clear();
+    state.m_mustPlace = true;
+}
+
+bool isUsable(const WorkerEntry &worker, Instant now)
+{
+    return worker.m_entryPresent && worker.m_fenced && worker.m_missed == 0 && !worker.m_report->m_draining && worker.m_noStartsUntil <= now;
+}
+
+static WorkerEntry newEntry(const WorkerReportPointer &report, Instant now)
+{
+    WorkerEntry entry;
+    entry.m_report = report;
+    entry.m_life = std::make_shared<const WorkerLife>(report->m_life);
+    entry.m_answeredAt = now;
+    entry.m_nextRequestAt = now;
+    return entry;
+}
+
+// A new worker on the same machine, or at the same identifier with another start time, ends the life before it.
+static void endEarlierLives(OwnerState &state, const WorkerReport &report, Instant now)
+{
+    for (auto entry = state.m_workers.begin(); entry != state.m_workers.end();) {
+        auto &worker = entry->second;
+        const bool sameMachine = !report.m_machine.empty() && worker.m_report->m_machine == report.m_machine;
+        const bool sameName = entry->first == report.m_life.m_worker;
+        const bool newerLife = report.m_life.m_bornAt > worker.m_life->m_bornAt;
+        if ((sameMachine || sameName) && *worker.m_life != report.m_life && newerLife) {
+            logEvent(LogLevel::Info, "worker_life_over", {{"worker", entry->first}, {"successor", report.m_life.m_worker}});
+            releaseTasks(state, worker, "worker_restarted", now);
+            state.m_awaitedWorkers.erase(entry->first);
+            entry = state.m_workers.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+static void applyWorkerReport(OwnerState &state, const WorkerReportPointer &report, Instant now)
+{
+    endEarlierLives(state, *report, now);
+    const auto [entry, added] = state.m_workers.try_emplace(report->m_life.m_worker, newEntry(report, now));
+    auto &worker = entry->second;
+    if (*worker.m_life != report->m_life) {
+        return; // An entry of an earlier life that arrives late.
+    }
+    if (!added && report->m_draining && !worker.m_report->m_draining) {
+        logEvent(LogLevel::Info, "worker_draining", {{"worker", entry->first}, {"tasks", std::to_string(worker.m_tasks.size())}});
+    }
+    worker.m_report = report;
+    worker.m_entryPresent = true;
+    if (added) {
+        logEvent(LogLevel::Info, "worker_known", {{"worker", entry->first}, {"zone", report->m_zone}, {"rack", report->m_rack}});
+        requestLists(state, worker, false, now);
+    }
+    state.m_mustPlace = true;
+}
+
+static void applyEntryRemoved(OwnerState &state, const std::string &name)
+{
+    const auto found = state.m_workers.find(name);
+    if (found == state.m_workers.end()) {
+        return;
+    }
+    found->second.m_entryPresent = false;
+    logEvent(LogLevel::Info, "worker_entry_removed", {{"worker", name}, {"tasks", std::to_string(found->second.m_tasks.size())}});
+}
+
+static int attemptsOf(const OwnerState &state, const std::string &queue)
+{
+    const auto configuration = state.m_context.m_configuration.current();
+    const auto *settings = configuration ? queueNamed(*configuration, queue) : nullptr;
+    return settings ? settings->m_attempts : 1;
+}
+
+static void addJob(OwnerState &state, const JobPointer &job)
+{
+    setJob(state, job);
+    state.m_order.push_back(job->m_spec->m_id);
+    state.m_mustPlace = true;
+}
+
+static void applySubmission(OwnerState &state, const JobSpecPointer &spec, Instant now)
+{
+    if (state.m_jobs.find(spec->m_id)) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "job_queued",
+             {{"request", spec->m_id},
+              {"queue", spec->m_queue},
+              {"organisation", spec->m_organisation},
+              {"age_ms", std::to_string((TimerService::now() - spec->m_acceptedAt).count())}});
+    addJob(state, newJob(spec, attemptsOf(state, spec->m_queue), now));
+}
+
+static void applyCancellation(OwnerState &state, const std::string &name, Instant now)
+{
+    const auto job = state.m_jobs.find(name);
+    if (!job || job->m_outcome != JobOutcome::Active) {
+        return;
+    }
+    const auto changed = cancelled(*job, now);
+    setJob(state, changed);
+    logEvent(LogLevel::Info, "job_cancelled", {{"request", name}});
+    stopRuns(state, changed, StopReason::Cancelled, now);
+    recordIfChanged(state, changed);
+    state.m_mustPlace = true;
+}
+
+static void applyGained(OwnerState &state, const FleetSnapshot &snapshot, Instant now)
+{
+    for (const auto &job : state.m_jobs.values()) {
+        state.m_jobs.update(job->m_spec->m_id, [](const auto &) { return nullptr; });
+    }
+    state.m_workers.clear();
+    state.m_order.clear();
+    state.m_lockedJobs.clear();
+    state.m_awaitedWorkers.clear();
+    auto jobs = snapshot.m_jobs;
+    std::stable_sort(jobs.begin(), jobs.end(), [](const auto &left, const auto &right) { return left->m_spec->m_acceptedAt < right->m_spec->m_acceptedAt; });
+    for (const auto &job : jobs) {
+        addJob(state, job);
+        if (job->m_outcome == JobOutcome::Active) {
+            state.m_lockedJobs.insert(job->m_spec->m_id);
+        }
+    }
+    state.m_fence = snapshot.m_fence;
+    state.m_lockedUntil = now + std::chrono::duration_cast<Duration>(state.m_context.m_settings.m_taskLease * leaseStretch) + leaseSlack;
+    for (const auto &report : snapshot.m_workers) {
+        state.m_awaitedWorkers.insert(report->m_life.m_worker);
+    }
+    for (const auto &report : snapshot.m_workers) {
+        applyWorkerReport(state, report, now);
+        // The predecessor may have renewed the leases there just before.
+        if (auto *worker = findWorker(state, report->m_life)) {
+            worker->m_leaseBound = state.m_lockedUntil;
+        }
+    }
+    for (const auto &job : snapshot.m_cancelledJobs) {
+        applyCancellation(state, job, now);
+    }
+    logEvent(LogLevel::Info,
+             "ownership_taken",
+             {{"fence", std::to_string(snapshot.m_fence)}, {"jobs", std::to_string(jobs.size())}, {"workers", std::to_string(snapshot.m_workers.size())}});
+}
+
+static void applyRecorded(OwnerState &state, const ProgressRecorded &event, Instant now)
+{
+    const auto job = state.m_jobs.find(event.m_job);
+    if (!job) {
+        return;
+    }
+    const auto changed = recorded(*job, event.m_version, event.m_outcome);
+    state.m_jobs.update(event.m_job, [&](const auto &) { return changed; });
+    if (event.m_outcome != JobOutcome::Active && job->m_recordedOutcome == JobOutcome::Active) {
+        logEvent(LogLevel::Info,
+                 "job_ended",
+                 {{"request", event.m_job},
+                  {"outcome", event.m_outcome == JobOutcome::Complete ? "complete" : (event.m_outcome == JobOutcome::Failed ? "failed" : "cancelled")},
+                  {"age_ms", std::to_string((TimerService::now() - job->m_spec->m_acceptedAt).count())}});
+    }
+    for (auto &[name, worker] : state.m_workers) {
+        const auto before = worker.m_endsTaken;
+        while (!worker.m_pendingEnds.empty()) {
+            const auto &first = worker.m_pendingEnds.front();
+            const auto owner = first.m_version == 0 ? nullptr : state.m_jobs.find(first.m_job);
+            if (owner && owner->m_recordedVersion < first.m_version) {
+                break;
+            }
+            worker.m_endsTaken = first.m_number;
+            worker.m_pendingEnds.pop_front();
+        }
+        if (worker.m_endsTaken != before && !worker.m_requestOpen) {
+            requestLists(state, worker, false, now);
+        }
+    }
+}
+
+namespace {
+
+// Applies one event; one overload for each kind.
+struct EventVisitor {
+    OwnerState &m_state;
+    const Instant m_now;
+
+    void operator()(const OwnershipGained &event) const
+    {
+        applyGained(m_state, *event.m_snapshot, m_now);
+    }
+    void operator()(const OwnershipLost &event) const
+    {
+        if (m_state.m_fence == event.m_fence) {
+            m_state.m_fence = 0;
+            logEvent(LogLevel::Warn, "ownership_lost", {{"fence", std::to_string(event.m_fence)}, {"reason", event.m_reason}});
+        }
+    }
+    void operator()(const JobSubmitted &event) const
+    {
+        if (m_state.m_fence != 0) {
+            applySubmission(m_state, event.m_spec, m_now);
+        }
+    }
+    void operator()(const JobCancelled &event) const
+    {
+        if (m_state.m_fence != 0) {
+            applyCancellation(m_state, event.m_job, m_now);
+        }
+    }
+    void operator()(const WorkerReported &event) const
+    {
+        if (m_state.m_fence != 0) {
+            applyWorkerReport(m_state, event.m_report, m_now);
+        }
+    }
+    void operator()(const WorkerEntryRemoved &event) const
+    {
+        if (m_state.m_fence != 0) {
+            applyEntryRemoved(m_state, event.m_worker);
+        }
+    }
+    void operator()(const ReportArrived &event) const
+    {
+        if (m_state.m_fence == event.m_fence) {
+            applyReport(m_state, event, m_now);
+        }
+    }
+    void operator()(const StartAnswered &event) const
+    {
+        if (m_state.m_fence == event.m_fence) {
+            applyStartAnswer(m_state, event, m_now);
+        }
+    }
+    void operator()(const StopAnswered &event) const
+    {
+        if (m_state.m_fence == event.m_fence) {
+            applyStopAnswer(m_state, event, m_now);
+        }
+    }
+    void operator()(const ProgressRecorded &event) const
+    {
+        if (m_state.m_fence != 0) {
+            applyRecorded(m_state, event, m_now);
+        }
+    }
+    void operator()(const OwnerTick &) const
+    {
+    }
+};
+
+} // namespace
+
+void applyEvent(OwnerState &state, const OwnerEvent &event, Instant now)
+{
+    std::visit(EventVisitor{.m_state = state, .m_now = now}, event);
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -0,0 +1,212 @@
+#include "ownerstate.h"
+
+#include "primrosebridge/Observe/log.h"
+
+#include <algorithm>
+
+namespace PrimroseBridge {
+
+// Orders are answered within a network round trip; workers that leave them longer may carry them out seconds later.
+static constexpr Duration orderTimeout(500);
+// The wait of a report request with tasks on the worker; also the period at which their leases are renewed.
+static constexpr Duration busyReportWait(1000);
+static constexpr Duration idleReportWait(2000);
+// Beyond the wait, for the way there and back and a worker that answers slowly.
+static constexpr Duration reportSlack(700);
+// A worker that has refused for want of room, or work in general, gets no starts for this long.
+static constexpr Duration refusalPause(300);
+static constexpr Duration unhealthyPause(1500);
+static constexpr double leaseStretch = 1.03; // Clocks of workers may be 2% slow.
+static constexpr Duration leaseSlack(300);
+// Unanswered requests after which leases are no longer renewed, so that the time by which they have lapsed stands still.
+static constexpr int missedBeforeLookOnly = 2;
+
+static std::int64_t leaseEndFor(const OwnerState &state, const WorkerEntry &worker, Instant now)
+{
+    return worker.m_clockAtAnswer + (now - worker.m_answeredAt).count() + state.m_context.m_settings.m_taskLease.count();
+}
+
+static void noteLease(const OwnerState &state, WorkerEntry &worker, Instant now)
+{
+    const auto longest = std::chrono::duration_cast<Duration>(state.m_context.m_settings.m_taskLease * leaseStretch) + leaseSlack;
+    worker.m_leaseBound = std::max(worker.m_leaseBound, now + longest);
+}
+
+void requestLists(OwnerState &state, WorkerEntry &worker, bool quick, Instant now)
+{
+    bool &open = quick ? worker.m_quickRequestOpen : worker.m_requestOpen;
+    if (open) {
+        return;
+    }
+    open = true;
+    const bool renew = worker.m_fenced && worker.m_missed < missedBeforeLookOnly;
+    const bool waits = !quick && renew && worker.m_pendingEnds.empty();
+    const auto wait = waits ? (worker.m_tasks.empty() ? idleReportWait : busyReportWait) : Duration(0);
+    if (renew) {
+        noteLease(state, worker, now);
+    }
+    const auto fence = state.m_fence.load();
+    requestReport(
+        *state.m_context.m_workers,
+        OrderTarget{.m_worker = worker.m_life->m_worker, .m_address = worker.m_report->m_address, .m_fence = fence, .m_timeout = wait + reportSlack},
+        ReportRequest{.m_endsTaken = worker.m_endsTaken, .m_leaseEnd = renew ? std::optional(leaseEndFor(state, worker, now)) : std::nullopt, .m_wait = wait},
+        [events = state.m_events, life = worker.m_life, fence, now, renew, quick](const ReportReply &reply) {
+            events->tryPush(ReportArrived{.m_life = *life, .m_fence = fence, .m_sentAt = now, .m_leaseRenewed = renew, .m_quick = quick, .m_reply = reply});
+        });
+}
+
+void orderStart(OwnerState &state, const StartDecision &decision, const PlacementWorker &placement, const JobPointer &job, Instant now)
+{
+    auto *worker = findWorker(state, *placement.m_life);
+    const auto task = findTask(*job, decision.m_task);
+    if (!worker || !task) {
+        return;
+    }
+    setTask(state, decision.m_task, taskStarting(*task, worker->m_life, decision.m_run, now));
+    noteLease(state, *worker, now);
+    const auto fence = state.m_fence.load();
+    sendStart(*state.m_context.m_workers,
+              OrderTarget{.m_worker = worker->m_life->m_worker, .m_address = worker->m_report->m_address, .m_fence = fence, .m_timeout = orderTimeout},
+              StartOrder{.m_task = decision.m_task,
+                         .m_run = decision.m_run,
+                         .m_payload = job->m_spec->m_payload,
+                         .m_checkpoint = decision.m_checkpoint,
+                         .m_leaseEnd = leaseEndFor(state, *worker, now)},
+              [events = state.m_events, reference = decision.m_task, run = decision.m_run, life = worker->m_life, fence, now](const OrderReply &reply) {
+                  events->tryPush(StartAnswered{.m_task = reference, .m_run = run, .m_life = *life, .m_fence = fence, .m_sentAt = now, .m_reply = reply});
+              });
+}
+
+void orderStop(OwnerState &state, const WorkerLife &life, const TaskReference &reference, std::int64_t run, StopReason reason, Instant now)
+{
+    auto *worker = findWorker(state, life);
+    if (!worker) {
+        return;
+    }
+    const auto job = state.m_jobs.find(reference.m_job);
+    const auto task = job ? findTask(*job, reference) : nullptr;
+    if (task && task->m_place && *task->m_place == life && task->m_run == run) {
+        setTask(state, reference, taskInPhase(*task, TaskPhase::Stopping, true, now));
+    }
+    logEvent(LogLevel::Info,
+             "stop_ordered",
+             {{"request", reference.m_job},
+              {"task", taskName(reference)},
+              {"run", std::to_string(run)},
+              {"worker", life.m_worker},
+              {"reason", std::string(stopReasonName(reason))}});
+    const auto fence = state.m_fence.load();
+    sendStop(*state.m_context.m_workers,
+             OrderTarget{.m_worker = life.m_worker, .m_address = worker->m_report->m_address, .m_fence = fence, .m_timeout = orderTimeout},
+             reference,
+             run,
+             [events = state.m_events, reference, run, life, fence](const OrderReply &reply) {
+                 events->tryPush(StopAnswered{.m_task = reference, .m_run = run, .m_life = life, .m_fence = fence, .m_reply = reply});
+             });
+}
+
+static std::string_view answerName(StartAnswer answer)
+{
+    switch (answer) {
+    case StartAnswer::Accepted:
+        return "accepted";
+    case StartAnswer::Fenced:
+        return "fenced";
+    case StartAnswer::Outdated:
+        return "outdated";
+    case StartAnswer::LeaseOver:
+        return "lease_over";
+    case StartAnswer::NoRoom:
+        return "no_room";
+    case StartAnswer::NoTicket:
+        return "no_ticket";
+    case StartAnswer::OtherLife:
+        return "other_life";
+    case StartAnswer::Unhealthy:
+        return "unhealthy";
+    case StartAnswer::Malformed:
+        return "malformed";
+    case StartAnswer::NotSent:
+        return "not_sent";
+    case StartAnswer::Unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
+static void noteRefusal(WorkerEntry &worker, StartAnswer answer, Instant now)
+{
+    switch (answer) {
+    case StartAnswer::Unhealthy:
+    case StartAnswer::Malformed:
+    case StartAnswer::OtherLife:
+        worker.m_noStartsUntil = std::max(worker.m_noStartsUntil, now + unhealthyPause);
+        return;
+    case StartAnswer::NoRoom:
+    case StartAnswer::NotSent:
+    case StartAnswer::LeaseOver:
+        worker.m_noStartsUntil = std::max(worker.m_noStartsUntil, now + refusalPause);
+        return;
+    default:
+        return;
+    }
+}
+
+void applyStartAnswer(OwnerState &state, const StartAnswered &event, Instant now)
+{
+    const auto answer = event.m_reply.m_answer;
+    logEvent(answer == StartAnswer::Accepted ? LogLevel::Info : LogLevel::Warn,
+             "start_answered",
+             {{"request", event.m_task.m_job},
+              {"task", taskName(event.m_task)},
+              {"run", std::to_string(event.m_run)},
+              {"worker", event.m_life.m_worker},
+              {"after_ms", std::to_string((now - event.m_sentAt).count())},
+              {"outcome", std::string(answerName(answer))}});
+    if (answer == StartAnswer::Fenced) {
+        state.m_context.m_superseded(event.m_fence, "worker " + event.m_life.m_worker + " has seen a higher fence");
+    }
+    auto *worker = findWorker(state, event.m_life);
+    const auto job = state.m_jobs.find(event.m_task.m_job);
+    const auto task = job ? findTask(*job, event.m_task) : nullptr;
+    const bool current = task && task->m_place && *task->m_place == event.m_life && task->m_run == event.m_run;
+    if (!worker || !current || task->m_phase != TaskPhase::Starting) {
+        return;
+    }
+    if (answer == StartAnswer::Accepted) {
+        setTask(state, event.m_task, taskInPhase(*task, TaskPhase::Running, false, now));
+        return;
+    }
+    if (answer == StartAnswer::Unanswered) {
+        // The run may have begun. The worker's lists tell; see applyReport().
+        setTask(state, event.m_task, taskInPhase(*task, TaskPhase::Starting, true, now));
+        requestLists(state, *worker, true, now);
+        return;
+    }
+    noteRefusal(*worker, answer, now);
+    setTask(state, event.m_task, taskWaiting(*task, now));
+    state.m_mustPlace = true;
+}
+
+void applyStopAnswer(OwnerState &state, const StopAnswered &event, Instant now)
+{
+    if (event.m_reply.m_answer == StartAnswer::Fenced) {
+        state.m_context.m_superseded(event.m_fence, "worker " + event.m_life.m_worker + " has seen a higher fence");
+        return;
+    }
+    const auto job = state.m_jobs.find(event.m_task.m_job);
+    const auto task = job ? findTask(*job, event.m_task) : nullptr;
+    const bool current = task && task->m_place && *task->m_place == event.m_life && task->m_run == event.m_run;
+    if (!current || task->m_phase != TaskPhase::Stopping) {
+        return;
+    }
+    if (event.m_reply.m_answer == StartAnswer::Accepted) {
+        // The place is free once the worker lists the end, or lists the run no longer.
+        setTask(state, event.m_task, taskInPhase(*task, TaskPhase::Stopping, false, now));
+        if (auto *worker = findWorker(state, event.m_life)) {
+            requestLists(state, *worker, true, now);
+        }
+    }
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -0,0 +1,92 @@
+#include "ownerstate.h"
+
+#include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Pipeline/timerservice.h"
+
+#include <algorithm>
+
+namespace PrimroseBridge {
+
+static bool hasRuns(const JobState &job)
+{
+    for (const auto &occurrence : job.m_occurrences) {
+        for (const auto &step : occurrence->m_steps) {
+            if (std::any_of(step->m_tasks.begin(), step->m_tasks.end(), [](const auto &task) { return task->m_place != nullptr; })) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+// The jobs that a pass looks at. Settled ones without runs leave the order; those past their retention are forgotten.
+static std::vector<JobPointer> jobsToPlace(OwnerState &state, Instant now)
+{
+    std::vector<JobPointer> jobs;
+    const auto wallNow = TimerService::now();
+    std::erase_if(state.m_order, [&](const std::string &name) {
+        auto job = state.m_jobs.find(name);
+        if (!job) {
+            return true;
+        }
+        const auto due = withDueOccurrences(job, wallNow, now);
+        if (due != job) {
+            setJob(state, due);
+            job = due;
+        }
+        if (job->m_outcome != JobOutcome::Active && !hasRuns(*job)) {
+            return true;
+        }
+        jobs.push_back(std::move(job));
+        return false;
+    });
+    return jobs;
+}
+
+static std::vector<PlacementWorker> workersToPlaceOn(const OwnerState &state, Instant now)
+{
+    std::vector<PlacementWorker> workers;
+    for (const auto &[name, worker] : state.m_workers) {
+        workers.push_back(PlacementWorker{
+            .m_report = worker.m_report, .m_life = worker.m_life, .m_usable = isUsable(worker, now), .m_isolated = worker.m_isolatedUntil > now});
+    }
+    return workers;
+}
+
+void placeWork(OwnerState &state, Instant now)
+{
+    const auto configuration = state.m_context.m_configuration.current();
+    if (!configuration) {
+        return;
+    }
+    const PlacementInput input{
+        .m_now = now,
+        .m_wallNow = TimerService::now(),
+        .m_configuration = configuration,
+        .m_jobs = jobsToPlace(state, now),
+        .m_workers = workersToPlaceOn(state, now),
+        .m_remoteFactor = state.m_context.m_settings.m_remoteFactor,
+        .m_lockedJobs = std::vector<std::string>(state.m_lockedJobs.begin(), state.m_lockedJobs.end()),
+    };
+    const auto decisions = decidePlacement(input);
+    for (const auto &stop : decisions.m_stops) {
+        orderStop(state, stop.m_place, stop.m_task, stop.m_run, stop.m_reason, now);
+    }
+    for (const auto &start : decisions.m_starts) {
+        if (const auto job = state.m_jobs.find(start.m_task.m_job)) {
+            orderStart(state, start, input.m_workers[start.m_worker], job, now);
+        }
+    }
+    if (!decisions.m_starts.empty() || !decisions.m_stops.empty()) {
+        logEvent(LogLevel::Info,
+                 "placed",
+                 {{"starts", std::to_string(decisions.m_starts.size())},
+                  {"stops", std::to_string(decisions.m_stops.size())},
+                  {"waiting_steps", std::to_string(decisions.m_waitingSteps)},
+                  {"jobs", std::to_string(input.m_jobs.size())},
+                  {"workers", std::to_string(input.m_workers.size())},
+                  {"configuration", std::to_string(configuration->m_version)}});
+    }
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -0,0 +1,365 @@
+#include "ownerstate.h"
+
+#include "primrosebridge/Observe/log.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace PrimroseBridge {
+
+// Runs of this many different jobs that fail in a row isolate a worker. Two by chance are rare: few runs in a hundred fail.
+static constexpr int failuresBeforeIsolation = 2;
+// Long enough to outlast most spells in which a worker fails what it starts, short enough not to lose a sound one for long.
+static constexpr Duration isolationTime(6000);
+// Between requests to a worker that does not answer, or whose ends wait to be recorded.
+static constexpr Duration requestPause(250);
+
+static std::string_view endName(EndKind kind)
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::Lapsed:
+        return "lapsed";
+    case EndKind::Broken:
+        return "broken";
+    case EndKind::Alone:
+        return "alone";
+    }
+    return "unknown";
+}
+
+static void scoreWorker(WorkerEntry &worker, const RunEnd &end, Instant now)
+{
+    if (end.m_kind == EndKind::Done) {
+        worker.m_failureStreak = 0;
+        worker.m_lastFailedJob.clear();
+        return;
+    }
+    if (end.m_kind != EndKind::Failed || worker.m_lastFailedJob == end.m_task.m_job) {
+        return;
+    }
+    worker.m_lastFailedJob = end.m_task.m_job;
+    if (++worker.m_failureStreak >= failuresBeforeIsolation) {
+        worker.m_isolatedUntil = now + isolationTime;
+        logEvent(
+            LogLevel::Warn,
+            "worker_isolated",
+            {{"worker", worker.m_life->m_worker}, {"failures", std::to_string(worker.m_failureStreak)}, {"for_ms", std::to_string(isolationTime.count())}});
+    }
+}
+
+// An end that arrives for a run elsewhere leaves that run without a purpose.
+static void stopOtherRuns(OwnerState &state, const JobPointer &before, const RunEnd &end, const std::string &worker, Instant now)
+{
+    if (end.m_kind != EndKind::Done) {
+        return;
+    }
+    const auto step = findStep(*before, end.m_task.m_occurrence, end.m_task.m_step);
+    const auto task = findTask(*before, end.m_task);
+    if (step && task && task->m_place && (task->m_place->m_worker != worker || task->m_run != end.m_run)) {
+        orderStop(state, *task->m_place, end.m_task, task->m_run, StopReason::Superseded, now);
+    }
+}
+
+static void applyOneEnd(OwnerState &state, WorkerEntry &worker, const RunEnd &end, Instant now)
+{
+    worker.m_endsHandled = end.m_number;
+    const auto job = state.m_jobs.find(end.m_task.m_job);
+    logEvent(LogLevel::Info,
+             "run_ended",
+             {{"request", end.m_task.m_job},
+              {"task", taskName(end.m_task)},
+              {"run", std::to_string(end.m_run)},
+              {"worker", worker.m_life->m_worker},
+              {"how", std::string(endName(end.m_kind))},
+              {"known", job ? "yes" : "no"}});
+    scoreWorker(worker, end, now);
+    if (!job) {
+        worker.m_pendingEnds.push_back(PendingEnd{.m_number = end.m_number, .m_job = end.m_task.m_job, .m_version = 0});
+        return;
+    }
+    const auto effect = applyEnd(job, end, worker.m_life->m_worker, now);
+    setJob(state, effect.m_job);
+    worker.m_pendingEnds.push_back(
+        PendingEnd{.m_number = end.m_number, .m_job = end.m_task.m_job, .m_version = effect.m_mustRecord ? effect.m_job->m_version : 0});
+    if (effect.m_mustRecord) {
+        recordIfChanged(state, effect.m_job);
+    }
+    stopOtherRuns(state, job, end, worker.m_life->m_worker, now);
+    if (job->m_outcome == JobOutcome::Active && effect.m_job->m_outcome == JobOutcome::Failed) {
+        stopRuns(state, effect.m_job, StopReason::Superseded, now);
+    }
+    state.m_mustPlace = true;
+}
+
+static void applyEnds(OwnerState &state, WorkerEntry &worker, const WorkerLists &lists, Instant now)
+{
+    for (const auto &end : lists.m_ends) {
+        if (end.m_number > worker.m_endsHandled) {
+            applyOneEnd(state, worker, end, now);
+        }
+    }
+    while (!worker.m_pendingEnds.empty() && worker.m_pendingEnds.front().m_version == 0) {
+        worker.m_endsTaken = worker.m_pendingEnds.front().m_number;
+        worker.m_pendingEnds.pop_front();
+    }
+}
+
+static bool isWanted(const JobPointer &job, const TaskPointer &task)
+{
+    return job && job->m_outcome == JobOutcome::Active && task && task->m_phase != TaskPhase::Done;
+}
+
+// The worker runs the task where the owner believes it to be.
+static void confirmRun(OwnerState &state, const WorkerEntry &worker, const RunningTask &row, const TaskState &task, Instant sentAt, Instant now)
+{
+    if (task.m_phase == TaskPhase::Stopping) {
+        const bool unanswered = task.m_unconfirmed && sentAt >= task.m_phaseSince + requestPause;
+        if (unanswered) {
+            orderStop(state, *worker.m_life, row.m_task, row.m_run, StopReason::Superseded, now);
+        }
+        return;
+    }
+    const bool same
+        = task.m_phase == TaskPhase::Running && task.m_percent == row.m_percent && (row.m_checkpoint.empty() || task.m_checkpoint == row.m_checkpoint);
+    if (!same) {
+        setTask(state, row.m_task, taskReported(task, worker.m_life, row.m_run, row.m_checkpoint, row.m_percent, now));
+    }
+}
+
+static void applyRunning(OwnerState &state, WorkerEntry &worker, const RunningTask &row, Instant sentAt, Instant now)
+{
+    const auto job = state.m_jobs.find(row.m_task.m_job);
+    const auto task = job ? findTask(*job, row.m_task) : nullptr;
+    const bool here = task && task->m_place && *task->m_place == *worker.m_life && task->m_run == row.m_run;
+    if (here && task->m_phase == TaskPhase::Stopping) {
+        confirmRun(state, worker, row, *task, sentAt, now);
+        return;
+    }
+    if (!isWanted(job, task) || row.m_run < task->m_run) {
+        orderStop(state, *worker.m_life, row.m_task, row.m_run, StopReason::Superseded, now);
+        return;
+    }
+    if (here) {
+        confirmRun(state, worker, row, *task, sentAt, now);
+        return;
+    }
+    if (task->m_place && row.m_run == task->m_run) {
+        orderStop(state, *worker.m_life, row.m_task, row.m_run, StopReason::Superseded, now);
+        return;
+    }
+    if (task->m_place) {
+        orderStop(state, *task->m_place, row.m_task, task->m_run, StopReason::Superseded, now);
+    }
+    logEvent(LogLevel::Info,
+             "run_adopted",
+             {{"request", row.m_task.m_job},
+              {"task", taskName(row.m_task)},
+              {"run", std::to_string(row.m_run)},
+              {"worker", worker.m_life->m_worker},
+              {"percent", std::to_string(row.m_percent)}});
+    setTask(state, row.m_task, taskReported(*task, worker.m_life, row.m_run, row.m_checkpoint, row.m_percent, now));
+}
+
+static bool isListed(const WorkerLists &lists, const TaskReference &task, std::int64_t run)
+{
+    return std::any_of(lists.m_running.begin(), lists.m_running.end(), [&](const auto &row) { return row.m_run == run && row.m_task == task; });
+}
+
+// Tasks that are believed to be at the worker and that its list of running ones does not name.
+static void applyAbsences(OwnerState &state, WorkerEntry &worker, const WorkerLists &lists, Instant sentAt, Instant now)
+{
+    const auto believed = worker.m_tasks;
+    for (const auto &reference : believed) {
+        const auto job = state.m_jobs.find(reference.m_job);
+        const auto task = job ? findTask(*job, reference) : nullptr;
+        if (!task || sentAt < task->m_phaseSince || isListed(lists, reference, task->m_run)) {
+            continue;
+        }
+        const bool orderOpen = task->m_phase == TaskPhase::Starting && !task->m_unconfirmed;
+        const bool stopOpen = task->m_phase == TaskPhase::Stopping && task->m_unconfirmed;
+        if (orderOpen || stopOpen) {
+            continue;
+        }
+        if (task->m_phase == TaskPhase::Starting) {
+            // A late start is refused by the worker once it has answered the stop.
+            orderStop(state, *worker.m_life, reference, task->m_run, StopReason::Unconfirmed, now);
+            continue;
+        }
+        if (task->m_phase == TaskPhase::Running) {
+            logEvent(LogLevel::Warn,
+                     "run_vanished",
+                     {{"request", reference.m_job}, {"task", taskName(reference)}, {"run", std::to_string(task->m_run)}, {"worker", worker.m_life->m_worker}});
+        }
+        setTask(state, reference, taskWaiting(*task, now));
+        state.m_mustPlace = true;
+    }
+}
+
+static void noteAnswer(OwnerState &state, WorkerEntry &worker, const WorkerLists &lists, Instant now)
+{
+    if (!worker.m_fenced || worker.m_missed > 0) {
+        logEvent(LogLevel::Info, "worker_answers", {{"worker", worker.m_life->m_worker}, {"missed", std::to_string(worker.m_missed)}});
+        state.m_mustPlace = true;
+    }
+    worker.m_fenced = true;
+    worker.m_missed = 0;
+    worker.m_answeredAt = now;
+    worker.m_clockAtAnswer = lists.m_clock;
+    state.m_awaitedWorkers.erase(worker.m_life->m_worker);
+}
+
+static void noteSilence(OwnerState &state, WorkerEntry &worker, const ReportArrived &event, Instant now)
+{
+    const auto answer = event.m_reply.m_answer;
+    if (answer == StartAnswer::Fenced) {
+        state.m_context.m_superseded(event.m_fence, "worker " + event.m_life.m_worker + " has seen a higher fence");
+        return;
+    }
+    ++worker.m_missed;
+    worker.m_nextRequestAt = now + requestPause;
+    if (worker.m_missed == 1) {
+        logEvent(LogLevel::Warn, "worker_silent", {{"worker", worker.m_life->m_worker}, {"tasks", std::to_string(worker.m_tasks.size())}});
+    }
+}
+
+void applyReport(OwnerState &state, const ReportArrived &event, Instant now)
+{
+    auto *worker = findWorker(state, event.m_life);
+    if (!worker) {
+        return;
+    }
+    (event.m_quick ? worker->m_quickRequestOpen : worker->m_requestOpen) = false;
+    if (!event.m_reply.m_lists) {
+        noteSilence(state, *worker, event, now);
+        return;
+    }
+    const auto &lists = *event.m_reply.m_lists;
+    if (lists.m_bornAt != 0 && lists.m_bornAt != event.m_life.m_bornAt) {
+        // The store's entry of the new life follows; until then nothing is started there.
+        releaseTasks(state, *worker, "worker_restarted", now);
+        worker->m_noStartsUntil = now + requestPause;
+        worker->m_nextRequestAt = now + requestPause;
+        return;
+    }
+    noteAnswer(state, *worker, lists, now);
+    applyEnds(state, *worker, lists, now);
+    for (const auto &row : lists.m_running) {
+        applyRunning(state, *worker, row, event.m_sentAt, now);
+    }
+    applyAbsences(state, *worker, lists, event.m_sentAt, now);
+    if (event.m_quick) {
+        return;
+    }
+    if (worker->m_pendingEnds.empty()) {
+        requestLists(state, *worker, false, now);
+    } else {
+        worker->m_nextRequestAt = now + requestPause;
+    }
+}
+
+// Workers whose lease has run out for certain run nothing any more; those without an entry in the store are forgotten.
+static void reviewWorkers(OwnerState &state, Instant now)
+{
+    for (auto entry = state.m_workers.begin(); entry != state.m_workers.end();) {
+        auto &worker = entry->second;
+        if (!worker.m_requestOpen && worker.m_nextRequestAt <= now) {
+            requestLists(state, worker, false, now);
+        }
+        const bool lapsed = worker.m_missed > 0 && worker.m_leaseBound <= now;
+        if (lapsed && !worker.m_tasks.empty()) {
+            releaseTasks(state, worker, "leases_lapsed", now);
+        }
+        if (lapsed && !worker.m_entryPresent) {
+            logEvent(LogLevel::Info, "worker_forgotten", {{"worker", entry->first}});
+            state.m_awaitedWorkers.erase(entry->first);
+            entry = state.m_workers.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+static void reviewLocks(OwnerState &state, Instant now)
+{
+    if (state.m_lockedJobs.empty() || (!state.m_awaitedWorkers.empty() && now < state.m_lockedUntil)) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "jobs_unlocked",
+             {{"jobs", std::to_string(state.m_lockedJobs.size())}, {"silent_workers", std::to_string(state.m_awaitedWorkers.size())}});
+    state.m_lockedJobs.clear();
+    state.m_awaitedWorkers.clear();
+    state.m_mustPlace = true;
+}
+
+// A stop without an answer is repeated.
+static void reviewStops(OwnerState &state, const TaskReference &reference, const TaskState &task, Instant now)
+{
+    if (task.m_phase == TaskPhase::Stopping && task.m_unconfirmed && now - task.m_phaseSince >= Duration(700)) {
+        orderStop(state, *task.m_place, reference, task.m_run, StopReason::Superseded, now);
+    }
+}
+
+// A gang of which only some members run would end alone; its members are stopped and it is placed again.
+static void reviewGang(OwnerState &state, const JobState &job, const OccurrenceState &occurrence, int step, Instant now)
+{
+    const auto &tasks = occurrence.m_steps[static_cast<std::size_t>(step)]->m_tasks;
+    std::int64_t run = 0;
+    int waiting = 0;
+    for (const auto &task : tasks) {
+        waiting += task->m_phase == TaskPhase::Waiting || task->m_phase == TaskPhase::Stopping ? 1 : 0;
+        run = task->m_place ? std::max(run, task->m_run) : run;
+    }
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const auto &task = *tasks[index];
+        const bool runs = task.m_phase == TaskPhase::Running || (task.m_phase == TaskPhase::Starting && task.m_unconfirmed);
+        if (runs && (waiting > 0 || task.m_run < run)) {
+            orderStop(state,
+                      *task.m_place,
+                      TaskReference{.m_job = job.m_spec->m_id, .m_occurrence = occurrence.m_number, .m_step = step, .m_index = static_cast<int>(index)},
+                      task.m_run,
+                      StopReason::GangIncomplete,
+                      now);
+        }
+    }
+}
+
+static void reviewJob(OwnerState &state, const JobPointer &job, Instant now)
+{
+    const bool locked = state.m_lockedJobs.contains(job->m_spec->m_id);
+    for (const auto &occurrence : job->m_occurrences) {
+        for (std::size_t step = 0; step < occurrence->m_steps.size(); ++step) {
+            const auto &tasks = occurrence->m_steps[step]->m_tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                reviewStops(
+                    state,
+                    TaskReference{
+                        .m_job = job->m_spec->m_id, .m_occurrence = occurrence->m_number, .m_step = static_cast<int>(step), .m_index = static_cast<int>(index)},
+                    *tasks[index],
+                    now);
+            }
+            if (!locked && job->m_outcome == JobOutcome::Active && job->m_spec->m_steps[step].m_gang) {
+                reviewGang(state, *job, *occurrence, static_cast<int>(step), now);
+            }
+        }
+    }
+}
+
+void reviewFleet(OwnerState &state, Instant now)
+{
+    reviewWorkers(state, now);
+    reviewLocks(state, now);
+    for (const auto &name : state.m_order) {
+        if (const auto job = state.m_jobs.find(name)) {
+            reviewJob(state, job, now);
+        }
+    }
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "primrosebridge/Fleet/placement.h"
+#include "primrosebridge/Fleetservice/fleetowner.h"
+#include "primrosebridge/Pipeline/boundedqueue.h"
+#include "primrosebridge/Pipeline/shardedmap.h"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace PrimroseBridge {
+
+using JobShards = ShardedMap<std::string, JobState>;
+
+/// An end that the worker may not forget before a job's progress is in the store.
+struct PendingEnd {
+    std::int64_t m_number;
+    std::string m_job;
+    std::int64_t m_version; ///< 0 if nothing has to be recorded.
+};
+
+/// What the owner knows of one life of a worker.
+struct WorkerEntry {
+    WorkerReportPointer m_report;
+    std::shared_ptr<const WorkerLife> m_life;
+    bool m_entryPresent = true; ///< The store holds the worker's entry.
+    bool m_fenced = false; ///< It has answered under the present fence.
+    Instant m_answeredAt;
+    std::int64_t m_clockAtAnswer = 0; ///< Worker's clock in milliseconds.
+    Instant m_leaseBound; ///< Boot clock; whatever ran there has lapsed by then unless the lease is renewed.
+    int m_missed = 0; ///< Requests in a row without an answer.
+    std::string m_lastFailedJob;
+    int m_failureStreak = 0; ///< Failed runs of different jobs since the last success.
+    Instant m_isolatedUntil;
+    Instant m_noStartsUntil;
+    std::int64_t m_endsHandled = 0;
+    std::int64_t m_endsTaken = 0; ///< Handled and recorded, so that the worker may forget them.
+    std::deque<PendingEnd> m_pendingEnds;
+    bool m_requestOpen = false;
+    bool m_quickRequestOpen = false;
+    Instant m_nextRequestAt;
+    std::set<TaskReference> m_tasks; ///< Believed to be there.
+};
+
+/// The state of the owner's stage. Only the job shards and the fence are used by other threads.
+struct OwnerState {
+    explicit OwnerState(OwnerContext context)
+        : m_context(std::move(context))
+    {
+    }
+
+    const OwnerContext m_context;
+    std::shared_ptr<BoundedQueue<OwnerEvent>> m_events;
+    JobShards m_jobs;
+    std::atomic<std::int64_t> m_fence = 0; ///< 0 while another VM owns the fleet.
+    std::map<std::string, WorkerEntry> m_workers;
+    std::vector<std::string> m_order; ///< Active jobs and those with tasks at workers, in the order of acceptance.
+    std::set<std::string> m_lockedJobs; ///< May have runs at workers that have not answered since this VM became the owner.
+    std::set<std::string> m_awaitedWorkers; ///< Workers that keep m_lockedJobs locked.
+    Instant m_lockedUntil;
+    bool m_mustPlace = false;
+};
+
+/// Free functions over the state, called on the owner's thread alone.
+void applyEvent(OwnerState &state, const OwnerEvent &event, Instant now);
+void applyReport(OwnerState &state, const ReportArrived &event, Instant now);
+void applyStartAnswer(OwnerState &state, const StartAnswered &event, Instant now);
+void applyStopAnswer(OwnerState &state, const StopAnswered &event, Instant now);
+void reviewFleet(OwnerState &state, Instant now);
+void placeWork(OwnerState &state, Instant now);
+
+/// Replaces a task and keeps the workers' lists of tasks in step.
+void setTask(OwnerState &state, const TaskReference &reference, const TaskPointer &task);
+/// Replaces a job and keeps the workers' lists of tasks in step.
+void setJob(OwnerState &state, const JobPointer &job);
+/// The tasks of a life of a worker that is over wait again.
+void releaseTasks(OwnerState &state, WorkerEntry &worker, std::string_view reason, Instant now);
+/// Sends a stop order; the task's place stays taken until the worker lists the end.
+void orderStop(OwnerState &state, const WorkerLife &life, const TaskReference &task, std::int64_t run, StopReason reason, Instant now);
+void orderStart(OwnerState &state, const StartDecision &decision, const PlacementWorker &worker, const JobPointer &job, Instant now);
+/// Asks a worker for its lists.
+void requestLists(OwnerState &state, WorkerEntry &worker, bool quick, Instant now);
+/// The worker's entry for that life, or null.
+WorkerEntry *findWorker(OwnerState &state, const WorkerLife &life);
+/// Queues the job's progress for the store if it has changed since the last time.
+void recordIfChanged(const OwnerState &state, const JobPointer &job);
+/// Stops every run of a job whose outcome is settled.
+void stopRuns(OwnerState &state, const JobPointer &job, StopReason reason, Instant now);
+/// The worker is there, answers and takes new work.
+bool isUsable(const WorkerEntry &worker, Instant now);
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/peercalls.cpp
@@ -0,0 +1,230 @@
+#include "primrosebridge/Fleetservice/peercalls.h"
+
+#include <primrosebridge/Fleetpeer/fleet.grpc.pb.h>
+
+#include <grpcpp/create_channel.h>
+#include <grpcpp/resource_quota.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+#include <map>
+#include <mutex>
+
+namespace PrimroseBridge {
+
+namespace wire = primrosebridge::fleet;
+
+// A peer that was away is tried again soon, because callers wait for it.
+static constexpr int reconnectBackoffMs = 300;
+// Calls are short; more threads would only take memory.
+static constexpr int serverThreads = 8;
+static constexpr int maxMessageBytes = 1024 * 1024;
+
+using Stub = wire::FleetPeer::Stub;
+
+struct PeerCalls::Private {
+    std::mutex m_mutex;
+    std::map<std::string, std::shared_ptr<Stub>> m_stubs;
+
+    std::shared_ptr<Stub> stubFor(const std::string &address);
+    void drop(const std::string &address);
+};
+
+std::shared_ptr<Stub> PeerCalls::Private::stubFor(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &stub = m_stubs[address];
+    if (!stub) {
+        grpc::ChannelArguments arguments;
+        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnectBackoffMs);
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnectBackoffMs);
+        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnectBackoffMs);
+        // A channel that has gone silent is replaced by a new connection, not by one that other channels share.
+        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+        arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+        stub = wire::FleetPeer::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+    }
+    return stub;
+}
+
+void PeerCalls::Private::drop(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    m_stubs.erase(address);
+}
+
+static void setDeadline(grpc::ClientContext &context, Duration timeout)
+{
+    context.set_deadline(std::chrono::system_clock::now() + timeout);
+}
+
+static Error errorOf(const grpc::Status &status)
+{
+    if (status.error_code() == grpc::StatusCode::UNAVAILABLE) {
+        return {ErrorKind::Unavailable, "the peer cannot be reached: " + status.error_message(), "ask another VM", Duration(500)};
+    }
+    return {ErrorKind::DeadlineExceeded, "the peer did not answer: " + status.error_message(), "ask another VM"};
+}
+
+PeerCalls::PeerCalls()
+    : m_private(std::make_unique<Private>())
+{
+}
+
+PeerCalls::~PeerCalls() = default;
+
+Result<OwnedJobStatus> PeerCalls::jobStatus(const std::string &address, const std::string &queue, const std::string &job, Duration timeout)
+{
+    wire::JobRequest request;
+    request.set_queue(queue);
+    request.set_job(job);
+    wire::JobReply reply;
+    grpc::ClientContext context;
+    setDeadline(context, timeout);
+    const auto status = m_private->stubFor(address)->GetJob(&context, request, &reply);
+    if (!status.ok()) {
+        m_private->drop(address);
+        return errorOf(status);
+    }
+    return OwnedJobStatus{.m_owner = reply.owner(), .m_status = reply.found() ? std::optional(static_cast<JobStatus>(reply.status())) : std::nullopt};
+}
+
+Result<std::optional<std::int64_t>> PeerCalls::waitingJobs(const std::string &address, const std::string &queue, Duration timeout)
+{
+    wire::WaitingRequest request;
+    request.set_queue(queue);
+    wire::WaitingReply reply;
+    grpc::ClientContext context;
+    setDeadline(context, timeout);
+    const auto status = m_private->stubFor(address)->CountWaiting(&context, request, &reply);
+    if (!status.ok()) {
+        m_private->drop(address);
+        return errorOf(status);
+    }
+    return reply.owner() ? std::optional(reply.waiting()) : std::nullopt;
+}
+
+InboxOutcome PeerCalls::record(const std::string &address, const std::string &job, const std::string &submission, Duration timeout)
+{
+    wire::RecordRequest request;
+    request.set_job(job);
+    request.set_cancellation(submission.empty());
+    request.set_submission(submission);
+    wire::RecordReply reply;
+    grpc::ClientContext context;
+    setDeadline(context, timeout);
+    const auto status = m_private->stubFor(address)->Record(&context, request, &reply);
+    if (!status.ok()) {
+        m_private->drop(address);
+        // UNAVAILABLE is also the status of a connection that broke during the call.
+        return InboxOutcome::Unknown;
+    }
+    switch (reply.outcome()) {
+    case wire::RecordReply::RECORDED:
+        return InboxOutcome::Recorded;
+    case wire::RecordReply::NOT_RECORDED:
+        return InboxOutcome::NotRecorded;
+    case wire::RecordReply::NO_SUCH_JOB:
+        return InboxOutcome::NoSuchJob;
+    default:
+        return InboxOutcome::Unknown;
+    }
+}
+
+namespace {
+
+class PeerService : public wire::FleetPeer::Service
+{
+public:
+    PeerService(const FleetOwner &owner, std::shared_ptr<PlatformStore> store)
+        : m_owner(owner)
+        , m_store(std::move(store))
+    {
+    }
+
+    grpc::Status GetJob(grpc::ServerContext *, const wire::JobRequest *request, wire::JobReply *reply) override // NOLINT(readability-identifier-naming)
+    {
+        const auto status = m_owner.status(request->queue(), request->job());
+        reply->set_owner(status.m_owner);
+        reply->set_found(status.m_status.has_value());
+        reply->set_status(static_cast<int>(status.m_status.value_or(JobStatus::Queued)));
+        return grpc::Status::OK;
+    }
+
+    grpc::Status
+    CountWaiting(grpc::ServerContext *, const wire::WaitingRequest *request, wire::WaitingReply *reply) override // NOLINT(readability-identifier-naming)
+    {
+        const auto waiting = m_owner.waitingJobs(request->queue());
+        reply->set_owner(waiting.has_value());
+        reply->set_waiting(waiting.value_or(0));
+        return grpc::Status::OK;
+    }
+
+    grpc::Status Record(grpc::ServerContext *, const wire::RecordRequest *request, wire::RecordReply *reply) override // NOLINT(readability-identifier-naming)
+    {
+        const auto outcome
+            = request->cancellation() ? recordCancellation(*m_store, request->job()) : recordSubmission(*m_store, request->job(), request->submission());
+        switch (outcome) {
+        case InboxOutcome::Recorded:
+            reply->set_outcome(wire::RecordReply::RECORDED);
+            break;
+        case InboxOutcome::NotRecorded:
+            reply->set_outcome(wire::RecordReply::NOT_RECORDED);
+            break;
+        case InboxOutcome::NoSuchJob:
+            reply->set_outcome(wire::RecordReply::NO_SUCH_JOB);
+            break;
+        case InboxOutcome::Unknown:
+            reply->set_outcome(wire::RecordReply::UNKNOWN);
+            break;
+        }
+        return grpc::Status::OK;
+    }
+
+private:
+    const FleetOwner &m_owner;
+    const std::shared_ptr<PlatformStore> m_store;
+};
+
+} // namespace
+
+struct PeerDesk::Private {
+    Private(const FleetOwner &owner, std::shared_ptr<PlatformStore> store)
+        : m_service(owner, std::move(store))
+    {
+    }
+
+    PeerService m_service;
+    std::unique_ptr<grpc::Server> m_server;
+};
+
+Result<std::unique_ptr<PeerDesk>> PeerDesk::create(const std::string &address, const FleetOwner &owner, std::shared_ptr<PlatformStore> store)
+{
+    auto state = std::make_unique<Private>(owner, std::move(store));
+    grpc::ResourceQuota quota;
+    quota.SetMaxThreads(serverThreads);
+    grpc::ServerBuilder builder;
+    builder.SetResourceQuota(quota);
+    builder.SetSyncServerOption(grpc::ServerBuilder::NUM_CQS, 1);
+    builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, 2);
+    builder.SetMaxReceiveMessageSize(maxMessageBytes);
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+    builder.RegisterService(&state->m_service);
+    state->m_server = builder.BuildAndStart();
+    if (!state->m_server) {
+        return Error(ErrorKind::Unavailable, "cannot listen on " + address, "check 'peerAddress' in the settings and that no other process uses the port");
+    }
+    return std::unique_ptr<PeerDesk>(new PeerDesk(std::move(state)));
+}
+
+PeerDesk::PeerDesk(std::unique_ptr<Private> state)
+    : m_private(std::move(state))
+{
+}
+
+PeerDesk::~PeerDesk()
+{
+    m_private->m_server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/peerdirectory.cpp
@@ -0,0 +1,26 @@
+#include "primrosebridge/Fleetservice/peerdirectory.h"
+
+#include <nlohmann/json.hpp>
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::json;
+
+std::string encodePeer(const PeerVm &peer)
+{
+    return Json{{"vm", peer.m_vm}, {"address", peer.m_address}, {"incarnation", peer.m_incarnation}}.dump();
+}
+
+std::optional<PeerVm> decodePeer(const std::string &text)
+{
+    try {
+        const auto json = Json::parse(text);
+        return PeerVm{.m_vm = json.at("vm").get<std::string>(),
+                      .m_address = json.at("address").get<std::string>(),
+                      .m_incarnation = json.at("incarnation").get<std::string>()};
+    } catch (const Json::exception &) {
+        return std::nullopt; // The caller logs it with the key.
+    }
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/progresswriter.cpp
@@ -0,0 +1,238 @@
+#include "primrosebridge/Fleetservice/progresswriter.h"
+
+#include "primrosebridge/Fleetservice/keys.h"
+#include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Progress/record.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace PrimroseBridge {
+
+// Each job takes an expectation and a write, beside the expectation of ownership.
+static constexpr std::size_t maxJobsPerTransaction = (maxTransactionEntries - 1) / 2;
+// Jobs that end at about the same time share a transaction; the workers' ends wait this much longer for their acknowledgement.
+static constexpr Duration batchDelay(4);
+// Between attempts while the store refuses or does not answer.
+static constexpr Duration retryDelay(100);
+
+struct ProgressWriter::Private {
+    std::shared_ptr<PlatformStore> m_store;
+    ProgressCallbacks m_callbacks;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, JobPointer> m_queued;
+    std::map<std::string, std::int64_t> m_revisions;
+    std::optional<std::int64_t> m_fence;
+    std::uint64_t m_term = 0; // Rises with begin() and end(), so that a batch of an earlier term is dropped.
+    bool m_stopped = false;
+    std::thread m_thread;
+
+    void run();
+};
+
+namespace {
+
+// One transaction, with the values that it writes.
+struct Batch {
+    std::int64_t m_fence = 0;
+    std::uint64_t m_term = 0;
+    std::vector<JobPointer> m_jobs;
+    std::vector<std::string> m_values;
+    std::vector<std::int64_t> m_revisions;
+};
+
+} // namespace
+
+template<class State>
+static std::optional<Batch> takeBatch(State &state)
+{
+    std::unique_lock lock(state.m_mutex);
+    state.m_changed.wait(lock, [&] { return state.m_stopped || (state.m_fence && !state.m_queued.empty()); });
+    if (state.m_stopped) {
+        return std::nullopt;
+    }
+    state.m_changed.wait_for(lock, batchDelay, [&] { return state.m_stopped || state.m_queued.size() >= maxJobsPerTransaction; });
+    Batch batch;
+    if (!state.m_fence) {
+        return batch;
+    }
+    batch.m_fence = *state.m_fence;
+    batch.m_term = state.m_term;
+    while (!state.m_queued.empty() && batch.m_jobs.size() < maxJobsPerTransaction) {
+        const auto first = state.m_queued.begin();
+        batch.m_jobs.push_back(first->second);
+        batch.m_revisions.push_back(state.m_revisions[first->first]);
+        state.m_queued.erase(first);
+    }
+    lock.unlock();
+    for (const auto &job : batch.m_jobs) {
+        batch.m_values.push_back(encodeProgress(*job));
+    }
+    return batch;
+}
+
+static StoreTransaction transactionFor(const Batch &batch)
+{
+    std::vector<StoreExpectation> expectations{{.m_key = std::string(StoreKeys::owner), .m_revision = batch.m_fence}};
+    std::vector<StoreWrite> writes;
+    for (std::size_t index = 0; index < batch.m_jobs.size(); ++index) {
+        const auto key = progressKey(batch.m_jobs[index]->m_spec->m_id);
+        expectations.push_back(StoreExpectation{.m_key = key, .m_revision = batch.m_revisions[index]});
+        writes.push_back(StoreWrite{.m_key = key, .m_value = batch.m_values[index], .m_lease = 0});
+    }
+    return StoreTransaction{.m_expectations = std::move(expectations), .m_writes = std::move(writes), .m_removals = {}};
+}
+
+template<class State>
+static void reportRecorded(State &state, const Batch &batch, std::size_t index, std::int64_t revision)
+{
+    const auto &job = *batch.m_jobs[index];
+    {
+        const std::lock_guard lock(state.m_mutex);
+        if (state.m_term != batch.m_term) {
+            return;
+        }
+        state.m_revisions[job.m_spec->m_id] = revision;
+    }
+    state.m_callbacks.m_recorded(job.m_spec->m_id, job.m_version, job.m_outcome);
+}
+
+// Queues the job again, unless newer progress of it is queued already.
+template<class State>
+static void requeue(State &state, const Batch &batch, std::size_t index, std::optional<std::int64_t> revision)
+{
+    const std::lock_guard lock(state.m_mutex);
+    if (state.m_term != batch.m_term) {
+        return;
+    }
+    const auto &job = batch.m_jobs[index];
+    if (revision) {
+        state.m_revisions[job->m_spec->m_id] = *revision;
+    }
+    state.m_queued.emplace(job->m_spec->m_id, job);
+}
+
+static const StoreItem *itemOf(const std::vector<StoreItem> &items, const std::string &key)
+{
+    const auto found = std::find_if(items.begin(), items.end(), [&](const auto &item) { return item.m_key == key; });
+    return found == items.end() ? nullptr : &*found;
+}
+
+// Settles a transaction that found other revisions: an earlier one whose answer was lost has been carried out, or another VM owns the fleet.
+template<class State>
+static void settleConflict(State &state, const Batch &batch, const std::vector<StoreItem> &current)
+{
+    const auto *owner = itemOf(current, std::string(StoreKeys::owner));
+    if (!owner || owner->m_revision != batch.m_fence) {
+        state.m_callbacks.m_ownershipLost(batch.m_fence);
+        return;
+    }
+    for (std::size_t index = 0; index < batch.m_jobs.size(); ++index) {
+        const auto *item = itemOf(current, progressKey(batch.m_jobs[index]->m_spec->m_id));
+        if (item && item->m_value == batch.m_values[index]) {
+            reportRecorded(state, batch, index, item->m_revision);
+        } else {
+            requeue(state, batch, index, item ? item->m_revision : 0);
+        }
+    }
+}
+
+template<class State>
+static void writeBatch(State &state, const Batch &batch)
+{
+    const auto result = state.m_store->commit(transactionFor(batch));
+    if (result.ok() && result.value().m_committed) {
+        for (std::size_t index = 0; index < batch.m_jobs.size(); ++index) {
+            reportRecorded(state, batch, index, result.value().m_revision);
+        }
+        return;
+    }
+    if (result.ok()) {
+        settleConflict(state, batch, result.value().m_current);
+        return;
+    }
+    logEvent(
+        LogLevel::Warn, "progress_not_recorded", {{"jobs", std::to_string(batch.m_jobs.size())}, {"error", result.error().message()}, {"outcome", "retried"}});
+    // The expectations make it safe to repeat a write whose answer was lost: either it fails them, or the first one did.
+    for (std::size_t index = 0; index < batch.m_jobs.size(); ++index) {
+        requeue(state, batch, index, std::nullopt);
+    }
+    std::unique_lock lock(state.m_mutex);
+    state.m_changed.wait_for(lock, retryDelay, [&] { return state.m_stopped; });
+}
+
+void ProgressWriter::Private::run()
+{
+    while (const auto batch = takeBatch(*this)) {
+        if (!batch->m_jobs.empty()) {
+            writeBatch(*this, *batch);
+        }
+    }
+}
+
+Result<std::unique_ptr<ProgressWriter>> ProgressWriter::create(std::shared_ptr<PlatformStore> store, ProgressCallbacks callbacks)
+{
+    auto state = std::make_unique<Private>();
+    state->m_store = std::move(store);
+    state->m_callbacks = std::move(callbacks);
+    state->m_thread = std::thread([&inner = *state] { inner.run(); });
+    return std::unique_ptr<ProgressWriter>(new ProgressWriter(std::move(state)));
+}
+
+ProgressWriter::ProgressWriter(std::unique_ptr<Private> state)
+    : m_private(std::move(state))
+{
+}
+
+ProgressWriter::~ProgressWriter()
+{
+    {
+        const std::lock_guard lock(m_private->m_mutex);
+        m_private->m_stopped = true;
+    }
+    m_private->m_changed.notify_all();
+    m_private->m_thread.join();
+}
+
+void ProgressWriter::begin(std::int64_t fence, const std::vector<RecordRevision> &revisions)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    ++m_private->m_term;
+    m_private->m_fence = fence;
+    m_private->m_queued.clear();
+    m_private->m_revisions.clear();
+    for (const auto &entry : revisions) {
+        m_private->m_revisions[entry.m_job] = entry.m_revision;
+    }
+}
+
+void ProgressWriter::end()
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    ++m_private->m_term;
+    m_private->m_fence.reset();
+    m_private->m_queued.clear();
+}
+
+void ProgressWriter::record(JobPointer job)
+{
+    {
+        const std::lock_guard lock(m_private->m_mutex);
+        const auto &name = job->m_spec->m_id;
+        m_private->m_queued.insert_or_assign(name, std::move(job));
+    }
+    m_private->m_changed.notify_all();
+}
+
+std::size_t ProgressWriter::backlog() const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    return m_private->m_queued.size();
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/session.cpp
@@ -0,0 +1,239 @@
+#include "session.h"
+
+#include "primrosebridge/Fleetservice/keys.h"
+#include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Pipeline/bootclock.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace PrimroseBridge {
+
+// Four renewals fit into the shortest lease, so that a lost packet does not end it.
+static constexpr Duration renewalPeriod(250);
+// The owner's key is looked for again this often while no owner is known, in case the watch missed its removal.
+static constexpr Duration electionPeriod(250);
+
+struct Session::Private {
+    Private(PeerVm self, Duration leaseTime, std::shared_ptr<PlatformStore> store, SessionCallbacks callbacks)
+        : m_self(std::move(self))
+        , m_leaseTime(leaseTime)
+        , m_store(std::move(store))
+        , m_callbacks(std::move(callbacks))
+    {
+    }
+
+    const PeerVm m_self;
+    const Duration m_leaseTime;
+    const std::shared_ptr<PlatformStore> m_store;
+    const SessionCallbacks m_callbacks;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_closed = false;
+    bool m_ownerKnown = true;
+    std::int64_t m_lease = 0;
+    std::int64_t m_fence = 0; // 0 while this VM is not the owner.
+    std::thread m_renewer;
+    std::thread m_elector;
+
+    void renew();
+    void elect();
+    void openLease();
+    void keepLease(std::int64_t lease);
+    void tryAcquire();
+    void lose(const std::string &reason);
+    bool waitFor(Duration time);
+};
+
+void Session::Private::lose(const std::string &reason)
+{
+    std::int64_t fence = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::swap(fence, m_fence);
+    }
+    if (fence != 0) {
+        m_callbacks.m_lost(fence, reason);
+    }
+}
+
+void Session::Private::openLease()
+{
+    const auto lease = m_store->grantLease(m_leaseTime);
+    if (!lease.ok()) {
+        return; // Tried again after the renewal period; the watches log that the store is away.
+    }
+    const auto key = std::string(StoreKeys::vms) + m_self.m_vm;
+    const auto registered = m_store->commit(
+        StoreTransaction{.m_expectations = {}, .m_writes = {{.m_key = key, .m_value = encodePeer(m_self), .m_lease = lease.value()}}, .m_removals = {}});
+    if (!registered.ok()) {
+        return;
+    }
+    logEvent(LogLevel::Info, "session_opened", {{"lease", std::to_string(lease.value())}});
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lease = lease.value();
+    }
+    m_changed.notify_all();
+}
+
+void Session::Private::keepLease(std::int64_t lease)
+{
+    const auto renewed = m_store->renewLease(lease);
+    if (renewed.ok() || renewed.error().kind() != ErrorKind::NotFound) {
+        return;
+    }
+    logEvent(LogLevel::Warn, "session_lapsed", {{"lease", std::to_string(lease)}});
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lease = 0;
+    }
+    lose("the session's lease has lapsed");
+    openLease();
+}
+
+bool Session::Private::waitFor(Duration time)
+{
+    std::unique_lock lock(m_mutex);
+    return !m_changed.wait_for(lock, time, [&] { return m_closed; });
+}
+
+void Session::Private::renew()
+{
+    do {
+        std::int64_t lease = 0;
+        {
+            const std::lock_guard lock(m_mutex);
+            lease = m_lease;
+        }
+        if (lease == 0) {
+            openLease();
+        } else {
+            keepLease(lease);
+        }
+    } while (waitFor(renewalPeriod));
+}
+
+// The revision at which the owner's key was written by this process, if it was.
+static std::optional<std::int64_t> ownRevision(const std::optional<StoreItem> &item, const PeerVm &self)
+{
+    const auto holder = item ? decodePeer(item->m_value) : std::nullopt;
+    return holder && *holder == self ? std::optional(item->m_revision) : std::nullopt;
+}
+
+void Session::Private::tryAcquire()
+{
+    std::int64_t lease = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        lease = m_lease;
+    }
+    const std::string key(StoreKeys::owner);
+    const auto result = m_store->commit(StoreTransaction{
+        .m_expectations = {{.m_key = key, .m_revision = 0}}, .m_writes = {{.m_key = key, .m_value = encodePeer(m_self), .m_lease = lease}}, .m_removals = {}});
+    std::optional<std::int64_t> fence;
+    if (result.ok() && result.value().m_committed) {
+        fence = result.value().m_revision;
+    } else if (!result.ok() && result.error().kind() == ErrorKind::DeadlineExceeded) {
+        const auto item = m_store->get(key); // The answer may be lost after the write was made.
+        fence = item.ok() ? ownRevision(item.value(), m_self) : std::nullopt;
+    } else if (result.ok() && !result.value().m_current.empty()) {
+        fence = ownRevision(result.value().m_current.front(), m_self);
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!fence || m_closed) {
+            return;
+        }
+        m_fence = *fence;
+    }
+    logEvent(LogLevel::Info, "ownership_acquired", {{"fence", std::to_string(*fence)}});
+    m_callbacks.m_gained(*fence);
+}
+
+void Session::Private::elect()
+{
+    while (true) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait(lock, [&] { return m_closed || (!m_ownerKnown && m_fence == 0 && m_lease != 0); });
+            if (m_closed) {
+                return;
+            }
+        }
+        if (m_callbacks.m_mayOwn()) {
+            tryAcquire();
+        }
+        std::unique_lock lock(m_mutex);
+        if (!m_ownerKnown) {
+            m_changed.wait_for(lock, electionPeriod, [&] { return m_closed; });
+        }
+    }
+}
+
+Session::Session(PeerVm self, Duration leaseTime, std::shared_ptr<PlatformStore> store, SessionCallbacks callbacks)
+    : m_private(std::make_unique<Private>(std::move(self), leaseTime, std::move(store), std::move(callbacks)))
+{
+    m_private->m_renewer = std::thread([state = m_private.get()] { state->renew(); });
+    m_private->m_elector = std::thread([state = m_private.get()] { state->elect(); });
+}
+
+Session::~Session()
+{
+    close();
+    m_private->m_renewer.join();
+    m_private->m_elector.join();
+}
+
+void Session::noteOwner(const std::optional<FleetOwnerRecord> &owner)
+{
+    bool replaced = false;
+    {
+        const std::lock_guard lock(m_private->m_mutex);
+        m_private->m_ownerKnown = owner.has_value();
+        replaced = m_private->m_fence != 0 && owner && owner->m_fence > m_private->m_fence;
+    }
+    if (replaced) {
+        m_private->lose("the store names another owner");
+    }
+    m_private->m_changed.notify_all();
+}
+
+void Session::noteSuperseded(std::int64_t fence, const std::string &reason)
+{
+    std::int64_t lease = 0;
+    {
+        const std::lock_guard lock(m_private->m_mutex);
+        if (m_private->m_fence != fence) {
+            return;
+        }
+        std::swap(lease, m_private->m_lease);
+    }
+    m_private->lose(reason);
+    // If the key is still this VM's, nobody else could take it; ending the lease removes it.
+    if (!m_private->m_store->endLease(lease).ok()) {
+        logEvent(LogLevel::Warn, "session_not_ended", {{"lease", std::to_string(lease)}, {"outcome", "the lease lapses by itself"}});
+    }
+}
+
+void Session::close()
+{
+    std::int64_t lease = 0;
+    {
+        const std::lock_guard lock(m_private->m_mutex);
+        if (m_private->m_closed) {
+            return;
+        }
+        m_private->m_closed = true;
+        lease = m_private->m_lease;
+    }
+    m_private->m_changed.notify_all();
+    m_private->lose("this VM is stopping");
+    if (lease != 0 && !m_private->m_store->endLease(lease).ok()) {
+        logEvent(LogLevel::Warn, "session_not_ended", {{"lease", std::to_string(lease)}, {"outcome", "the lease lapses by itself"}});
+    }
+}
+
+} // namespace PrimroseBridge
--- a/service/lib/FrontEnd/httpserver.cpp
+++ b/service/lib/FrontEnd/httpserver.cpp
@@ -20,7 +20,6 @@
 
 namespace PrimroseBridge {
 
-constexpr int keepAliveSeconds = 2; // An idle connection holds a thread, so it is closed soon.
 constexpr int maxCallsPerConnection = 1000;
 constexpr int requestTimeoutSeconds = 10; // For the whole request to arrive; a slow sender must not hold a thread.
 
@@ -81,7 +80,12 @@
     for (const auto &[name, value] : uri.getQueryParameters()) {
         query[name] = value;
     }
-    return HttpCall{.m_method = request.getMethod(), .m_path = path, .m_query = query, .m_headers = headersOf(request), .m_body = body};
+    return HttpCall{.m_method = request.getMethod(),
+                    .m_path = path,
+                    .m_query = query,
+                    .m_headers = headersOf(request),
+                    .m_body = body,
+                    .m_rawPath = request.getURI().substr(0, request.getURI().find('?'))};
 }
 
 static void encode(const HttpReply &reply, Poco::Net::HTTPServerResponse &response)
@@ -180,7 +184,7 @@
     parameters->setMaxThreads(settings.m_threads);
     parameters->setMaxQueued(settings.m_maxQueuedConnections);
     parameters->setKeepAlive(true);
-    parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
+    parameters->setKeepAliveTimeout(Poco::Timespan(settings.m_keepAlive.count() * 1000));
     parameters->setMaxKeepAliveRequests(maxCallsPerConnection);
     parameters->setTimeout(Poco::Timespan(requestTimeoutSeconds, 0));
     return parameters;
--- /dev/null
+++ b/service/lib/Pipeline/bootclock.cpp
@@ -0,0 +1,14 @@
+#include "primrosebridge/Pipeline/bootclock.h"
+
+#include <ctime>
+
+namespace PrimroseBridge {
+
+Instant bootNow()
+{
+    timespec time = {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return fromMilliseconds(static_cast<long long>(time.tv_sec) * 1000 + time.tv_nsec / 1'000'000);
+}
+
+} // namespace PrimroseBridge
--- a/service/tools/primrosebridged/main.cpp
+++ b/service/tools/primrosebridged/main.cpp
@@ -1,3 +1,5 @@
+#include "fleetmain.h"
+
 #include "primrosebridge/Config/reader.h"
 #include "primrosebridge/FrontEnd/api.h"
 #include "primrosebridge/FrontEnd/httpserver.h"
@@ -94,6 +96,10 @@
 {
     absl::SetProgramUsageMessage("The service on each entry VM. Usage: primrosebridged --settings=FILE");
     absl::ParseCommandLine(argc, argv);
+    const char *fleetSettings = std::getenv("PRIMROSEBRIDGE_CONFIG");
+    if (absl::GetFlag(FLAGS_settings).empty() && fleetSettings) {
+        return PrimroseBridge::runFleet(fleetSettings);
+    }
     if (absl::GetFlag(FLAGS_settings).empty()) {
         std::cerr << "primrosebridged: --settings=FILE is missing; see docs/operations.md\n";
         return PrimroseBridge::exitUsage;
