Keep a former owner from starting work, and ask every worker that may run something

Change: the owner decides only while its lease, counted by the boot clock from before the renewal was sent, cannot have lapsed. The workers in use are recorded as a roster before they get work; a successor asks all of them. Also: logs go to standard output from a thread of its own, bounded, with a count of dropped lines.

--- a/service/include/primrosebridge/Fleetservice/fleetowner.h
+++ b/service/include/primrosebridge/Fleetservice/fleetowner.h
@@ -3,6 +3,7 @@
 #include "primrosebridge/Config/fleetsettings.h"
 #include "primrosebridge/Fleetservice/configurationcell.h"
 #include "primrosebridge/Fleetservice/ownerevents.h"
+#include "primrosebridge/Fleetservice/progresswriter.h"
 #include "primrosebridge/Fleetwire/decode.h"
 #include "primrosebridge/Http/httpclient.h"
 #include "primrosebridge/Model/result.h"
@@ -19,7 +20,8 @@
     const FleetSettings m_settings;
     const std::shared_ptr<HttpClient> m_workers; ///< Carries the orders.
     const ConfigurationCell &m_configuration; ///< Must outlive the owner.
-    const std::function<void(const JobPointer &)> m_record; ///< Queues a job's progress for the store; must not block.
+    const std::function<void(const OwnerRecord &)> m_record; ///< Queues a record for the store; must not block.
+    const std::function<bool()> m_leaseHolds; ///< False once another VM may have become the owner.
     const std::function<void(std::int64_t fence, const std::string &reason)> m_superseded; ///< A worker has seen a higher fence; must not block.
 };
 
--- a/service/include/primrosebridge/Fleetservice/keys.h
+++ b/service/include/primrosebridge/Fleetservice/keys.h
@@ -13,6 +13,7 @@
     static constexpr std::string_view inbox = "primrosebridge/in/"; ///< What callers asked for.
     static constexpr std::string_view submissions = "primrosebridge/in/job/";
     static constexpr std::string_view cancellations = "primrosebridge/in/cancel/";
+    static constexpr std::string_view roster = "primrosebridge/roster"; ///< Workers that may run something.
     static constexpr std::string_view progress = "primrosebridge/progress/"; ///< Written by the owner alone.
 };
 
--- a/service/include/primrosebridge/Fleetservice/ownerevents.h
+++ b/service/include/primrosebridge/Fleetservice/ownerevents.h
@@ -18,7 +18,9 @@
     const std::int64_t m_fence;
     const std::vector<JobPointer> m_jobs;
     const std::vector<std::string> m_cancelledJobs;
-    const std::vector<WorkerReportPointer> m_workers;
+    const std::vector<WorkerReportPointer> m_workers; ///< Those with an entry in the store.
+    const std::vector<WorkerReportPointer> m_roster; ///< Those that the predecessor used, whether they have an entry or not.
+    const std::int64_t m_rosterVersion;
 };
 
 /// This VM owns the fleet from now on.
@@ -86,8 +88,9 @@
     const JobOutcome m_outcome;
 };
 
-/// Time has passed.
-struct OwnerTick {
+/// The store has acknowledged a version of the roster.
+struct RosterRecorded {
+    const std::int64_t m_version;
 };
 
 using OwnerEvent = std::variant<OwnershipGained,
@@ -100,6 +103,6 @@
                                 StartAnswered,
                                 StopAnswered,
                                 ProgressRecorded,
-                                OwnerTick>;
+                                RosterRecorded>;
 
 } // namespace PrimroseBridge
--- a/service/include/primrosebridge/Fleetservice/progresswriter.h
+++ b/service/include/primrosebridge/Fleetservice/progresswriter.h
@@ -11,21 +11,31 @@
 
 namespace PrimroseBridge {
 
+/// Something that only the owner writes: the progress of a job, or a value under a key of its own.
+struct OwnerRecord {
+    const std::string m_key;
+    const JobPointer m_job; ///< Null for a plain value.
+    const std::string m_value; ///< Empty for a job, which is encoded when it is written.
+    const std::int64_t m_version; ///< Rises with each change of this record.
+
+    bool operator==(const OwnerRecord &) const = default;
+};
+
 /// What the writer reports back. Called on the writer's thread; must not block.
 struct ProgressCallbacks {
-    std::function<void(const std::string &job, std::int64_t version, JobOutcome outcome)> m_recorded;
+    std::function<void(const OwnerRecord &record)> m_recorded;
     std::function<void(std::int64_t fence)> m_ownershipLost;
 };
 
-/// Revision of a progress record in the store.
+/// Revision of an owner's record in the store.
 struct RecordRevision {
-    const std::string m_job;
+    const std::string m_key;
     const std::int64_t m_revision;
 
     bool operator==(const RecordRevision &) const = default;
 };
 
-/// Stage that writes jobs' progress to the store, many jobs in one transaction.
+/// Stage that writes the owner's records to the store, many in one transaction.
 ///
 /// Every transaction expects the ownership key at the owner's fence and each record at the revision that is known for it,
 /// so that neither a former owner nor a write that is carried out late can replace newer progress. Thread-safe.
@@ -42,9 +52,9 @@
     void begin(std::int64_t fence, const std::vector<RecordRevision> &revisions);
     /// Stops writing and drops what is queued.
     void end();
-    /// Queues the job's present progress; replaces an older one of the same job. Never blocks.
-    void record(JobPointer job);
-    /// Jobs that wait to be written.
+    /// Queues a record; replaces an older one of the same key. Never blocks.
+    void record(const OwnerRecord &record);
+    /// Records that wait to be written.
     [[nodiscard]] std::size_t backlog() const;
 
 private:
--- a/service/include/primrosebridge/Observe/log.h
+++ b/service/include/primrosebridge/Observe/log.h
@@ -2,6 +2,7 @@
 
 #include "primrosebridge/Model/result.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -29,6 +30,18 @@
 /// Starts logging to standard error. Call once, before the first logEvent() and before other threads start.
 void startLogging(std::string_view process, LogLevel level);
 
+/// Starts logging to standard output from a thread of its own, so that a reader that does not read never blocks a decision.
+///
+/// Lines wait in a queue of bounded length; those that find it full are dropped and counted in a later line. Call once, before
+/// the first logEvent() and before other threads start.
+void startQueuedLogging(std::string_view process, LogLevel level);
+
+/// Writes what startQueuedLogging() has queued, for at most a second, and ends its thread. Call before the process exits.
+void stopQueuedLogging();
+
+/// Lines that were dropped since the start. Thread-safe.
+std::uint64_t droppedLogLines();
+
 /// Changes the level while running. Thread-safe.
 void setLogLevel(LogLevel level);
 
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -7,6 +7,7 @@
 #include "primrosebridge/Fleetservice/keys.h"
 #include "primrosebridge/Fleetservice/peercalls.h"
 #include "primrosebridge/Fleetservice/progresswriter.h"
+#include "primrosebridge/Fleetservice/roster.h"
 #include "primrosebridge/Fleetwire/decode.h"
 #include "primrosebridge/Http/httpclient.h"
 #include "primrosebridge/Kv/platformstore.h"
@@ -203,8 +204,9 @@
     const auto inbox = m_store->list(std::string(StoreKeys::inbox));
     const auto progress = inbox.ok() ? m_store->list(std::string(StoreKeys::progress)) : Result<StoreListing>(inbox.error());
     const auto workers = progress.ok() ? m_store->list(std::string(workerPrefix)) : Result<StoreListing>(progress.error());
-    if (!workers.ok()) {
-        logEvent(LogLevel::Warn, "snapshot_not_read", {{"fence", std::to_string(fence)}, {"error", workers.error().message()}});
+    const auto roster = workers.ok() ? m_store->get(std::string(StoreKeys::roster)) : Result<std::optional<StoreItem>>(workers.error());
+    if (!roster.ok()) {
+        logEvent(LogLevel::Warn, "snapshot_not_read", {{"fence", std::to_string(fence)}, {"error", roster.error().message()}});
         return false;
     }
     const auto now = bootNow();
@@ -213,7 +215,7 @@
     for (const auto &item : progress.value().m_items) {
         const auto job = item.m_key.substr(StoreKeys::progress.size());
         records[job] = &item;
-        revisions.push_back(RecordRevision{.m_job = job, .m_revision = item.m_revision});
+        revisions.push_back(RecordRevision{.m_key = item.m_key, .m_revision = item.m_revision});
     }
     std::vector<JobPointer> jobs;
     std::vector<std::string> cancellations;
@@ -250,10 +252,25 @@
             skipRecord(item.m_key, report.error());
         }
     }
+    std::vector<WorkerReportPointer> used;
+    std::int64_t rosterVersion = 0;
+    if (const auto &item = roster.value()) {
+        revisions.push_back(RecordRevision{.m_key = item->m_key, .m_revision = item->m_revision});
+        const auto decoded = decodeRoster(item->m_value);
+        if (decoded.ok()) {
+            used = decoded.value().m_workers;
+            rosterVersion = decoded.value().m_version;
+        } else {
+            skipRecord(item->m_key, decoded.error());
+        }
+    }
     m_writer->begin(fence, revisions);
-    m_owner->post(
-        OwnershipGained{.m_snapshot = std::make_shared<const FleetSnapshot>(FleetSnapshot{
-                            .m_fence = fence, .m_jobs = std::move(jobs), .m_cancelledJobs = std::move(cancellations), .m_workers = std::move(reports)})});
+    m_owner->post(OwnershipGained{.m_snapshot = std::make_shared<const FleetSnapshot>(FleetSnapshot{.m_fence = fence,
+                                                                                                    .m_jobs = std::move(jobs),
+                                                                                                    .m_cancelledJobs = std::move(cancellations),
+                                                                                                    .m_workers = std::move(reports),
+                                                                                                    .m_roster = std::move(used),
+                                                                                                    .m_rosterVersion = rosterVersion})});
     {
         const std::lock_guard lock(m_termMutex);
         m_term = OwnerTerm{.m_fence = fence, .m_inboxRevision = inbox.value().m_revision, .m_workersRevision = workers.value().m_revision};
@@ -381,20 +398,27 @@
 {
     m_http = HttpClient::create().take();
     m_store = std::make_shared<PlatformStore>(m_settings.m_storeAddress, m_http);
-    m_writer = ProgressWriter::create(m_store,
-                                      ProgressCallbacks{
-                                          .m_recorded =
-                                              [this](const std::string &job, std::int64_t version, JobOutcome outcome) {
-                                                  m_owner->post(ProgressRecorded{.m_job = job, .m_version = version, .m_outcome = outcome});
-                                              },
-                                          .m_ownershipLost = [this](std::int64_t fence) { m_session->noteSuperseded(fence, "the store refused a write"); },
-                                      })
-                   .take();
+    m_writer
+        = ProgressWriter::create(m_store,
+                                 ProgressCallbacks{
+                                     .m_recorded =
+                                         [this](const OwnerRecord &record) {
+                                             if (record.m_job) {
+                                                 m_owner->post(ProgressRecorded{
+                                                     .m_job = record.m_job->m_spec->m_id, .m_version = record.m_version, .m_outcome = record.m_job->m_outcome});
+                                             } else {
+                                                 m_owner->post(RosterRecorded{.m_version = record.m_version});
+                                             }
+                                         },
+                                     .m_ownershipLost = [this](std::int64_t fence) { m_session->noteSuperseded(fence, "the store refused a write"); },
+                                 })
+              .take();
     m_owner = FleetOwner::create(OwnerContext{
                                      .m_settings = m_settings,
                                      .m_workers = HttpClient::create().take(),
                                      .m_configuration = m_configuration,
-                                     .m_record = [this](const JobPointer &job) { m_writer->record(job); },
+                                     .m_record = [this](const OwnerRecord &record) { m_writer->record(record); },
+                                     .m_leaseHolds = [this] { return m_session && m_session->leaseHolds(); },
                                      .m_superseded =
                                          [this](std::int64_t fence, const std::string &reason) {
                                              // The session calls the store, which the owner's thread must not wait for.
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -44,10 +44,18 @@
         if (m_state.m_fence == 0) {
             continue;
         }
+        recordRoster(m_state);
+        // Workers that a successor cannot reach still obey this VM. Without the lease it only renews what runs there:
+        // a job that it knows as waiting may have been run to its end by the successor.
+        const bool decides = m_state.m_context.m_leaseHolds();
+        noteAuthority(m_state, decides);
         if (now - reviewedAt >= longestWait) {
             reviewFleet(m_state, now);
             reviewedAt = now;
         }
+        if (!decides) {
+            continue;
+        }
         if (m_state.m_mustPlace || now - placedAt >= longestPlacementGap) {
             m_state.m_mustPlace = false;
             placedAt = now;
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -1,5 +1,7 @@
 #include "ownerstate.h"
 
+#include "primrosebridge/Fleetservice/keys.h"
+#include "primrosebridge/Fleetservice/roster.h"
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Pipeline/timerservice.h"
 
@@ -20,7 +22,7 @@
 void recordIfChanged(const OwnerState &state, const JobPointer &job)
 {
     if (job->m_version > job->m_recordedVersion) {
-        state.m_context.m_record(job);
+        state.m_context.m_record(OwnerRecord{.m_key = progressKey(job->m_spec->m_id), .m_job = job, .m_value = {}, .m_version = job->m_version});
     }
 }
 
@@ -108,9 +110,28 @@
     state.m_mustPlace = true;
 }
 
-bool isUsable(const WorkerEntry &worker, Instant now)
+void recordRoster(OwnerState &state)
 {
-    return worker.m_entryPresent && worker.m_fenced && worker.m_missed == 0 && !worker.m_report->m_draining && worker.m_noStartsUntil <= now;
+    if (!state.m_rosterChanged) {
+        return;
+    }
+    state.m_rosterChanged = false;
+    ++state.m_rosterVersion;
+    std::vector<WorkerReportPointer> workers;
+    for (auto &[name, worker] : state.m_workers) {
+        workers.push_back(worker.m_report);
+        worker.m_rosterVersion = worker.m_rosterVersion == 0 ? state.m_rosterVersion : worker.m_rosterVersion;
+    }
+    state.m_context.m_record(OwnerRecord{.m_key = std::string(StoreKeys::roster),
+                                         .m_job = nullptr,
+                                         .m_value = encodeRoster(Roster{.m_version = state.m_rosterVersion, .m_workers = std::move(workers)}),
+                                         .m_version = state.m_rosterVersion});
+}
+
+bool isUsable(const OwnerState &state, const WorkerEntry &worker, Instant now)
+{
+    const bool recorded = worker.m_rosterVersion > 0 && worker.m_rosterVersion <= state.m_recordedRoster;
+    return recorded && worker.m_entryPresent && worker.m_fenced && worker.m_missed == 0 && !worker.m_report->m_draining && worker.m_noStartsUntil <= now;
 }
 
 static WorkerEntry newEntry(const WorkerReportPointer &report, Instant now)
@@ -135,6 +156,7 @@
             logEvent(LogLevel::Info, "worker_life_over", {{"worker", entry->first}, {"successor", report.m_life.m_worker}});
             releaseTasks(state, worker, "worker_restarted", now);
             state.m_awaitedWorkers.erase(entry->first);
+            state.m_rosterChanged = true;
             entry = state.m_workers.erase(entry);
         } else {
             ++entry;
@@ -156,6 +178,7 @@
     worker.m_report = report;
     worker.m_entryPresent = true;
     if (added) {
+        state.m_rosterChanged = true;
         logEvent(LogLevel::Info, "worker_known", {{"worker", entry->first}, {"zone", report->m_zone}, {"rack", report->m_rack}});
         requestLists(state, worker, false, now);
     }
@@ -233,22 +256,30 @@
     }
     state.m_fence = snapshot.m_fence;
     state.m_lockedUntil = now + std::chrono::duration_cast<Duration>(state.m_context.m_settings.m_taskLease * leaseStretch) + leaseSlack;
-    for (const auto &report : snapshot.m_workers) {
-        state.m_awaitedWorkers.insert(report->m_life.m_worker);
+    for (const auto *workers : {&snapshot.m_roster, &snapshot.m_workers}) {
+        for (const auto &report : *workers) {
+            state.m_awaitedWorkers.insert(report->m_life.m_worker);
+            applyWorkerReport(state, report, now);
+        }
     }
-    for (const auto &report : snapshot.m_workers) {
-        applyWorkerReport(state, report, now);
+    for (auto &[name, worker] : state.m_workers) {
+        const auto &present = snapshot.m_workers;
+        worker.m_entryPresent = std::any_of(present.begin(), present.end(), [&life = *worker.m_life](const auto &report) { return report->m_life == life; });
         // The predecessor may have renewed the leases there just before.
-        if (auto *worker = findWorker(state, report->m_life)) {
-            worker->m_leaseBound = state.m_lockedUntil;
-        }
+        worker.m_leaseBound = state.m_lockedUntil;
     }
+    state.m_rosterVersion = snapshot.m_rosterVersion;
+    state.m_recordedRoster = snapshot.m_rosterVersion;
+    state.m_rosterChanged = true;
     for (const auto &job : snapshot.m_cancelledJobs) {
         applyCancellation(state, job, now);
     }
     logEvent(LogLevel::Info,
              "ownership_taken",
-             {{"fence", std::to_string(snapshot.m_fence)}, {"jobs", std::to_string(jobs.size())}, {"workers", std::to_string(snapshot.m_workers.size())}});
+             {{"fence", std::to_string(snapshot.m_fence)},
+              {"jobs", std::to_string(jobs.size())},
+              {"workers", std::to_string(snapshot.m_workers.size())},
+              {"roster", std::to_string(snapshot.m_roster.size())}});
 }
 
 static void applyRecorded(OwnerState &state, const ProgressRecorded &event, Instant now)
@@ -349,8 +380,12 @@
             applyRecorded(m_state, event, m_now);
         }
     }
-    void operator()(const OwnerTick &) const
+    void operator()(const RosterRecorded &event) const
     {
+        if (m_state.m_fence != 0) {
+            m_state.m_recordedRoster = std::max(m_state.m_recordedRoster, event.m_version);
+            m_state.m_mustPlace = true;
+        }
     }
 };
 
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -278,6 +278,7 @@
         if (lapsed && !worker.m_entryPresent) {
             logEvent(LogLevel::Info, "worker_forgotten", {{"worker", entry->first}});
             state.m_awaitedWorkers.erase(entry->first);
+            state.m_rosterChanged = true;
             entry = state.m_workers.erase(entry);
         } else {
             ++entry;
@@ -351,9 +352,24 @@
     }
 }
 
+void noteAuthority(OwnerState &state, bool decides)
+{
+    if (state.m_decides == decides) {
+        return;
+    }
+    state.m_decides = decides;
+    state.m_mustPlace = true;
+    logEvent(decides ? LogLevel::Info : LogLevel::Warn,
+             decides ? "decisions_resumed" : "decisions_suspended",
+             {{"fence", std::to_string(state.m_fence.load())}, {"reason", decides ? "the lease was renewed" : "the lease may have lapsed"}});
+}
+
 void reviewFleet(OwnerState &state, Instant now)
 {
     reviewWorkers(state, now);
+    if (!state.m_decides) {
+        return;
+    }
     reviewLocks(state, now);
     for (const auto &name : state.m_order) {
         if (const auto job = state.m_jobs.find(name)) {
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -44,6 +44,7 @@
     bool m_requestOpen = false;
     bool m_quickRequestOpen = false;
     Instant m_nextRequestAt;
+    std::int64_t m_rosterVersion = 0; ///< First version of the roster that names this life; 0 if none does yet.
     std::set<TaskReference> m_tasks; ///< Believed to be there.
 };
 
@@ -63,7 +64,11 @@
     std::set<std::string> m_lockedJobs; ///< May have runs at workers that have not answered since this VM became the owner.
     std::set<std::string> m_awaitedWorkers; ///< Workers that keep m_lockedJobs locked.
     Instant m_lockedUntil;
+    std::int64_t m_rosterVersion = 0; ///< Newest that was sent to the store.
+    std::int64_t m_recordedRoster = 0; ///< Newest that the store has acknowledged.
+    bool m_rosterChanged = false;
     bool m_mustPlace = false;
+    bool m_decides = true; ///< The store's lease holds, so that no other VM can be the owner.
 };
 
 /// Free functions over the state, called on the owner's thread alone.
@@ -71,6 +76,8 @@
 void applyReport(OwnerState &state, const ReportArrived &event, Instant now);
 void applyStartAnswer(OwnerState &state, const StartAnswered &event, Instant now);
 void applyStopAnswer(OwnerState &state, const StopAnswered &event, Instant now);
+/// Notes whether this VM's lease at the store holds; logs a change.
+void noteAuthority(OwnerState &state, bool decides);
 void reviewFleet(OwnerState &state, Instant now);
 void placeWork(OwnerState &state, Instant now);
 
@@ -91,7 +98,9 @@
 void recordIfChanged(const OwnerState &state, const JobPointer &job);
 /// Stops every run of a job whose outcome is settled.
 void stopRuns(OwnerState &state, const JobPointer &job, StopReason reason, Instant now);
-/// The worker is there, answers and takes new work.
-bool isUsable(const WorkerEntry &worker, Instant now);
+/// The worker is there, answers, is named in the recorded roster and takes new work.
+bool isUsable(const OwnerState &state, const WorkerEntry &worker, Instant now);
+/// Sends the roster to the store if it has changed.
+void recordRoster(OwnerState &state);
 
 } // namespace PrimroseBridge
--- a/service/lib/Fleetservice/progresswriter.cpp
+++ b/service/lib/Fleetservice/progresswriter.cpp
@@ -13,8 +13,8 @@
 
 namespace PrimroseBridge {
 
-// Each job takes an expectation and a write, beside the expectation of ownership.
-static constexpr std::size_t maxJobsPerTransaction = (maxTransactionEntries - 1) / 2;
+// Each record takes an expectation and a write, beside the expectation of ownership.
+static constexpr std::size_t maxRecordsPerTransaction = (maxTransactionEntries - 1) / 2;
 // Jobs that end at about the same time share a transaction; the workers' ends wait this much longer for their acknowledgement.
 static constexpr Duration batchDelay(4);
 // Between attempts while the store refuses or does not answer.
@@ -25,7 +25,7 @@
     ProgressCallbacks m_callbacks;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, JobPointer> m_queued;
+    std::map<std::string, std::shared_ptr<const OwnerRecord>> m_queued; // By key.
     std::map<std::string, std::int64_t> m_revisions;
     std::optional<std::int64_t> m_fence;
     std::uint64_t m_term = 0; // Rises with begin() and end(), so that a batch of an earlier term is dropped.
@@ -41,7 +41,7 @@
 struct Batch {
     std::int64_t m_fence = 0;
     std::uint64_t m_term = 0;
-    std::vector<JobPointer> m_jobs;
+    std::vector<std::shared_ptr<const OwnerRecord>> m_records;
     std::vector<std::string> m_values;
     std::vector<std::int64_t> m_revisions;
 };
@@ -56,22 +56,22 @@
     if (state.m_stopped) {
         return std::nullopt;
     }
-    state.m_changed.wait_for(lock, batchDelay, [&] { return state.m_stopped || state.m_queued.size() >= maxJobsPerTransaction; });
+    state.m_changed.wait_for(lock, batchDelay, [&] { return state.m_stopped || state.m_queued.size() >= maxRecordsPerTransaction; });
     Batch batch;
     if (!state.m_fence) {
         return batch;
     }
     batch.m_fence = *state.m_fence;
     batch.m_term = state.m_term;
-    while (!state.m_queued.empty() && batch.m_jobs.size() < maxJobsPerTransaction) {
+    while (!state.m_queued.empty() && batch.m_records.size() < maxRecordsPerTransaction) {
         const auto first = state.m_queued.begin();
-        batch.m_jobs.push_back(first->second);
+        batch.m_records.push_back(first->second);
         batch.m_revisions.push_back(state.m_revisions[first->first]);
         state.m_queued.erase(first);
     }
     lock.unlock();
-    for (const auto &job : batch.m_jobs) {
-        batch.m_values.push_back(encodeProgress(*job));
+    for (const auto &record : batch.m_records) {
+        batch.m_values.push_back(record->m_job ? encodeProgress(*record->m_job) : record->m_value);
     }
     return batch;
 }
@@ -80,8 +80,8 @@
 {
     std::vector<StoreExpectation> expectations{{.m_key = std::string(StoreKeys::owner), .m_revision = batch.m_fence}};
     std::vector<StoreWrite> writes;
-    for (std::size_t index = 0; index < batch.m_jobs.size(); ++index) {
-        const auto key = progressKey(batch.m_jobs[index]->m_spec->m_id);
+    for (std::size_t index = 0; index < batch.m_records.size(); ++index) {
+        const auto &key = batch.m_records[index]->m_key;
         expectations.push_back(StoreExpectation{.m_key = key, .m_revision = batch.m_revisions[index]});
         writes.push_back(StoreWrite{.m_key = key, .m_value = batch.m_values[index], .m_lease = 0});
     }
@@ -91,18 +91,18 @@
 template<class State>
 static void reportRecorded(State &state, const Batch &batch, std::size_t index, std::int64_t revision)
 {
-    const auto &job = *batch.m_jobs[index];
+    const auto &record = *batch.m_records[index];
     {
         const std::lock_guard lock(state.m_mutex);
         if (state.m_term != batch.m_term) {
             return;
         }
-        state.m_revisions[job.m_spec->m_id] = revision;
+        state.m_revisions[record.m_key] = revision;
     }
-    state.m_callbacks.m_recorded(job.m_spec->m_id, job.m_version, job.m_outcome);
+    state.m_callbacks.m_recorded(record);
 }
 
-// Queues the job again, unless newer progress of it is queued already.
+// Queues the record again, unless a newer one of its key is queued already.
 template<class State>
 static void requeue(State &state, const Batch &batch, std::size_t index, std::optional<std::int64_t> revision)
 {
@@ -110,11 +110,11 @@
     if (state.m_term != batch.m_term) {
         return;
     }
-    const auto &job = batch.m_jobs[index];
+    const auto &record = batch.m_records[index];
     if (revision) {
-        state.m_revisions[job->m_spec->m_id] = *revision;
+        state.m_revisions[record->m_key] = *revision;
     }
-    state.m_queued.emplace(job->m_spec->m_id, job);
+    state.m_queued.emplace(record->m_key, record);
 }
 
 static const StoreItem *itemOf(const std::vector<StoreItem> &items, const std::string &key)
@@ -132,8 +132,8 @@
         state.m_callbacks.m_ownershipLost(batch.m_fence);
         return;
     }
-    for (std::size_t index = 0; index < batch.m_jobs.size(); ++index) {
-        const auto *item = itemOf(current, progressKey(batch.m_jobs[index]->m_spec->m_id));
+    for (std::size_t index = 0; index < batch.m_records.size(); ++index) {
+        const auto *item = itemOf(current, batch.m_records[index]->m_key);
         if (item && item->m_value == batch.m_values[index]) {
             reportRecorded(state, batch, index, item->m_revision);
         } else {
@@ -147,7 +147,7 @@
 {
     const auto result = state.m_store->commit(transactionFor(batch));
     if (result.ok() && result.value().m_committed) {
-        for (std::size_t index = 0; index < batch.m_jobs.size(); ++index) {
+        for (std::size_t index = 0; index < batch.m_records.size(); ++index) {
             reportRecorded(state, batch, index, result.value().m_revision);
         }
         return;
@@ -156,10 +156,11 @@
         settleConflict(state, batch, result.value().m_current);
         return;
     }
-    logEvent(
-        LogLevel::Warn, "progress_not_recorded", {{"jobs", std::to_string(batch.m_jobs.size())}, {"error", result.error().message()}, {"outcome", "retried"}});
+    logEvent(LogLevel::Warn,
+             "progress_not_recorded",
+             {{"records", std::to_string(batch.m_records.size())}, {"error", result.error().message()}, {"outcome", "retried"}});
     // The expectations make it safe to repeat a write whose answer was lost: either it fails them, or the first one did.
-    for (std::size_t index = 0; index < batch.m_jobs.size(); ++index) {
+    for (std::size_t index = 0; index < batch.m_records.size(); ++index) {
         requeue(state, batch, index, std::nullopt);
     }
     std::unique_lock lock(state.m_mutex);
@@ -169,7 +170,7 @@
 void ProgressWriter::Private::run()
 {
     while (const auto batch = takeBatch(*this)) {
-        if (!batch->m_jobs.empty()) {
+        if (!batch->m_records.empty()) {
             writeBatch(*this, *batch);
         }
     }
@@ -207,7 +208,7 @@
     m_private->m_queued.clear();
     m_private->m_revisions.clear();
     for (const auto &entry : revisions) {
-        m_private->m_revisions[entry.m_job] = entry.m_revision;
+        m_private->m_revisions[entry.m_key] = entry.m_revision;
     }
 }
 
@@ -219,12 +220,11 @@
     m_private->m_queued.clear();
 }
 
-void ProgressWriter::record(JobPointer job)
+void ProgressWriter::record(const OwnerRecord &record)
 {
     {
         const std::lock_guard lock(m_private->m_mutex);
-        const auto &name = job->m_spec->m_id;
-        m_private->m_queued.insert_or_assign(name, std::move(job));
+        m_private->m_queued.insert_or_assign(record.m_key, std::make_shared<const OwnerRecord>(record));
     }
     m_private->m_changed.notify_all();
 }
--- /dev/null
+++ b/service/lib/Fleetservice/roster.cpp
@@ -0,0 +1,67 @@
+#include "primrosebridge/Fleetservice/roster.h"
+
+#include <nlohmann/json.hpp>
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::json;
+
+static Json encodeWorker(const WorkerReport &report)
+{
+    return Json{
+        {"worker", report.m_life.m_worker},
+        {"born", report.m_life.m_bornAt},
+        {"machine", report.m_machine},
+        {"address", report.m_address},
+        {"pool", report.m_pool},
+        {"zone", report.m_zone},
+        {"rack", report.m_rack},
+        {"labels", report.m_labels},
+        {"cores", report.m_capacity.m_milliCores},
+        {"memory", report.m_capacity.m_memoryMb},
+        {"accelerators", report.m_capacity.m_accelerators},
+    };
+}
+
+static WorkerReportPointer decodeWorker(const Json &json)
+{
+    return std::make_shared<const WorkerReport>(WorkerReport{
+        .m_life = WorkerLife{.m_worker = json.at("worker").get<std::string>(), .m_bornAt = json.at("born").get<std::int64_t>()},
+        .m_machine = json.at("machine").get<std::string>(),
+        .m_address = json.at("address").get<std::string>(),
+        .m_pool = json.at("pool").get<std::string>(),
+        .m_zone = json.at("zone").get<std::string>(),
+        .m_rack = json.at("rack").get<std::string>(),
+        .m_labels = json.at("labels").get<std::vector<std::string>>(),
+        .m_capacity = Resources{.m_milliCores = json.at("cores").get<std::int64_t>(),
+                                .m_memoryMb = json.at("memory").get<std::int64_t>(),
+                                .m_accelerators = json.at("accelerators").get<std::int64_t>()},
+        .m_draining = false,
+        .m_leavesIn = std::nullopt,
+    });
+}
+
+std::string encodeRoster(const Roster &roster)
+{
+    Json workers = Json::array();
+    for (const auto &worker : roster.m_workers) {
+        workers.push_back(encodeWorker(*worker));
+    }
+    return Json{{"version", roster.m_version}, {"workers", std::move(workers)}}.dump();
+}
+
+Result<Roster> decodeRoster(const std::string &text)
+{
+    try {
+        const auto json = Json::parse(text);
+        std::vector<WorkerReportPointer> workers;
+        for (const auto &worker : json.at("workers")) {
+            workers.push_back(decodeWorker(worker));
+        }
+        return Roster{.m_version = json.at("version").get<std::int64_t>(), .m_workers = std::move(workers)};
+    } catch (const Json::exception &error) {
+        return Error(ErrorKind::Internal, std::string("the roster cannot be read: ") + error.what(), "check which release wrote it");
+    }
+}
+
+} // namespace PrimroseBridge
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -4,6 +4,8 @@
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Pipeline/bootclock.h"
 
+#include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -13,6 +15,8 @@
 
 // Four renewals fit into the shortest lease, so that a lost packet does not end it.
 static constexpr Duration renewalPeriod(250);
+// Between renewals even if the store answers late or refuses.
+static constexpr Duration shortestPause(50);
 // The owner's key is looked for again this often while no owner is known, in case the watch missed its removal.
 static constexpr Duration electionPeriod(250);
 
@@ -35,6 +39,7 @@
     bool m_ownerKnown = true;
     std::int64_t m_lease = 0;
     std::int64_t m_fence = 0; // 0 while this VM is not the owner.
+    std::atomic<std::int64_t> m_validUntil = 0; // Boot clock in milliseconds.
     std::thread m_renewer;
     std::thread m_elector;
 
@@ -61,6 +66,7 @@
 
 void Session::Private::openLease()
 {
+    const auto sentAt = bootNow();
     const auto lease = m_store->grantLease(m_leaseTime);
     if (!lease.ok()) {
         return; // Tried again after the renewal period; the watches log that the store is away.
@@ -72,6 +78,7 @@
         return;
     }
     logEvent(LogLevel::Info, "session_opened", {{"lease", std::to_string(lease.value())}});
+    m_validUntil = toMilliseconds(sentAt + m_leaseTime);
     {
         const std::lock_guard lock(m_mutex);
         m_lease = lease.value();
@@ -81,8 +88,13 @@
 
 void Session::Private::keepLease(std::int64_t lease)
 {
+    const auto sentAt = bootNow();
     const auto renewed = m_store->renewLease(lease);
-    if (renewed.ok() || renewed.error().kind() != ErrorKind::NotFound) {
+    if (renewed.ok()) {
+        m_validUntil = toMilliseconds(sentAt + m_leaseTime);
+        return;
+    }
+    if (renewed.error().kind() != ErrorKind::NotFound) {
         return;
     }
     logEvent(LogLevel::Warn, "session_lapsed", {{"lease", std::to_string(lease)}});
@@ -102,7 +114,9 @@
 
 void Session::Private::renew()
 {
-    do {
+    Duration pause(0);
+    while (waitFor(pause)) {
+        const auto startedAt = bootNow();
         std::int64_t lease = 0;
         {
             const std::lock_guard lock(m_mutex);
@@ -113,7 +127,9 @@
         } else {
             keepLease(lease);
         }
-    } while (waitFor(renewalPeriod));
+        // Counted from the call's start, so that a slow store does not stretch the period towards the lease time.
+        pause = std::max(shortestPause, renewalPeriod - (bootNow() - startedAt));
+    }
 }
 
 // The revision at which the owner's key was written by this process, if it was.
@@ -201,6 +217,11 @@
     m_private->m_changed.notify_all();
 }
 
+bool Session::leaseHolds() const
+{
+    return toMilliseconds(bootNow()) < m_private->m_validUntil;
+}
+
 void Session::noteSuperseded(std::int64_t fence, const std::string &reason)
 {
     std::int64_t lease = 0;
--- a/service/lib/Observe/log.cpp
+++ b/service/lib/Observe/log.cpp
@@ -5,11 +5,39 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include "primrosebridge/Pipeline/boundedqueue.h"
+
+#include <atomic>
 #include <cstdio>
 #include <memory>
+#include <thread>
 
 namespace PrimroseBridge {
 
+// About 400 KB of lines: several seconds of a heavy burst.
+static constexpr std::size_t maxQueuedLines = 2000;
+static constexpr std::size_t linesPerBatch = 64;
+
+namespace {
+
+struct QueuedLine {
+    LogLevel m_level;
+    std::string m_text;
+};
+
+// The queue and the thread that empties it.
+struct LogQueue {
+    BoundedQueue<QueuedLine> m_lines{maxQueuedLines};
+    std::atomic<std::uint64_t> m_dropped = 0;
+    std::atomic<bool> m_done = false;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Never destroyed: other threads may log until the process ends.
+static std::atomic<LogQueue *> logQueue = nullptr;
+
 static log4cplus::LogLevel toLibraryLevel(LogLevel level)
 {
     switch (level) {
@@ -54,10 +82,9 @@
     return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("primrosebridge"));
 }
 
-void startLogging(std::string_view process, LogLevel level)
+static void addAppender(std::string_view process, LogLevel level, bool toStandardError)
 {
     auto root = logger();
-    const auto toStandardError = true;
     const auto flushEachLine = true;
     log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
     const std::string pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p process=" + std::string(process) + " %m%n";
@@ -68,6 +95,59 @@
     setLogLevel(level);
 }
 
+void startLogging(std::string_view process, LogLevel level)
+{
+    addAppender(process, level, true);
+}
+
+static void writeLines(LogQueue &queue)
+{
+    std::uint64_t reported = 0;
+    while (true) {
+        const auto lines = queue.m_lines.popBatch(linesPerBatch);
+        if (lines.empty()) {
+            break;
+        }
+        for (const auto &line : lines) {
+            logger().log(toLibraryLevel(line.m_level), line.m_text, __FILE__, __LINE__);
+        }
+        const auto dropped = queue.m_dropped.load();
+        if (dropped != reported) {
+            logger().log(log4cplus::WARN_LOG_LEVEL, "event=log_lines_dropped total=" + std::to_string(dropped), __FILE__, __LINE__);
+            reported = dropped;
+        }
+    }
+    queue.m_done = true;
+}
+
+void startQueuedLogging(std::string_view process, LogLevel level)
+{
+    addAppender(process, level, false);
+    auto *queue = new LogQueue; // See logQueue.
+    queue->m_thread = std::thread([queue] { writeLines(*queue); });
+    logQueue = queue;
+}
+
+void stopQueuedLogging()
+{
+    auto *queue = logQueue.load();
+    if (!queue) {
+        return;
+    }
+    queue->m_lines.close();
+    constexpr int steps = 50;
+    for (int step = 0; step < steps && !queue->m_done; ++step) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    queue->m_thread.detach();
+}
+
+std::uint64_t droppedLogLines()
+{
+    const auto *queue = logQueue.load();
+    return queue ? queue->m_dropped.load() : 0;
+}
+
 void setLogLevel(LogLevel level)
 {
     logger().setLogLevel(toLibraryLevel(level));
@@ -143,6 +223,12 @@
     if (!rest.empty()) {
         line += ' ' + rest;
     }
+    if (auto *queue = logQueue.load()) {
+        if (!queue->m_lines.tryPush(QueuedLine{.m_level = level, .m_text = std::move(line)})) {
+            ++queue->m_dropped;
+        }
+        return;
+    }
     target.log(libraryLevel, line, __FILE__, __LINE__);
 }
 
--- a/service/tools/primrosebridged/fleetmain.cpp
+++ b/service/tools/primrosebridged/fleetmain.cpp
@@ -83,7 +83,7 @@
     mallopt(M_ARENA_MAX, heaps);
     const auto signals = blockSignals();
     const auto settings = readSettings(path);
-    startLogging(settings.m_vm.text(), logLevelFromName(settings.m_logLevel).value());
+    startQueuedLogging(settings.m_vm.text(), logLevelFromName(settings.m_logLevel).value());
     const auto node = FleetNode::create(settings).take();
     const auto front = HttpServer::create(HttpServerSettings{.m_address = settings.m_frontAddress,
                                                              .m_threads = frontThreads,
@@ -116,6 +116,7 @@
         std::cerr << "primrosebridged: " << error.what() << '\n';
         return exitFailure;
     }
+    stopQueuedLogging();
     // gRPC's threads may still be releasing their last calls; destroying protobuf's static objects under them corrupts the heap.
     std::quick_exit(0);
 }
