Test the job model, the progress records and the placement over the fleet

Cause: the new decision code had no tests of its own. Change: unit tests of task names, limits and queue selection; of ends, gangs, attempts, occurrences and damaged records; of gangs, racks, preemption, guarantees, locks and isolated workers; random fleets against independently counted limits. A stand-in store and worker for the platform's HTTP forms.

--- /dev/null
+++ b/core/unittests/Work/job.cpp
@@ -0,0 +1,90 @@
+#include "primrosebridge/Work/job.h"
+#include "primrosebridge/Work/fleetconfiguration.h"
+
+#include <catch2/catch.hpp>
+
+namespace PrimroseBridge {
+
+static JobStep stepOf(int tasks, std::vector<int> after)
+{
+    return JobStep{.m_taskCount = tasks,
+                   .m_needs = Resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = 1},
+                   .m_estimate = Duration(1000),
+                   .m_after = std::move(after),
+                   .m_gang = false,
+                   .m_sameRack = false,
+                   .m_requiredLabel = {},
+                   .m_dataRack = {},
+                   .m_maxPerWorker = 0,
+                   .m_speculative = false,
+                   .m_checkpointing = false,
+                   .m_longRunning = false,
+                   .m_image = {},
+                   .m_tailLatencyTarget = Duration(0),
+                   .m_filler = false,
+                   .m_maxUnavailable = 0};
+}
+
+static JobSpec jobOf(std::vector<JobStep> steps, std::string payload = "payload")
+{
+    return JobSpec{.m_id = "5c0e7a21d94b36f8",
+                   .m_queue = "queue",
+                   .m_organisation = "org",
+                   .m_acceptedAt = fromMilliseconds(1000),
+                   .m_payload = std::move(payload),
+                   .m_steps = std::move(steps),
+                   .m_schedule = JobSchedule{.m_count = 0, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(0)}};
+}
+
+// Guards against a task that is started under a name which the worker's lists cannot be matched with.
+TEST_CASE("task names read back")
+{
+    const TaskReference task{.m_job = "5c0e.7a21", .m_occurrence = 3, .m_step = 1, .m_index = 17};
+    CHECK(taskName(task) == "5c0e.7a21.3.1.17");
+    CHECK(taskFromName(taskName(task)).value() == task);
+    for (const std::string text : {"", "a", "a.1.2", ".1.2.3", "a.1.2.x", "a.1.-2.3", "a.1.2.99999999"}) {
+        CHECK_FALSE(taskFromName(text).ok());
+    }
+}
+
+// Guards against a submission that exhausts a VM or refers to steps that do not exist.
+TEST_CASE("jobs out of range are refused")
+{
+    CHECK(checkJob(jobOf({stepOf(4, {}), stepOf(2, {0})})).ok());
+    CHECK_FALSE(checkJob(jobOf({})).ok());
+    CHECK_FALSE(checkJob(jobOf({stepOf(0, {})})).ok());
+    CHECK_FALSE(checkJob(jobOf({stepOf(1, {0})})).ok());
+    CHECK_FALSE(checkJob(jobOf({stepOf(JobLimits::maxTasksPerStep + 1, {})})).ok());
+    CHECK_FALSE(checkJob(jobOf({stepOf(1, {})}, std::string(JobLimits::maxPayloadBytes + 1, 'x'))).ok());
+}
+
+// Guards against a call that reaches the queue of a shorter prefix or of another host.
+TEST_CASE("the longest prefix of the host selects the queue")
+{
+    const auto queue = [](std::string name, std::string host, std::string prefix) {
+        return QueueSettings{.m_name = std::move(name),
+                             .m_host = std::move(host),
+                             .m_prefix = std::move(prefix),
+                             .m_service = "pool",
+                             .m_priority = 0,
+                             .m_attempts = 1,
+                             .m_slackFactor = 1.0,
+                             .m_latencyGoal = Duration(0),
+                             .m_timeout = Duration(0),
+                             .m_public = false,
+                             .m_needsPlacementAdvice = false};
+    };
+    const FleetConfiguration configuration{.m_version = 1,
+                                           .m_queues = {queue("short", "a", "/x/"), queue("long", "a", "/x/y/"), queue("other", "b", "/x/")},
+                                           .m_organisations = {{.m_name = "org", .m_keys = {"k1", "k2"}, .m_guaranteedAccelerators = 8}},
+                                           .m_pools = {},
+                                           .m_maxBodyBytes = 1000};
+    CHECK(findQueue(configuration, "a", "/x/1")->m_name == "short");
+    CHECK(findQueue(configuration, "a", "/x/y/1")->m_name == "long");
+    CHECK(findQueue(configuration, "b", "/x/y/1")->m_name == "other");
+    CHECK(findQueue(configuration, "c", "/x/1") == nullptr);
+    CHECK(organisationWithKey(configuration, "k2")->m_name == "org");
+    CHECK(organisationWithKey(configuration, "") == nullptr);
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/recovery/unittests/Progress/progress.cpp
@@ -0,0 +1,173 @@
+#include "primrosebridge/Progress/jobstate.h"
+#include "primrosebridge/Progress/record.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace PrimroseBridge {
+
+static const Instant start = fromMilliseconds(10'000);
+
+static JobStep stepOf(int tasks, bool gang, std::vector<int> after = {})
+{
+    return JobStep{.m_taskCount = tasks,
+                   .m_needs = Resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = 1},
+                   .m_estimate = Duration(1000),
+                   .m_after = std::move(after),
+                   .m_gang = gang,
+                   .m_sameRack = gang,
+                   .m_requiredLabel = "a",
+                   .m_dataRack = "r1",
+                   .m_maxPerWorker = 2,
+                   .m_speculative = false,
+                   .m_checkpointing = true,
+                   .m_longRunning = false,
+                   .m_image = "image",
+                   .m_tailLatencyTarget = Duration(5),
+                   .m_filler = true,
+                   .m_maxUnavailable = 1};
+}
+
+static JobSpecPointer specOf(std::vector<JobStep> steps, std::int64_t occurrences = 0)
+{
+    return std::make_shared<const JobSpec>(JobSpec{
+        .m_id = "job",
+        .m_queue = "queue",
+        .m_organisation = "org",
+        .m_acceptedAt = fromMilliseconds(5),
+        .m_payload = "payload \"quoted\"",
+        .m_steps = std::move(steps),
+        .m_schedule = JobSchedule{.m_count = occurrences, .m_firstDue = fromMilliseconds(100), .m_interval = Duration(50)},
+    });
+}
+
+static TaskReference task(int step, int index, std::int64_t occurrence = 0)
+{
+    return TaskReference{.m_job = "job", .m_occurrence = occurrence, .m_step = step, .m_index = index};
+}
+
+static JobPointer started(const JobPointer &job, const TaskReference &reference, const std::string &worker, std::int64_t run)
+{
+    const auto place = std::make_shared<const WorkerLife>(WorkerLife{.m_worker = worker, .m_bornAt = 1});
+    return withTask(*job, reference, taskInPhase(*taskStarting(*findTask(*job, reference), place, run, start), TaskPhase::Running, false, start));
+}
+
+static RunEnd endOf(const TaskReference &reference, std::int64_t run, EndKind kind, std::string checkpoint = {})
+{
+    return RunEnd{.m_number = 1, .m_task = reference, .m_run = run, .m_kind = kind, .m_checkpoint = std::move(checkpoint)};
+}
+
+// Guards against a gang that is run again because only one of its members has listed the common end.
+TEST_CASE("one member's end as done ends the whole gang")
+{
+    auto job = newJob(specOf({stepOf(3, true)}), 2, start);
+    for (int index = 0; index < 3; ++index) {
+        job = started(job, task(0, index), "w" + std::to_string(index), 1);
+    }
+    const auto effect = applyEnd(job, endOf(task(0, 1), 1, EndKind::Done), "w1", start);
+    CHECK(effect.m_mustRecord);
+    CHECK(effect.m_job->m_outcome == JobOutcome::Complete);
+    CHECK(effect.m_job->m_recordedOutcome == JobOutcome::Active);
+}
+
+// Guards against a job that is shown as failed although no run failed by its own fault, or that is run once too often.
+TEST_CASE("only ends as failed count as attempts")
+{
+    auto job = newJob(specOf({stepOf(2, true)}), 2, start);
+    for (const auto kind : {EndKind::Stopped, EndKind::Lapsed, EndKind::Broken, EndKind::Alone}) {
+        job = started(job, task(0, 0), "w", 1);
+        const auto effect = applyEnd(job, endOf(task(0, 0), 1, kind), "w", start);
+        CHECK_FALSE(effect.m_mustRecord);
+        CHECK(effect.m_job->m_outcome == JobOutcome::Active);
+        CHECK(findTask(*effect.m_job, task(0, 0))->m_phase == TaskPhase::Waiting);
+        job = effect.m_job;
+    }
+    job = applyEnd(started(job, task(0, 0), "w", 2), endOf(task(0, 0), 2, EndKind::Failed), "w", start).m_job;
+    CHECK(job->m_outcome == JobOutcome::Active);
+    CHECK(findTask(*job, task(0, 0))->m_failedOn == std::vector<std::string>{"w"});
+    // A gang has failed as often as its members together.
+    job = applyEnd(started(job, task(0, 1), "w", 3), endOf(task(0, 1), 3, EndKind::Failed), "w", start).m_job;
+    CHECK(job->m_outcome == JobOutcome::Failed);
+}
+
+// Guards against an end of an earlier run that takes the place of the present one away.
+TEST_CASE("the end of an earlier run does not touch the present one")
+{
+    auto job = newJob(specOf({stepOf(1, false)}), 3, start);
+    job = started(job, task(0, 0), "second", 2);
+    const auto effect = applyEnd(job, endOf(task(0, 0), 1, EndKind::Lapsed, "saved"), "first", start);
+    const auto after = findTask(*effect.m_job, task(0, 0));
+    CHECK(after->m_phase == TaskPhase::Running);
+    CHECK(after->m_place->m_worker == "second");
+    CHECK(after->m_checkpoint == "saved");
+}
+
+// Guards against a step that starts before the tasks of an earlier one have ended as done.
+TEST_CASE("a step is ready once all tasks of the steps before it are done")
+{
+    auto job = newJob(specOf({stepOf(2, false), stepOf(1, false, {0})}), 3, start);
+    CHECK_FALSE(isStepReady(*job->m_spec, *job->m_occurrences.front(), 1));
+    job = applyEnd(started(job, task(0, 0), "w", 1), endOf(task(0, 0), 1, EndKind::Done), "w", start).m_job;
+    CHECK_FALSE(isStepReady(*job->m_spec, *job->m_occurrences.front(), 1));
+    job = applyEnd(started(job, task(0, 1), "w", 1), endOf(task(0, 1), 1, EndKind::Done), "w", start).m_job;
+    CHECK(isStepReady(*job->m_spec, *job->m_occurrences.front(), 1));
+}
+
+// Guards against an occurrence that is started early, skipped or kept for ever.
+TEST_CASE("occurrences appear when they are due and leave when they are done")
+{
+    auto job = newJob(specOf({stepOf(1, false)}, 3), 3, start);
+    CHECK(withDueOccurrences(job, fromMilliseconds(99), start) == job);
+    job = withDueOccurrences(job, fromMilliseconds(150), start);
+    REQUIRE(job->m_occurrences.size() == 2);
+    job = applyEnd(started(job, task(0, 0, 0), "w", 1), endOf(task(0, 0, 0), 1, EndKind::Done), "w", start).m_job;
+    CHECK(job->m_occurrences.size() == 1);
+    CHECK(job->m_outcome == JobOutcome::Active);
+    job = withDueOccurrences(job, fromMilliseconds(1000), start);
+    job = applyEnd(started(job, task(0, 0, 1), "w", 1), endOf(task(0, 0, 1), 1, EndKind::Done), "w", start).m_job;
+    job = applyEnd(started(job, task(0, 0, 2), "w", 1), endOf(task(0, 0, 2), 1, EndKind::Done), "w", start).m_job;
+    CHECK(job->m_outcome == JobOutcome::Complete);
+}
+
+// Guards against work that a new owner repeats or forgets because a field was not recorded.
+TEST_CASE("records read back")
+{
+    const auto spec = specOf({stepOf(2, false), stepOf(2, true, {0})});
+    CHECK(decodeSubmission(encodeSubmission(*spec)).value() == *spec);
+    auto job = newJob(spec, 3, start);
+    job = applyEnd(started(job, task(0, 0), "w", 4), endOf(task(0, 0), 4, EndKind::Done), "w", start).m_job;
+    job = applyEnd(started(job, task(0, 1), "w", 2), endOf(task(0, 1), 2, EndKind::Failed, "saved"), "w", start).m_job;
+    const auto restored = restoreJob(spec, 3, encodeProgress(*job), start).value();
+    CHECK(findTask(*restored, task(0, 0))->m_phase == TaskPhase::Done);
+    CHECK(findTask(*restored, task(0, 1))->m_failures == 1);
+    CHECK(findTask(*restored, task(0, 1))->m_run == 2);
+    CHECK(findTask(*restored, task(0, 1))->m_checkpoint == "saved");
+    CHECK(restored->m_recordedVersion == job->m_version);
+    CHECK(decodeOutcome(encodeProgress(*cancelled(*job, start))).value() == JobOutcome::Cancelled);
+}
+
+// Guards against a record of another writer that ends the process of the owner that reads it.
+TEST_CASE("damaged records are refused")
+{
+    const auto spec = specOf({stepOf(2, false)});
+    const auto good = encodeProgress(*newJob(spec, 3, start));
+    const auto submission = encodeSubmission(*spec);
+    std::mt19937 random(20261204);
+    for (int round = 0; round < 3000; ++round) {
+        for (const auto *text : {&good, &submission}) {
+            auto damaged = *text;
+            for (int change = 0; change < 3; ++change) {
+                damaged[random() % damaged.size()] = static_cast<char>(random() % 256);
+            }
+            damaged.resize(random() % (damaged.size() + 1));
+            (void)decodeSubmission(damaged).ok();
+            (void)restoreJob(spec, 3, damaged, start).ok();
+            (void)decodeOutcome(damaged).ok();
+        }
+    }
+    CHECK_FALSE(restoreJob(spec, 3, "{}", start).ok());
+    CHECK_FALSE(decodeSubmission("").ok());
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/unittests/Fleet/fleetbuilder.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "primrosebridge/Fleet/placement.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// Fields of a step that the tests vary; the rest has neutral values.
+struct TestStep {
+    int m_tasks = 1;
+    std::int64_t m_accelerators = 1;
+    std::int64_t m_milliCores = 1000;
+    bool m_gang = false;
+    bool m_sameRack = false;
+    bool m_checkpointing = false;
+    int m_maxPerWorker = 0;
+    std::string m_label = {};
+    int m_estimateMs = 2500;
+};
+
+/// Builds the input of a pass. Queues are named "urgent", "normal" and "background".
+class FleetBuilder
+{
+public:
+    static constexpr std::int64_t nowMs = 100'000;
+
+    FleetBuilder &worker(const std::string &name, const std::string &rack, bool isolated = false)
+    {
+        const WorkerLife life{.m_worker = name, .m_bornAt = 1};
+        m_workers.push_back(PlacementWorker{
+            .m_report = std::make_shared<const WorkerReport>(WorkerReport{
+                .m_life = life,
+                .m_machine = name,
+                .m_address = name,
+                .m_pool = "pool",
+                .m_zone = "zone",
+                .m_rack = rack,
+                .m_labels = {"a", rack},
+                .m_capacity = Resources{.m_milliCores = 32000, .m_memoryMb = 131072, .m_accelerators = 8},
+                .m_draining = false,
+                .m_leavesIn = std::nullopt,
+            }),
+            .m_life = std::make_shared<const WorkerLife>(life),
+            .m_usable = true,
+            .m_isolated = isolated,
+        });
+        return *this;
+    }
+
+    FleetBuilder &racks(int racks, int workersPerRack)
+    {
+        for (int rack = 0; rack < racks; ++rack) {
+            for (int index = 0; index < workersPerRack; ++index) {
+                worker("w" + std::to_string(rack) + "-" + std::to_string(index), "r" + std::to_string(rack));
+            }
+        }
+        return *this;
+    }
+
+    FleetBuilder &guarantee(const std::string &organisation, std::int64_t accelerators)
+    {
+        m_organisations.push_back(OrganisationSettings{.m_name = organisation, .m_keys = {}, .m_guaranteedAccelerators = accelerators});
+        return *this;
+    }
+
+    FleetBuilder &job(const std::string &name, const std::string &queue, const TestStep &step, const std::string &organisation = "org")
+    {
+        m_jobs.push_back(newJob(specOf(name, queue, step, organisation), 3, fromMilliseconds(nowMs)));
+        return *this;
+    }
+
+    /// A job whose tasks run on the given workers since @p sinceMs.
+    FleetBuilder &running(const std::string &name,
+                          const std::string &queue,
+                          const TestStep &step,
+                          const std::vector<std::string> &places,
+                          std::int64_t sinceMs,
+                          const std::string &organisation = "org")
+    {
+        auto state = newJob(specOf(name, queue, step, organisation), 3, fromMilliseconds(sinceMs));
+        for (std::size_t index = 0; index < places.size(); ++index) {
+            const TaskReference task{.m_job = name, .m_occurrence = 0, .m_step = 0, .m_index = static_cast<int>(index)};
+            const auto place = std::make_shared<const WorkerLife>(WorkerLife{.m_worker = places[index], .m_bornAt = 1});
+            const auto starting = taskStarting(*findTask(*state, task), place, 1, fromMilliseconds(sinceMs));
+            state = withTask(*state, task, taskInPhase(*starting, TaskPhase::Running, false, fromMilliseconds(sinceMs)));
+        }
+        m_jobs.push_back(state);
+        return *this;
+    }
+
+    FleetBuilder &lock(const std::string &job)
+    {
+        m_locked.push_back(job);
+        return *this;
+    }
+
+    [[nodiscard]] PlacementInput input() const
+    {
+        return PlacementInput{.m_now = fromMilliseconds(nowMs),
+                              .m_wallNow = fromMilliseconds(nowMs),
+                              .m_configuration = std::make_shared<const FleetConfiguration>(FleetConfiguration{
+                                  .m_version = 1,
+                                  .m_queues = {queue("urgent", 0, 1.5), queue("normal", 1, 3.0), queue("background", 2, 3.0)},
+                                  .m_organisations = m_organisations,
+                                  .m_pools = {},
+                                  .m_maxBodyBytes = 1000,
+                              }),
+                              .m_jobs = m_jobs,
+                              .m_workers = m_workers,
+                              .m_remoteFactor = 3.0,
+                              .m_lockedJobs = m_locked};
+    }
+
+private:
+    static QueueSettings queue(const std::string &name, int priority, double slack)
+    {
+        return QueueSettings{.m_name = name,
+                             .m_host = "host",
+                             .m_prefix = "/" + name + "/",
+                             .m_service = "pool",
+                             .m_priority = priority,
+                             .m_attempts = 3,
+                             .m_slackFactor = slack,
+                             .m_latencyGoal = Duration(300),
+                             .m_timeout = Duration(3000),
+                             .m_public = false,
+                             .m_needsPlacementAdvice = false};
+    }
+
+    static JobSpecPointer specOf(const std::string &name, const std::string &queue, const TestStep &step, const std::string &organisation)
+    {
+        return std::make_shared<const JobSpec>(JobSpec{
+            .m_id = name,
+            .m_queue = queue,
+            .m_organisation = organisation,
+            .m_acceptedAt = fromMilliseconds(nowMs),
+            .m_payload = {},
+            .m_steps = {JobStep{.m_taskCount = step.m_tasks,
+                                .m_needs = Resources{.m_milliCores = step.m_milliCores, .m_memoryMb = 1000, .m_accelerators = step.m_accelerators},
+                                .m_estimate = Duration(step.m_estimateMs),
+                                .m_after = {},
+                                .m_gang = step.m_gang,
+                                .m_sameRack = step.m_sameRack,
+                                .m_requiredLabel = step.m_label,
+                                .m_dataRack = {},
+                                .m_maxPerWorker = step.m_maxPerWorker,
+                                .m_speculative = false,
+                                .m_checkpointing = step.m_checkpointing,
+                                .m_longRunning = false,
+                                .m_image = {},
+                                .m_tailLatencyTarget = Duration(0),
+                                .m_filler = false,
+                                .m_maxUnavailable = 0}},
+            .m_schedule = JobSchedule{.m_count = 0, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(0)},
+        });
+    }
+
+    std::vector<PlacementWorker> m_workers;
+    std::vector<JobPointer> m_jobs;
+    std::vector<OrganisationSettings> m_organisations;
+    std::vector<std::string> m_locked;
+};
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -0,0 +1,199 @@
+#include "fleetbuilder.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+namespace PrimroseBridge {
+
+static std::set<std::string> racksOf(const PlacementInput &input, const PlacementDecisions &decisions, const std::string &job)
+{
+    std::set<std::string> racks;
+    for (const auto &start : decisions.m_starts) {
+        if (start.m_task.m_job == job) {
+            racks.insert(input.m_workers[start.m_worker].m_report->m_rack);
+        }
+    }
+    return racks;
+}
+
+static int startsOf(const PlacementDecisions &decisions, const std::string &job)
+{
+    return static_cast<int>(std::count_if(decisions.m_starts.begin(), decisions.m_starts.end(), [&](const auto &start) { return start.m_task.m_job == job; }));
+}
+
+static std::set<std::string> stoppedJobs(const PlacementDecisions &decisions)
+{
+    std::set<std::string> jobs;
+    for (const auto &stop : decisions.m_stops) {
+        jobs.insert(stop.m_task.m_job);
+    }
+    return jobs;
+}
+
+// Guards against members that wait for others which do not fit: pattern of wide gangs on a small fleet.
+TEST_CASE("a gang starts whole or not at all")
+{
+    FleetBuilder builder;
+    builder.racks(1, 2).job("too-wide", "normal", TestStep{.m_tasks = 3, .m_accelerators = 8, .m_gang = true});
+    builder.job("fits", "normal", TestStep{.m_tasks = 2, .m_accelerators = 8, .m_gang = true});
+    const auto decisions = decidePlacement(builder.input());
+    CHECK(startsOf(decisions, "too-wide") == 0);
+    CHECK(startsOf(decisions, "fits") == 2);
+    for (const auto &start : decisions.m_starts) {
+        CHECK(start.m_run == 1);
+    }
+}
+
+// Guards against gangs that run several times as long because they are spread over racks.
+TEST_CASE("a same-rack gang goes to one rack, the fullest that holds it")
+{
+    FleetBuilder builder;
+    builder.racks(2, 2).running("other", "background", TestStep{.m_tasks = 4}, {"w1-0", "w1-0", "w1-0", "w1-0"}, 90'000);
+    builder.job("gang", "urgent", TestStep{.m_tasks = 3, .m_accelerators = 4, .m_gang = true, .m_sameRack = true});
+    const auto input = builder.input();
+    const auto decisions = decidePlacement(input);
+    CHECK(startsOf(decisions, "gang") == 3);
+    CHECK(racksOf(input, decisions, "gang") == std::set<std::string>{"r1"});
+    CHECK(decisions.m_stops.empty());
+}
+
+// Guards against a guarantee that waits behind others' work: pattern of an urgent job on a full fleet.
+TEST_CASE("urgent work stops the least urgent work that loses the least")
+{
+    FleetBuilder builder;
+    builder.guarantee("org", 8).worker("w", "r").worker("v", "r");
+    builder.running("curve", "normal", TestStep{.m_tasks = 1, .m_accelerators = 8}, {"w"}, 99'000);
+    builder.running("scan-old", "background", TestStep{.m_tasks = 4}, {"v", "v", "v", "v"}, 91'000);
+    builder.running("scan-new", "background", TestStep{.m_tasks = 4}, {"v", "v", "v", "v"}, 99'000);
+    builder.job("check", "urgent", TestStep{.m_tasks = 1, .m_accelerators = 4});
+    const auto decisions = decidePlacement(builder.input());
+    CHECK(startsOf(decisions, "check") == 0);
+    CHECK(stoppedJobs(decisions) == std::set<std::string>{"scan-new"});
+    CHECK(decisions.m_stops.size() == 4);
+}
+
+// Guards against a second round of victims while the first one is still being stopped.
+TEST_CASE("places that are being freed are not freed twice")
+{
+    FleetBuilder builder;
+    builder.guarantee("org", 8).worker("w", "r").worker("v", "r");
+    builder.running("scan", "background", TestStep{.m_tasks = 8}, std::vector<std::string>(8, "w"), 99'000);
+    builder.running("scan2", "background", TestStep{.m_tasks = 8}, std::vector<std::string>(8, "v"), 99'000);
+    builder.job("check", "urgent", TestStep{.m_tasks = 1, .m_accelerators = 8});
+    const auto input = builder.input();
+    const auto first = decidePlacement(input);
+    REQUIRE(first.m_stops.size() == 8);
+    auto jobs = input.m_jobs;
+    for (const auto &stop : first.m_stops) {
+        for (auto &job : jobs) {
+            if (job->m_spec->m_id == stop.m_task.m_job) {
+                job = withTask(*job, stop.m_task, taskInPhase(*findTask(*job, stop.m_task), TaskPhase::Stopping, false, input.m_now));
+            }
+        }
+    }
+    const auto second = decidePlacement(PlacementInput{.m_now = input.m_now,
+                                                       .m_wallNow = input.m_wallNow,
+                                                       .m_configuration = input.m_configuration,
+                                                       .m_jobs = jobs,
+                                                       .m_workers = input.m_workers,
+                                                       .m_remoteFactor = input.m_remoteFactor,
+                                                       .m_lockedJobs = {}});
+    CHECK(second.m_stops.empty());
+    CHECK(second.m_starts.empty());
+}
+
+// Guards against an organisation that keeps another's guaranteed accelerators with urgent work beyond its own guarantee.
+TEST_CASE("work within a guarantee goes before urgent work beyond one")
+{
+    FleetBuilder builder;
+    builder.guarantee("small", 8).guarantee("large", 0).worker("w", "r");
+    builder.running("beyond", "urgent", TestStep{.m_tasks = 1, .m_accelerators = 8}, {"w"}, 99'000, "large");
+    builder.job("within", "urgent", TestStep{.m_tasks = 1, .m_accelerators = 8}, "small");
+    CHECK(stoppedJobs(decidePlacement(builder.input())) == std::set<std::string>{"beyond"});
+}
+
+// Guards against a task that runs twice because it still runs at a worker which has not answered the new owner.
+TEST_CASE("tasks of locked jobs are not started")
+{
+    FleetBuilder builder;
+    builder.racks(1, 1).job("known", "urgent", TestStep{}).job("new", "urgent", TestStep{}).lock("known");
+    const auto decisions = decidePlacement(builder.input());
+    CHECK(startsOf(decisions, "known") == 0);
+    CHECK(startsOf(decisions, "new") == 1);
+}
+
+// Guards against attempts lost to a worker that fails what it starts: pattern of grey workers.
+TEST_CASE("isolated workers are used only if nothing else will do")
+{
+    FleetBuilder builder;
+    builder.worker("grey", "r", true).worker("sound", "r");
+    builder.job("check", "urgent", TestStep{.m_tasks = 8});
+    const auto input = builder.input();
+    for (const auto &start : decidePlacement(input).m_starts) {
+        CHECK(input.m_workers[start.m_worker].m_life->m_worker == "sound");
+    }
+    FleetBuilder alone;
+    alone.worker("grey", "r", true).job("check", "urgent", TestStep{.m_tasks = 1});
+    CHECK(decidePlacement(alone.input()).m_starts.size() == 1);
+}
+
+namespace {
+
+// Sums of what runs and starts on each worker, counted without the code under test.
+struct Usage {
+    std::int64_t m_milliCores = 0;
+    std::int64_t m_accelerators = 0;
+    std::map<std::string, int> m_tasksOfJob;
+};
+
+} // namespace
+
+// Guards against overfull workers, split gangs and broken limits in combinations that nobody thought of.
+TEST_CASE("random fleets keep every limit")
+{
+    std::mt19937 random(20261204);
+    const auto pick = [&](int count) { return static_cast<int>(random() % static_cast<unsigned>(count)); };
+    for (int round = 0; round < 300; ++round) {
+        FleetBuilder builder;
+        builder.guarantee("org", 16).guarantee("other", 8).racks(1 + pick(3), 1 + pick(4));
+        const std::vector<std::string> queues = {"urgent", "normal", "background"};
+        std::map<std::string, TestStep> steps;
+        for (int index = 0; index < 12; ++index) {
+            const auto name = "job" + std::to_string(index);
+            const bool gang = pick(2) == 0;
+            steps[name] = TestStep{.m_tasks = 1 + pick(10),
+                                   .m_accelerators = 1 << pick(4),
+                                   .m_milliCores = 1000 * (1 + pick(13)),
+                                   .m_gang = gang,
+                                   .m_sameRack = gang && pick(2) == 0,
+                                   .m_maxPerWorker = pick(4)};
+            builder.job(name, queues[static_cast<std::size_t>(pick(3))], steps[name], pick(2) == 0 ? "org" : "other");
+        }
+        const auto input = builder.input();
+        const auto decisions = decidePlacement(input);
+        std::map<std::size_t, Usage> usage;
+        std::map<std::string, int> starts;
+        std::set<TaskReference> started;
+        for (const auto &start : decisions.m_starts) {
+            const auto &step = steps.at(start.m_task.m_job);
+            CHECK(started.insert(start.m_task).second);
+            usage[start.m_worker].m_milliCores += step.m_milliCores;
+            usage[start.m_worker].m_accelerators += step.m_accelerators;
+            const int here = ++usage[start.m_worker].m_tasksOfJob[start.m_task.m_job];
+            CHECK((step.m_maxPerWorker == 0 || here <= step.m_maxPerWorker));
+            ++starts[start.m_task.m_job];
+        }
+        for (const auto &[worker, used] : usage) {
+            CHECK(used.m_milliCores <= input.m_workers[worker].m_report->m_capacity.m_milliCores);
+            CHECK(used.m_accelerators <= input.m_workers[worker].m_report->m_capacity.m_accelerators);
+        }
+        for (const auto &[name, count] : starts) {
+            CHECK((!steps.at(name).m_gang || count == steps.at(name).m_tasks));
+        }
+    }
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/standins/include/primrosebridge/Fleetstandin/standinworker.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "primrosebridge/Fleetstandin/httphost.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// What happens to one call of a stand-in worker.
+enum class WorkerFault {
+    None,
+    AnswerLost, ///< The order is carried out, the connection ends without an answer.
+    CarriedOutLate, ///< No answer; the order is carried out 700 ms later.
+    Unreachable, ///< No answer, nothing is done.
+};
+
+/// One run that began on a stand-in worker.
+struct StandinRun {
+    const std::string m_task;
+    const std::int64_t m_run;
+    const std::chrono::steady_clock::time_point m_startedAt;
+};
+
+/// A stand-in for a worker, over HTTP on the loopback address. Every task runs for the same time. For tests and demos only.
+/// Thread-safe.
+class StandinWorker
+{
+public:
+    /// @p runTime of each task.
+    StandinWorker(std::string identifier, std::string rack, std::chrono::milliseconds runTime);
+    ~StandinWorker();
+    StandinWorker(const StandinWorker &) = delete;
+    StandinWorker &operator=(const StandinWorker &) = delete;
+
+    [[nodiscard]] const std::string &identifier() const;
+    /// The entry that the worker keeps in the store, with room for eight accelerators.
+    [[nodiscard]] std::string entry(const std::string &state) const;
+    /// Decides the fault of each call; @p path is /run-start, /run-stop or /hold.
+    void setFaults(std::function<WorkerFault(const std::string &path)> faults);
+    /// The next runs of a task whose name begins with @p prefix end as failed.
+    void failTasks(const std::string &prefix);
+    /// Every run that ever began, in order.
+    [[nodiscard]] std::vector<StandinRun> runs() const;
+    /// Names of the tasks that run now.
+    [[nodiscard]] std::vector<std::string> running() const;
+    /// Ends that the worker still lists because nobody has taken them.
+    [[nodiscard]] std::size_t listedEnds() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_private;
+};
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/standins/lib/Fleetstandin/standinstore.cpp
@@ -0,0 +1,346 @@
+#include "primrosebridge/Fleetstandin/standinstore.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <iterator>
+#include <mutex>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+static constexpr auto lateBy = std::chrono::milliseconds(300);
+
+namespace {
+
+struct Item {
+    std::string m_value;
+    std::int64_t m_revision = 0;
+    std::int64_t m_created = 0;
+    std::int64_t m_lease = 0;
+};
+
+struct Change {
+    std::string m_key;
+    std::int64_t m_revision = 0;
+    std::optional<Item> m_item; // Empty if removed.
+};
+
+struct Lease {
+    std::chrono::milliseconds m_lifetime{0};
+    Clock::time_point m_endsAt;
+};
+
+} // namespace
+
+static std::string encoded(const std::string &bytes)
+{
+    std::ostringstream text;
+    Poco::Base64Encoder encoder(text);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return text.str();
+}
+
+static std::string decoded(const std::string &text)
+{
+    std::istringstream in(text);
+    Poco::Base64Decoder decoder(in);
+    return {std::istreambuf_iterator<char>(decoder), {}};
+}
+
+static Json toJson(const std::string &key, const Item &item)
+{
+    return Json{{"key", key}, {"value", encoded(item.m_value)}, {"rev", item.m_revision}, {"created", item.m_created}, {"lease", item.m_lease}};
+}
+
+struct StandinStore::Private {
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, Item> m_items;
+    std::vector<Change> m_history;
+    std::map<std::int64_t, Lease> m_leases;
+    std::int64_t m_revision = 1;
+    std::int64_t m_nextLease = 100;
+    bool m_stopping = false;
+    std::function<StoreFault(const std::string &, const std::string &)> m_faults;
+    std::vector<std::thread> m_late;
+    std::unique_ptr<HttpHost> m_host;
+
+    StandinAnswer answer(const StandinCall &call);
+    StandinAnswer perform(const StandinCall &call);
+    StandinAnswer get(const std::string &key);
+    StandinAnswer range(const std::string &prefix);
+    StandinAnswer watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds wait);
+    StandinAnswer transaction(const Json &body);
+    StandinAnswer lease(const StandinCall &call);
+    void write(const std::string &key, std::optional<std::string> value, std::int64_t lease);
+    void expire();
+};
+
+// The caller holds the lock and has raised the revision.
+void StandinStore::Private::write(const std::string &key, std::optional<std::string> value, std::int64_t lease)
+{
+    if (!value) {
+        if (m_items.erase(key) > 0) {
+            m_history.push_back(Change{.m_key = key, .m_revision = m_revision, .m_item = std::nullopt});
+        }
+        return;
+    }
+    auto &item = m_items[key];
+    item.m_created = item.m_created == 0 ? m_revision : item.m_created;
+    item.m_revision = m_revision;
+    item.m_value = std::move(*value);
+    item.m_lease = lease;
+    m_history.push_back(Change{.m_key = key, .m_revision = m_revision, .m_item = item});
+}
+
+void StandinStore::Private::expire()
+{
+    for (auto lease = m_leases.begin(); lease != m_leases.end();) {
+        if (lease->second.m_endsAt > Clock::now()) {
+            ++lease;
+            continue;
+        }
+        std::vector<std::string> keys;
+        for (const auto &[key, item] : m_items) {
+            if (item.m_lease == lease->first) {
+                keys.push_back(key);
+            }
+        }
+        for (const auto &key : keys) {
+            ++m_revision;
+            write(key, std::nullopt, 0);
+        }
+        lease = m_leases.erase(lease);
+        m_changed.notify_all();
+    }
+}
+
+StandinAnswer StandinStore::Private::get(const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    expire();
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? StandinAnswer{.m_status = 404, .m_body = "{}"}
+                                  : StandinAnswer{.m_status = 200, .m_body = toJson(key, found->second).dump()};
+}
+
+StandinAnswer StandinStore::Private::range(const std::string &prefix)
+{
+    const std::lock_guard lock(m_mutex);
+    expire();
+    Json items = Json::array();
+    for (auto item = m_items.lower_bound(prefix); item != m_items.end() && item->first.starts_with(prefix); ++item) {
+        items.push_back(toJson(item->first, item->second));
+    }
+    return StandinAnswer{.m_status = 200, .m_body = Json{{"items", items}, {"truncated", false}, {"atRev", m_revision}}.dump()};
+}
+
+StandinAnswer StandinStore::Private::watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds wait)
+{
+    const auto until = Clock::now() + wait;
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        expire();
+        Json events = Json::array();
+        for (const auto &change : m_history) {
+            if (change.m_revision > after && change.m_key.starts_with(prefix)) {
+                events.push_back(change.m_item ? toJson(change.m_key, *change.m_item)
+                                               : Json{{"key", change.m_key}, {"rev", change.m_revision}, {"deleted", true}});
+            }
+        }
+        if (!events.empty() || Clock::now() >= until || m_stopping) {
+            return StandinAnswer{.m_status = 200, .m_body = Json{{"events", events}, {"atRev", m_revision}}.dump()};
+        }
+        // Leases end without an event that would wake the wait.
+        m_changed.wait_until(lock, std::min(until, Clock::now() + std::chrono::milliseconds(50)));
+    }
+}
+
+StandinAnswer StandinStore::Private::transaction(const Json &body)
+{
+    const std::lock_guard lock(m_mutex);
+    expire();
+    bool holds = true;
+    Json current = Json::array();
+    for (const auto &row : body.value("expected", Json::array())) {
+        const auto key = row.at("key").get<std::string>();
+        const auto found = m_items.find(key);
+        holds = holds && (found == m_items.end() ? 0 : found->second.m_revision) == row.at("rev").get<std::int64_t>();
+        if (found != m_items.end()) {
+            current.push_back(toJson(key, found->second));
+        }
+    }
+    if (!holds) {
+        return StandinAnswer{.m_status = 412, .m_body = Json{{"items", current}}.dump()};
+    }
+    for (const auto &row : body.value("setKeys", Json::array())) {
+        const auto wanted = row.value("lease", std::int64_t(0));
+        if (wanted != 0 && !m_leases.contains(wanted)) {
+            return StandinAnswer{.m_status = 404, .m_body = "{}"};
+        }
+    }
+    ++m_revision;
+    for (const auto &row : body.value("setKeys", Json::array())) {
+        write(row.at("key").get<std::string>(), decoded(row.at("value").get<std::string>()), row.value("lease", std::int64_t(0)));
+    }
+    for (const auto &key : body.value("remove", Json::array())) {
+        write(key.get<std::string>(), std::nullopt, 0);
+    }
+    m_changed.notify_all();
+    return StandinAnswer{.m_status = 200, .m_body = Json{{"rev", m_revision}}.dump()};
+}
+
+StandinAnswer StandinStore::Private::lease(const StandinCall &call)
+{
+    const std::lock_guard lock(m_mutex);
+    expire();
+    if (call.m_path == "/kv-lease") {
+        const std::chrono::milliseconds lifetime(Json::parse(call.m_body).at("ttlMs").get<std::int64_t>());
+        const auto identifier = m_nextLease++;
+        m_leases[identifier] = Lease{.m_lifetime = lifetime, .m_endsAt = Clock::now() + lifetime};
+        return StandinAnswer{.m_status = 200, .m_body = Json{{"lease", identifier}, {"ttlMs", lifetime.count()}}.dump()};
+    }
+    const auto found = m_leases.find(std::stoll(call.m_path.substr(call.m_path.rfind('/') + 1)));
+    if (found == m_leases.end()) {
+        return StandinAnswer{.m_status = 404, .m_body = "{}"};
+    }
+    if (call.m_method == "DELETE") {
+        found->second.m_endsAt = Clock::now();
+        expire();
+    } else {
+        found->second.m_endsAt = Clock::now() + found->second.m_lifetime;
+    }
+    return StandinAnswer{.m_status = 200, .m_body = "{}"};
+}
+
+static std::string queryOf(const StandinCall &call, const std::string &name)
+{
+    const auto found = call.m_query.find(name);
+    return found == call.m_query.end() ? std::string("0") : found->second;
+}
+
+StandinAnswer StandinStore::Private::perform(const StandinCall &call)
+{
+    if (call.m_path == "/kv-key") {
+        return get(queryOf(call, "key"));
+    }
+    if (call.m_path == "/kv-range") {
+        return range(queryOf(call, "prefix"));
+    }
+    if (call.m_path == "/kv-watch") {
+        return watch(queryOf(call, "prefix"), std::stoll(queryOf(call, "after")), std::chrono::milliseconds(std::stoll(queryOf(call, "waitMs"))));
+    }
+    if (call.m_path == "/kv-txn") {
+        return transaction(Json::parse(call.m_body));
+    }
+    return lease(call);
+}
+
+StandinAnswer StandinStore::Private::answer(const StandinCall &call)
+{
+    auto fault = StoreFault::None;
+    {
+        const std::lock_guard lock(m_mutex);
+        fault = m_faults ? m_faults(call.m_path, call.m_body) : StoreFault::None;
+    }
+    switch (fault) {
+    case StoreFault::None:
+        return perform(call);
+    case StoreFault::Refused:
+        return StandinAnswer{.m_status = 503, .m_body = "{}"};
+    case StoreFault::AnswerLost:
+        perform(call);
+        return StandinAnswer{.m_status = 0, .m_body = {}};
+    case StoreFault::CarriedOutLate: {
+        const std::lock_guard lock(m_mutex);
+        m_late.emplace_back([this, call] {
+            std::this_thread::sleep_for(lateBy);
+            perform(call);
+        });
+        return StandinAnswer{.m_status = 0, .m_body = {}};
+    }
+    case StoreFault::HistoryLost:
+        return StandinAnswer{.m_status = 410, .m_body = "{}"};
+    }
+    return perform(call);
+}
+
+StandinStore::StandinStore()
+    : m_private(std::make_unique<Private>())
+{
+    m_private->m_host = std::make_unique<HttpHost>([this](const StandinCall &call) { return m_private->answer(call); });
+}
+
+StandinStore::~StandinStore()
+{
+    {
+        const std::lock_guard lock(m_private->m_mutex);
+        m_private->m_stopping = true;
+    }
+    m_private->m_changed.notify_all();
+    m_private->m_host.reset();
+    for (auto &thread : m_private->m_late) {
+        thread.join();
+    }
+}
+
+std::string StandinStore::address() const
+{
+    return m_private->m_host->address();
+}
+
+StandinAnswer StandinStore::handle(const StandinCall &call)
+{
+    return m_private->perform(call);
+}
+
+void StandinStore::setFaults(std::function<StoreFault(const std::string &path, const std::string &body)> faults)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->m_faults = std::move(faults);
+}
+
+void StandinStore::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    ++m_private->m_revision;
+    m_private->write(key, value, 0);
+    m_private->m_changed.notify_all();
+}
+
+void StandinStore::remove(const std::string &key)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    ++m_private->m_revision;
+    m_private->write(key, std::nullopt, 0);
+    m_private->m_changed.notify_all();
+}
+
+std::optional<std::string> StandinStore::value(const std::string &key) const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    const auto found = m_private->m_items.find(key);
+    return found == m_private->m_items.end() ? std::nullopt : std::optional(found->second.m_value);
+}
+
+std::int64_t StandinStore::revisionOf(const std::string &key) const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    const auto found = m_private->m_items.find(key);
+    return found == m_private->m_items.end() ? 0 : found->second.m_revision;
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -0,0 +1,265 @@
+#include "primrosebridge/Fleetstandin/standinworker.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+static constexpr auto lateBy = std::chrono::milliseconds(700);
+static constexpr std::int64_t accelerators = 8;
+
+namespace {
+
+struct Run {
+    std::int64_t m_number = 0;
+    Clock::time_point m_endsAt;
+    bool m_fails = false;
+};
+
+struct End {
+    std::int64_t m_number = 0;
+    std::string m_task;
+    std::int64_t m_run = 0;
+    std::string m_how;
+};
+
+} // namespace
+
+struct StandinWorker::Private {
+    std::string m_identifier;
+    std::string m_rack;
+    std::chrono::milliseconds m_runTime{0};
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::int64_t m_fence = 0;
+    std::map<std::string, Run> m_running;
+    std::map<std::string, std::int64_t> m_highest; // Highest run that was stopped or ended here, by task.
+    std::vector<End> m_ends;
+    std::vector<StandinRun> m_history;
+    std::int64_t m_nextEnd = 1;
+    std::string m_failing;
+    bool m_stopping = false;
+    std::function<WorkerFault(const std::string &)> m_faults;
+    std::vector<std::thread> m_late;
+    Clock::time_point m_startedAt = Clock::now();
+    std::unique_ptr<HttpHost> m_host;
+
+    StandinAnswer answer(const StandinCall &call);
+    StandinAnswer perform(const StandinCall &call);
+    StandinAnswer start(const Json &body);
+    StandinAnswer stop(const Json &body);
+    StandinAnswer hold(const Json &body);
+    StandinAnswer reply(int status, Json body) const;
+    void advance();
+    void end(const std::string &task, std::int64_t run, const std::string &how);
+};
+
+StandinAnswer StandinWorker::Private::reply(int status, Json body) const
+{
+    body["clockMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt).count();
+    body["born"] = 1;
+    return StandinAnswer{.m_status = status, .m_body = body.dump()};
+}
+
+void StandinWorker::Private::end(const std::string &task, std::int64_t run, const std::string &how)
+{
+    m_highest[task] = std::max(m_highest[task], run);
+    m_ends.push_back(End{.m_number = m_nextEnd++, .m_task = task, .m_run = run, .m_how = how});
+    m_changed.notify_all();
+}
+
+void StandinWorker::Private::advance()
+{
+    for (auto run = m_running.begin(); run != m_running.end();) {
+        if (run->second.m_endsAt > Clock::now()) {
+            ++run;
+            continue;
+        }
+        end(run->first, run->second.m_number, run->second.m_fails ? "failed" : "done");
+        run = m_running.erase(run);
+    }
+}
+
+StandinAnswer StandinWorker::Private::start(const Json &body)
+{
+    const auto task = body.at("task").get<std::string>();
+    const auto number = body.at("runId").get<std::int64_t>();
+    const auto present = m_running.find(task);
+    if (present != m_running.end() && present->second.m_number == number) {
+        return reply(200, Json::object());
+    }
+    if (present != m_running.end() || number <= m_highest[task]) {
+        return reply(409, Json{{"reason", "old"}});
+    }
+    const bool fails = !m_failing.empty() && task.starts_with(m_failing);
+    m_running[task] = Run{.m_number = number, .m_endsAt = Clock::now() + m_runTime, .m_fails = fails};
+    m_history.push_back(StandinRun{.m_task = task, .m_run = number, .m_startedAt = Clock::now()});
+    return reply(200, Json::object());
+}
+
+StandinAnswer StandinWorker::Private::stop(const Json &body)
+{
+    const auto task = body.at("task").get<std::string>();
+    const auto number = body.at("runId").get<std::int64_t>();
+    const auto present = m_running.find(task);
+    m_highest[task] = std::max(m_highest[task], number);
+    if (present != m_running.end() && present->second.m_number <= number) {
+        end(task, present->second.m_number, "stopped");
+        m_running.erase(present);
+    }
+    return reply(200, Json::object());
+}
+
+StandinAnswer StandinWorker::Private::hold(const Json &body)
+{
+    Json running = Json::array();
+    for (const auto &[task, run] : m_running) {
+        running.push_back(Json::array({task, run.m_number, "", 50, 0.0}));
+    }
+    std::erase_if(m_ends, [seen = body.value("lastSeen", std::int64_t(0))](const End &entry) { return entry.m_number <= seen; });
+    Json ended = Json::array();
+    for (const auto &entry : m_ends) {
+        ended.push_back(Json::array({entry.m_number, entry.m_task, entry.m_run, entry.m_how, ""}));
+    }
+    return reply(200, Json{{"running", running}, {"ended", ended}});
+}
+
+StandinAnswer StandinWorker::Private::perform(const StandinCall &call)
+{
+    const auto body = Json::parse(call.m_body);
+    const auto until = Clock::now() + std::chrono::milliseconds(call.m_path == "/hold" ? body.value("waitMs", 0) : 0);
+    std::unique_lock lock(m_mutex);
+    const auto fence = body.value("fence", std::int64_t(0));
+    if (fence < m_fence) {
+        return reply(409, Json{{"reason", "fence"}});
+    }
+    m_fence = fence;
+    advance();
+    if (call.m_path == "/run-start") {
+        return start(body);
+    }
+    if (call.m_path == "/run-stop") {
+        return stop(body);
+    }
+    const auto seen = body.value("lastSeen", std::int64_t(0));
+    const auto hasNews = [&] { return std::any_of(m_ends.begin(), m_ends.end(), [&](const End &entry) { return entry.m_number > seen; }); };
+    while (!hasNews() && Clock::now() < until && !m_stopping) {
+        m_changed.wait_until(lock, std::min(until, Clock::now() + std::chrono::milliseconds(10)));
+        advance();
+    }
+    return hold(body);
+}
+
+StandinAnswer StandinWorker::Private::answer(const StandinCall &call)
+{
+    auto fault = WorkerFault::None;
+    {
+        const std::lock_guard lock(m_mutex);
+        fault = m_faults ? m_faults(call.m_path) : WorkerFault::None;
+    }
+    switch (fault) {
+    case WorkerFault::None:
+        return perform(call);
+    case WorkerFault::AnswerLost:
+        perform(call);
+        return StandinAnswer{.m_status = 0, .m_body = {}};
+    case WorkerFault::CarriedOutLate: {
+        const std::lock_guard lock(m_mutex);
+        m_late.emplace_back([this, call] {
+            std::this_thread::sleep_for(lateBy);
+            perform(call);
+        });
+        return StandinAnswer{.m_status = 0, .m_body = {}};
+    }
+    case WorkerFault::Unreachable:
+        return StandinAnswer{.m_status = 0, .m_body = {}};
+    }
+    return perform(call);
+}
+
+StandinWorker::StandinWorker(std::string identifier, std::string rack, std::chrono::milliseconds runTime)
+    : m_private(std::make_unique<Private>())
+{
+    m_private->m_identifier = std::move(identifier);
+    m_private->m_rack = std::move(rack);
+    m_private->m_runTime = runTime;
+    m_private->m_host = std::make_unique<HttpHost>([this](const StandinCall &call) { return m_private->answer(call); });
+}
+
+StandinWorker::~StandinWorker()
+{
+    {
+        const std::lock_guard lock(m_private->m_mutex);
+        m_private->m_stopping = true;
+    }
+    m_private->m_changed.notify_all();
+    m_private->m_host.reset();
+    for (auto &thread : m_private->m_late) {
+        thread.join();
+    }
+}
+
+const std::string &StandinWorker::identifier() const
+{
+    return m_private->m_identifier;
+}
+
+std::string StandinWorker::entry(const std::string &state) const
+{
+    return Json{
+        {"service", "pool"},
+        {"addr", m_private->m_host->address()},
+        {"zone", "zone-a"},
+        {"state", state},
+        {"machine", "m-" + m_private->m_identifier},
+        {"capacity", Json{{"cpu", 32000}, {"memMb", 131072}, {"gpu", accelerators}}},
+        {"labels", Json::array({"a", m_private->m_rack})},
+        {"born", 1},
+        {"seq", 1},
+    }
+        .dump();
+}
+
+void StandinWorker::setFaults(std::function<WorkerFault(const std::string &path)> faults)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->m_faults = std::move(faults);
+}
+
+void StandinWorker::failTasks(const std::string &prefix)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->m_failing = prefix;
+}
+
+std::vector<StandinRun> StandinWorker::runs() const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    return m_private->m_history;
+}
+
+std::vector<std::string> StandinWorker::running() const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    std::vector<std::string> names;
+    for (const auto &[task, run] : m_private->m_running) {
+        names.push_back(task);
+    }
+    return names;
+}
+
+std::size_t StandinWorker::listedEnds() const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    return m_private->m_ends.size();
+}
+
+} // namespace PrimroseBridge
