Count a failed run once

A worker lists an end again until it is acknowledged, and the new owner counted one that its predecessor had recorded; two members of a gang that fail in one run also counted twice. Change: the records keep the numbers of the failed runs instead of their count.

--- a/recovery/include/primrosebridge/Progress/jobstate.h
+++ b/recovery/include/primrosebridge/Progress/jobstate.h
@@ -35,7 +35,9 @@
     const TaskPhase m_phase;
     const std::shared_ptr<const WorkerLife> m_place; ///< Null unless starting, running or stopping.
     const std::int64_t m_run; ///< Highest run number used so far.
-    const int m_failures; ///< Runs that ended as failed.
+    /// Numbers of the runs that ended as failed. A new owner is told of ends again that were counted before; the numbers keep
+    /// it from counting them twice.
+    const std::vector<std::int64_t> m_failedRuns;
     const std::string m_checkpoint; ///< Newest known; empty if none.
     const int m_percent; ///< Of the current run's work.
     const Instant m_phaseSince; ///< Boot clock of this VM.
@@ -51,7 +53,6 @@
 /// One step of one occurrence.
 struct StepState {
     const std::vector<TaskPointer> m_tasks;
-    const int m_gangFailures; ///< Runs of the gang that failed.
     const int m_done; ///< Tasks in phase Done.
 
     bool operator==(const StepState &) const = default;
@@ -158,6 +159,9 @@
 /// The job after the store has acknowledged @p version with @p outcome. Thread-safe.
 JobPointer recorded(const JobState &job, std::int64_t version, JobOutcome outcome);
 
+/// Runs of the task that count as failed attempts; for a gang those of all members, each run once. Thread-safe.
+int failedAttempts(const JobSpec &spec, const StepState &state, int step, int index);
+
 /// True if every step that @p step waits for is done. Thread-safe.
 bool isStepReady(const JobSpec &spec, const OccurrenceState &occurrence, int step);
 
--- a/recovery/lib/Progress/jobstate.cpp
+++ b/recovery/lib/Progress/jobstate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 
 namespace PrimroseBridge {
 
@@ -11,7 +12,7 @@
         .m_phase = TaskPhase::Waiting,
         .m_place = nullptr,
         .m_run = 0,
-        .m_failures = 0,
+        .m_failedRuns = {},
         .m_checkpoint = {},
         .m_percent = 0,
         .m_phaseSince = now,
@@ -27,8 +28,8 @@
     steps.reserve(spec.m_steps.size());
     const auto task = freshTask(now);
     for (const auto &step : spec.m_steps) {
-        steps.push_back(std::make_shared<const StepState>(
-            StepState{.m_tasks = std::vector<TaskPointer>(static_cast<std::size_t>(step.m_taskCount), task), .m_gangFailures = 0, .m_done = 0}));
+        steps.push_back(
+            std::make_shared<const StepState>(StepState{.m_tasks = std::vector<TaskPointer>(static_cast<std::size_t>(step.m_taskCount), task), .m_done = 0}));
     }
     return std::make_shared<const OccurrenceState>(OccurrenceState{.m_number = number, .m_steps = std::move(steps)});
 }
@@ -116,10 +117,10 @@
     return step->m_tasks[static_cast<std::size_t>(task.m_index)];
 }
 
-static StepPointer makeStep(std::vector<TaskPointer> tasks, int gangFailures)
+static StepPointer makeStep(std::vector<TaskPointer> tasks)
 {
     const auto done = std::count_if(tasks.begin(), tasks.end(), [](const auto &task) { return task->m_phase == TaskPhase::Done; });
-    return std::make_shared<const StepState>(StepState{.m_tasks = std::move(tasks), .m_gangFailures = gangFailures, .m_done = static_cast<int>(done)});
+    return std::make_shared<const StepState>(StepState{.m_tasks = std::move(tasks), .m_done = static_cast<int>(done)});
 }
 
 static std::vector<OccurrencePointer> withStep(const JobState &job, std::int64_t number, int step, StepPointer changed)
@@ -144,7 +145,7 @@
     auto tasks = step->m_tasks;
     tasks[static_cast<std::size_t>(reference.m_index)] = std::move(task);
     auto change = changeOf(job);
-    change.m_occurrences = withStep(job, reference.m_occurrence, reference.m_step, makeStep(std::move(tasks), step->m_gangFailures));
+    change.m_occurrences = withStep(job, reference.m_occurrence, reference.m_step, makeStep(std::move(tasks)));
     return changedJob(job, std::move(change));
 }
 
@@ -167,7 +168,7 @@
     TaskPhase m_phase;
     std::shared_ptr<const WorkerLife> m_place;
     std::int64_t m_run;
-    int m_failures;
+    std::vector<std::int64_t> m_failedRuns;
     std::string m_checkpoint;
     int m_percent;
     Instant m_phaseSince;
@@ -182,7 +183,7 @@
         .m_phase = task.m_phase,
         .m_place = task.m_place,
         .m_run = task.m_run,
-        .m_failures = task.m_failures,
+        .m_failedRuns = task.m_failedRuns,
         .m_checkpoint = task.m_checkpoint,
         .m_percent = task.m_percent,
         .m_phaseSince = task.m_phaseSince,
@@ -198,7 +199,7 @@
         .m_phase = change.m_phase,
         .m_place = std::move(change.m_place),
         .m_run = change.m_run,
-        .m_failures = change.m_failures,
+        .m_failedRuns = std::move(change.m_failedRuns),
         .m_checkpoint = std::move(change.m_checkpoint),
         .m_percent = change.m_percent,
         .m_phaseSince = change.m_phaseSince,
@@ -310,12 +311,29 @@
         }
     }
     auto change = changeOf(*job);
-    change.m_occurrences = withStep(*job, end.m_task.m_occurrence, end.m_task.m_step, makeStep(std::move(tasks), step.m_gangFailures));
+    change.m_occurrences = withStep(*job, end.m_task.m_occurrence, end.m_task.m_step, makeStep(std::move(tasks)));
     change.m_version += 1;
     settleCompletion(change, *job->m_spec, now);
     return EndEffect{.m_job = changedJob(*job, std::move(change)), .m_mustRecord = true, .m_countedFailure = false};
 }
 
+static bool contains(const std::vector<std::int64_t> &runs, std::int64_t run)
+{
+    return std::find(runs.begin(), runs.end(), run) != runs.end();
+}
+
+int failedAttempts(const JobSpec &spec, const StepState &state, int step, int index)
+{
+    if (!spec.m_steps[static_cast<std::size_t>(step)].m_gang) {
+        return static_cast<int>(state.m_tasks[static_cast<std::size_t>(index)]->m_failedRuns.size());
+    }
+    std::set<std::int64_t> runs;
+    for (const auto &task : state.m_tasks) {
+        runs.insert(task->m_failedRuns.begin(), task->m_failedRuns.end());
+    }
+    return static_cast<int>(runs.size());
+}
+
 static TaskPointer afterEnd(const TaskState &task, const RunEnd &end, const std::string &worker, Instant now)
 {
     auto change = changeOf(task);
@@ -332,7 +350,9 @@
     }
     change.m_run = std::max(change.m_run, end.m_run);
     if (end.m_kind == EndKind::Failed) {
-        change.m_failures += 1;
+        if (!contains(change.m_failedRuns, end.m_run)) {
+            change.m_failedRuns.push_back(end.m_run);
+        }
         if (std::find(change.m_failedOn.begin(), change.m_failedOn.end(), worker) == change.m_failedOn.end()) {
             change.m_failedOn.push_back(worker);
         }
@@ -344,17 +364,18 @@
 {
     const auto index = static_cast<std::size_t>(end.m_task.m_index);
     auto tasks = step.m_tasks;
-    if (tasks[index]->m_phase != TaskPhase::Done) {
+    const bool settled = tasks[index]->m_phase == TaskPhase::Done;
+    const bool counted = contains(tasks[index]->m_failedRuns, end.m_run);
+    const bool failure = end.m_kind == EndKind::Failed && !spec.m_longRunning && !settled && !counted;
+    if (!settled) {
         tasks[index] = afterEnd(*tasks[index], end, worker, now);
     }
-    const bool failure = end.m_kind == EndKind::Failed && !spec.m_longRunning && tasks[index]->m_phase != TaskPhase::Done;
-    const int gangFailures = step.m_gangFailures + (failure && spec.m_gang ? 1 : 0);
-    const int failures = spec.m_gang ? gangFailures : tasks[index]->m_failures;
+    const auto changed = makeStep(std::move(tasks));
     auto change = changeOf(*job);
-    change.m_occurrences = withStep(*job, end.m_task.m_occurrence, end.m_task.m_step, makeStep(std::move(tasks), gangFailures));
+    change.m_occurrences = withStep(*job, end.m_task.m_occurrence, end.m_task.m_step, changed);
     if (failure) {
         change.m_version += 1;
-        if (failures >= job->m_attempts) {
+        if (failedAttempts(*job->m_spec, *changed, end.m_task.m_step, end.m_task.m_index) >= job->m_attempts) {
             change.m_outcome = JobOutcome::Failed;
             change.m_changedAt = now;
         }
--- a/recovery/lib/Progress/record.cpp
+++ b/recovery/lib/Progress/record.cpp
@@ -123,14 +123,14 @@
     return marks;
 }
 
-// Tasks that have something to remember beyond being done: [index, highest run, failures, checkpoint].
+// Tasks that have something to remember beyond being done: [index, highest run, failed runs, checkpoint].
 static Json taskNotes(const StepState &step)
 {
     Json notes = Json::array();
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
         const auto &task = *step.m_tasks[index];
-        if (task.m_phase != TaskPhase::Done && (task.m_run > 0 || task.m_failures > 0)) {
-            notes.push_back(Json::array({index, task.m_run, task.m_failures, task.m_checkpoint}));
+        if (task.m_phase != TaskPhase::Done && (task.m_run > 0 || !task.m_failedRuns.empty())) {
+            notes.push_back(Json::array({index, task.m_run, task.m_failedRuns, task.m_checkpoint}));
         }
     }
     return notes;
@@ -168,7 +168,7 @@
         for (const auto &occurrence : job.m_occurrences) {
             Json steps = Json::array();
             for (const auto &step : occurrence->m_steps) {
-                steps.push_back(Json{{"done", doneMarks(*step)}, {"gang_failures", step->m_gangFailures}, {"tasks", taskNotes(*step)}});
+                steps.push_back(Json{{"done", doneMarks(*step)}, {"tasks", taskNotes(*step)}});
             }
             occurrences.push_back(Json{{"number", occurrence->m_number}, {"steps", std::move(steps)}});
         }
@@ -187,13 +187,13 @@
 {
     const auto marks = json.at("done").get<std::string>();
     std::vector<std::int64_t> runs(taskCount, 0);
-    std::vector<int> failures(taskCount, 0);
+    std::vector<std::vector<std::int64_t>> failures(taskCount);
     std::vector<std::string> checkpoints(taskCount);
     for (const auto &note : json.at("tasks")) {
         const auto index = note.at(0).get<std::size_t>();
         if (index < taskCount) {
             runs[index] = note.at(1).get<std::int64_t>();
-            failures[index] = note.at(2).get<int>();
+            failures[index] = note.at(2).get<std::vector<std::int64_t>>();
             checkpoints[index] = note.at(3).get<std::string>();
         }
     }
@@ -206,7 +206,7 @@
             .m_phase = isDone ? TaskPhase::Done : TaskPhase::Waiting,
             .m_place = nullptr,
             .m_run = runs[index],
-            .m_failures = failures[index],
+            .m_failedRuns = failures[index],
             .m_checkpoint = checkpoints[index],
             .m_percent = isDone ? 100 : 0,
             .m_phaseSince = now,
@@ -215,7 +215,7 @@
             .m_failedOn = {},
         }));
     }
-    return std::make_shared<const StepState>(StepState{.m_tasks = std::move(tasks), .m_gangFailures = json.at("gang_failures").get<int>(), .m_done = done});
+    return std::make_shared<const StepState>(StepState{.m_tasks = std::move(tasks), .m_done = done});
 }
 
 static OccurrencePointer restoreOccurrence(const Json &json, const JobSpec &spec, Instant now)
--- a/recovery/unittests/Progress/progress.cpp
+++ b/recovery/unittests/Progress/progress.cpp
@@ -91,6 +91,22 @@
     CHECK(job->m_outcome == JobOutcome::Failed);
 }
 
+// Guards against a job that is shown as failed too early, because a new owner is told again of an end that its predecessor has
+// recorded, or because two members of a gang failed in the same run.
+TEST_CASE("a failed run counts once")
+{
+    auto job = newJob(specOf({stepOf(2, true)}), 2, start);
+    job = started(started(job, task(0, 0), "v", 1), task(0, 1), "w", 1);
+    job = applyEnd(job, endOf(task(0, 0), 1, EndKind::Failed), "v", start).m_job;
+    job = applyEnd(job, endOf(task(0, 1), 1, EndKind::Failed), "w", start).m_job;
+    CHECK(job->m_outcome == JobOutcome::Active);
+    const auto restored = restoreJob(job->m_spec, 2, encodeProgress(*job), start).value();
+    const auto again = applyEnd(restored, endOf(task(0, 0), 1, EndKind::Failed), "v", start);
+    CHECK_FALSE(again.m_mustRecord);
+    CHECK(again.m_job->m_outcome == JobOutcome::Active);
+    CHECK(applyEnd(again.m_job, endOf(task(0, 0), 2, EndKind::Failed), "v", start).m_job->m_outcome == JobOutcome::Failed);
+}
+
 // Guards against an end of an earlier run that takes the place of the present one away.
 TEST_CASE("the end of an earlier run does not touch the present one")
 {
@@ -140,7 +156,7 @@
     job = applyEnd(started(job, task(0, 1), "w", 2), endOf(task(0, 1), 2, EndKind::Failed, "saved"), "w", start).m_job;
     const auto restored = restoreJob(spec, 3, encodeProgress(*job), start).value();
     CHECK(findTask(*restored, task(0, 0))->m_phase == TaskPhase::Done);
-    CHECK(findTask(*restored, task(0, 1))->m_failures == 1);
+    CHECK(findTask(*restored, task(0, 1))->m_failedRuns == std::vector<std::int64_t>{2});
     CHECK(findTask(*restored, task(0, 1))->m_run == 2);
     CHECK(findTask(*restored, task(0, 1))->m_checkpoint == "saved");
     CHECK(restored->m_recordedVersion == job->m_version);
