--- /dev/null
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -0,0 +1,323 @@
+#include "primrosebridge/Fleetservice/fleetowner.h"
+#include "primrosebridge/Fleetstandin/standinworker.h"
+#include "primrosebridge/Pipeline/bootclock.h"
+#include "primrosebridge/Pipeline/timerservice.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace PrimroseBridge {
+
+static constexpr std::int64_t fence = 10;
+static constexpr std::string_view jobName = "5c0e7a21d94b36f8";
+
+static FleetSettings settingsOf()
+{
+    return FleetSettings{.m_vm = VmId::create("vm").value(),
+                         .m_zone = ZoneId::create("zone-a").value(),
+                         .m_frontAddress = {},
+                         .m_readinessAddress = {},
+                         .m_peerAddress = {},
+                         .m_metricsAddress = {},
+                         .m_storeAddress = {},
+                         .m_taskLease = Duration(3000),
+                         .m_shortestStoreLease = Duration(1000),
+                         .m_gangTimeout = Duration(3000),
+                         .m_stopBound = Duration(900),
+                         .m_shutdownBound = Duration(6000),
+                         .m_statusRetention = Duration(120000),
+                         .m_remoteFactor = 3.0,
+                         .m_logLevel = "info"};
+}
+
+static FleetConfigurationPointer configurationOf()
+{
+    return std::make_shared<const FleetConfiguration>(FleetConfiguration{
+        .m_version = 1,
+        .m_queues = {{.m_name = "queue",
+                      .m_host = "host",
+                      .m_prefix = "/q/",
+                      .m_service = "pool",
+                      .m_priority = 0,
+                      .m_attempts = 2,
+                      .m_slackFactor = 1.5,
+                      .m_latencyGoal = Duration(300),
+                      .m_timeout = Duration(3000),
+                      .m_public = true,
+                      .m_needsPlacementAdvice = false}},
+        .m_organisations = {},
+        .m_pools = {},
+        .m_maxBodyBytes = 1000,
+    });
+}
+
+static JobSpecPointer specOf(int tasks, bool gang)
+{
+    return std::make_shared<const JobSpec>(JobSpec{
+        .m_id = std::string(jobName),
+        .m_queue = "queue",
+        .m_organisation = {},
+        .m_acceptedAt = TimerService::now(),
+        .m_payload = "payload",
+        .m_steps = {JobStep{.m_taskCount = tasks,
+                            .m_needs = Resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = 8},
+                            .m_estimate = Duration(200),
+                            .m_after = {},
+                            .m_gang = gang,
+                            .m_sameRack = false,
+                            .m_requiredLabel = {},
+                            .m_dataRack = {},
+                            .m_maxPerWorker = 0,
+                            .m_speculative = false,
+                            .m_checkpointing = false,
+                            .m_longRunning = false,
+                            .m_image = {},
+                            .m_tailLatencyTarget = Duration(0),
+                            .m_filler = false,
+                            .m_maxUnavailable = 0}},
+        .m_schedule = JobSchedule{.m_count = 0, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(0)},
+    });
+}
+
+static WorkerReportPointer reportOf(const StandinWorker &worker)
+{
+    return std::make_shared<const WorkerReport>(decodeWorkerReport(worker.identifier(), worker.entry("ready")).value());
+}
+
+namespace {
+
+// An owner whose records are acknowledged at once, unless a test holds them back.
+class Rig
+{
+public:
+    Rig()
+    {
+        m_configuration.offer(configurationOf());
+        m_owner = FleetOwner::create(OwnerContext{
+                                         .m_settings = settingsOf(),
+                                         .m_workers = HttpClient::create().take(),
+                                         .m_configuration = m_configuration,
+                                         .m_record = [this](const OwnerRecord &record) { acknowledge(record); },
+                                         .m_leaseHolds = [this] { return m_leaseHolds.load(); },
+                                         .m_superseded = [this](std::int64_t, const std::string &) { m_superseded = true; },
+                                     })
+                      .take();
+    }
+
+    void own(const std::vector<JobPointer> &jobs, const std::vector<WorkerReportPointer> &workers, const std::vector<WorkerReportPointer> &roster = {})
+    {
+        m_owner->post(
+            OwnershipGained{.m_snapshot = std::make_shared<const FleetSnapshot>(FleetSnapshot{
+                                .m_fence = fence, .m_jobs = jobs, .m_cancelledJobs = {}, .m_workers = workers, .m_roster = roster, .m_rosterVersion = 0})});
+    }
+
+    bool waitFor(const std::function<bool()> &condition, int milliseconds = 4000)
+    {
+        for (int waited = 0; waited < milliseconds; waited += 10) {
+            if (condition()) {
+                return true;
+            }
+            std::this_thread::sleep_for(Duration(10));
+        }
+        return condition();
+    }
+
+    bool isComplete()
+    {
+        return m_owner->status("queue", std::string(jobName)).m_status == JobStatus::Complete;
+    }
+
+    void acknowledge(const OwnerRecord &record)
+    {
+        if (record.m_job && m_holdBack) {
+            const std::lock_guard lock(m_mutex);
+            m_heldBack.push_back(record.m_job);
+            return;
+        }
+        if (record.m_job) {
+            m_owner->post(ProgressRecorded{.m_job = record.m_job->m_spec->m_id, .m_version = record.m_version, .m_outcome = record.m_job->m_outcome});
+        } else {
+            m_owner->post(RosterRecorded{.m_version = record.m_version});
+        }
+    }
+
+    ConfigurationCell m_configuration;
+    std::atomic<bool> m_leaseHolds = true;
+    std::atomic<bool> m_superseded = false;
+    std::atomic<bool> m_holdBack = false;
+    std::mutex m_mutex;
+    std::vector<JobPointer> m_heldBack;
+    std::unique_ptr<FleetOwner> m_owner;
+};
+
+} // namespace
+
+// Guards against a path from submission to outcome that is broken at any of its stages.
+TEST_CASE("a submitted job runs and is shown as complete")
+{
+    StandinWorker worker("w1", "r1", Duration(100));
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    CHECK(rig.waitFor([&] { return rig.isComplete(); }));
+    CHECK(worker.runs().size() == 1);
+    CHECK(rig.waitFor([&] { return worker.listedEnds() == 0; }));
+}
+
+// Guards against two runs of one task: the order that got no answer begins after the task was placed elsewhere.
+TEST_CASE("a start that is carried out late does not run beside another")
+{
+    StandinWorker slow("w1", "r1", Duration(200));
+    StandinWorker sound("w2", "r1", Duration(200));
+    std::atomic<int> starts = 0;
+    const auto firstStartLate
+        = [&](const std::string &path) { return path == "/run-start" && starts++ == 0 ? WorkerFault::CarriedOutLate : WorkerFault::None; };
+    slow.setFaults(firstStartLate);
+    sound.setFaults(firstStartLate);
+    Rig rig;
+    rig.own({}, {reportOf(slow), reportOf(sound)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return rig.isComplete(); }));
+    std::this_thread::sleep_for(Duration(1000));
+    CHECK(slow.runs().size() + sound.runs().size() == 1);
+}
+
+// Guards against work that is thrown away because only the answer to its start was lost.
+TEST_CASE("a start whose answer is lost is found in the worker's lists")
+{
+    StandinWorker worker("w1", "r1", Duration(800));
+    worker.setFaults([](const std::string &path) { return path == "/run-start" ? WorkerFault::AnswerLost : WorkerFault::None; });
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return rig.isComplete(); }));
+    CHECK(worker.runs().size() == 1);
+}
+
+// Guards against a former owner, cut off with its zone, that starts work which its successor has already run.
+TEST_CASE("nothing starts while the lease may have lapsed")
+{
+    StandinWorker worker("w1", "r1", Duration(100));
+    Rig rig;
+    rig.m_leaseHolds = false;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    std::this_thread::sleep_for(Duration(700));
+    CHECK(worker.runs().empty());
+    rig.m_leaseHolds = true;
+    CHECK(rig.waitFor([&] { return rig.isComplete(); }));
+}
+
+// Runs one task of the job at the worker, as a predecessor with a lower fence started it.
+static void startAsPredecessor(const StandinWorker &worker)
+{
+    const auto client = HttpClient::create().take();
+    std::atomic<bool> answered = false;
+    sendStart(*client,
+              OrderTarget{.m_worker = worker.identifier(), .m_address = reportOf(worker)->m_address, .m_fence = fence - 1, .m_timeout = Duration(1000)},
+              StartOrder{.m_task = TaskReference{.m_job = std::string(jobName), .m_occurrence = 0, .m_step = 0, .m_index = 0},
+                         .m_run = 1,
+                         .m_payload = "payload",
+                         .m_checkpoint = {},
+                         .m_leaseEnd = 100'000},
+              [&](const OrderReply &) { answered = true; });
+    for (int round = 0; round < 100 && !answered; ++round) {
+        std::this_thread::sleep_for(Duration(10));
+    }
+}
+
+// Guards against a task that runs twice: its worker's entry lapsed while the store was away, so only the roster names the worker.
+TEST_CASE("a new owner asks the workers of the roster before it runs their tasks")
+{
+    StandinWorker unlisted("w1", "r1", Duration(1200));
+    StandinWorker listed("w2", "r1", Duration(100));
+    startAsPredecessor(unlisted);
+    REQUIRE(unlisted.runs().size() == 1);
+    std::atomic<bool> cut = true;
+    unlisted.setFaults([&](const std::string &) { return cut ? WorkerFault::Unreachable : WorkerFault::None; });
+    Rig rig;
+    rig.own({newJob(specOf(1, false), 2, bootNow())}, {reportOf(listed)}, {reportOf(unlisted), reportOf(listed)});
+    std::this_thread::sleep_for(Duration(500));
+    CHECK(listed.runs().empty());
+    cut = false;
+    REQUIRE(rig.waitFor([&] { return rig.isComplete(); }));
+    CHECK(listed.runs().empty());
+    CHECK(unlisted.runs().size() == 1);
+}
+
+// Guards against an end that is lost: the worker may forget it only once it is recorded.
+TEST_CASE("an end is acknowledged after its record")
+{
+    StandinWorker worker("w1", "r1", Duration(100));
+    Rig rig;
+    rig.m_holdBack = true;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] {
+        const std::lock_guard lock(rig.m_mutex);
+        return !rig.m_heldBack.empty();
+    }));
+    std::this_thread::sleep_for(Duration(600));
+    CHECK(worker.listedEnds() == 1);
+    CHECK_FALSE(rig.isComplete());
+    rig.m_holdBack = false;
+    rig.acknowledge(OwnerRecord{.m_key = {}, .m_job = rig.m_heldBack.front(), .m_value = {}, .m_version = rig.m_heldBack.front()->m_version});
+    CHECK(rig.waitFor([&] { return rig.isComplete() && worker.listedEnds() == 0; }));
+}
+
+// Guards against tasks that run on after their job was cancelled, also if the stop's answer is lost.
+TEST_CASE("a cancelled job's runs are stopped")
+{
+    StandinWorker worker("w1", "r1", Duration(60'000));
+    std::atomic<int> stops = 0;
+    worker.setFaults([&](const std::string &path) { return path == "/run-stop" && stops++ == 0 ? WorkerFault::Unreachable : WorkerFault::None; });
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return worker.running().size() == 1; }));
+    rig.m_owner->post(JobCancelled{.m_job = std::string(jobName)});
+    CHECK(rig.waitFor([&] { return worker.running().empty(); }, 3000));
+    CHECK(rig.waitFor([&] { return rig.m_owner->status("queue", std::string(jobName)).m_status == JobStatus::Cancelled; }));
+}
+
+// Guards against members that wait for others until they end alone.
+TEST_CASE("a gang of which one member cannot start is stopped and placed again")
+{
+    StandinWorker first("w1", "r1", Duration(300));
+    StandinWorker second("w2", "r1", Duration(300));
+    StandinWorker third("w3", "r1", Duration(300));
+    std::atomic<int> starts = 0;
+    first.setFaults([&](const std::string &path) { return path == "/run-start" && starts++ == 0 ? WorkerFault::CarriedOutLate : WorkerFault::None; });
+    Rig rig;
+    rig.own({}, {reportOf(first), reportOf(second), reportOf(third)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(2, true)});
+    REQUIRE(rig.waitFor([&] { return rig.isComplete(); }, 6000));
+    std::set<std::int64_t> runs;
+    for (const auto *worker : {&first, &second, &third}) {
+        for (const auto &run : worker->runs()) {
+            runs.insert(run.m_run);
+        }
+    }
+    CHECK(runs.size() <= 2);
+}
+
+// Guards against a former owner that goes on giving orders after a worker has told it of its successor.
+TEST_CASE("a worker's refusal of the fence is reported")
+{
+    StandinWorker worker("w1", "r1", Duration(100));
+    const auto client = HttpClient::create().take();
+    requestReport(*client,
+                  OrderTarget{.m_worker = "w1", .m_address = reportOf(worker)->m_address, .m_fence = fence + 1, .m_timeout = Duration(1000)},
+                  ReportRequest{.m_endsTaken = 0, .m_leaseEnd = std::nullopt, .m_wait = Duration(0)},
+                  [](const ReportReply &) {});
+    std::this_thread::sleep_for(Duration(200));
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    CHECK(rig.waitFor([&] { return rig.m_superseded.load(); }));
+}
+
+} // namespace PrimroseBridge
