Keep accelerators free for urgent work; fill racks one by one

Change: normal and background work leaves free what urgent work lately needed at once (a maximum that halves in 10 s); steps that are not bound to a rack fill the fullest racks first.

--- a/scheduling/include/primrosebridge/Fleet/placement.h
+++ b/scheduling/include/primrosebridge/Fleet/placement.h
@@ -19,6 +19,7 @@
     const std::vector<PlacementWorker> m_workers;
     const double m_remoteFactor; ///< Run time of a task away from its data or of a gang over several racks, as a multiple.
     const std::vector<std::string> m_lockedJobs; ///< Sorted; their waiting tasks may still run on a worker that has not answered.
+    const double m_urgentPeak = 0.0; ///< Accelerators that urgent work lately needed at once, see UrgentDemand.
 };
 
 /// Why a task is stopped.
@@ -73,6 +74,23 @@
 /// True if work of rank @p rank may stop running work of rank @p victim. Thread-safe.
 bool mayPreempt(UrgencyRank rank, UrgencyRank victim);
 
+/// How many accelerators urgent work needs at once, as a maximum that fades.
+///
+/// Less urgent work leaves the difference to the present need free, so that the next urgent job starts at once instead of
+/// waiting for victims to stop, whose work would be lost.
+struct UrgentDemand {
+    const double m_peak; ///< Accelerators.
+    const Instant m_at; ///< Boot clock at the last update.
+
+    bool operator==(const UrgentDemand &) const = default;
+};
+
+/// The demand after @p needed accelerators were needed at @p now. Thread-safe.
+UrgentDemand updatedDemand(const UrgentDemand &demand, double needed, Instant now);
+
+/// Accelerators that jobs of priority 0 hold or wait for. Thread-safe.
+double urgentNeed(const PlacementInput &input);
+
 /// Decides which waiting tasks start where, and which running ones are stopped for more urgent work.
 ///
 /// Gangs are placed whole or not at all. A step that cannot be placed reserves the places that it waits for, so that less
--- a/scheduling/lib/Fleet/floorplan.cpp
+++ b/scheduling/lib/Fleet/floorplan.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <string_view>
+#include <tuple>
 
 namespace PrimroseBridge {
 
@@ -158,17 +160,22 @@
     search.m_placement.m_workers.insert(search.m_placement.m_workers.end(), static_cast<std::size_t>(tasks), worker);
 }
 
-// Fills the workers with the least room first, so that whole workers stay free for large tasks.
+// Fills the racks, and in them the workers, with the least room first, so that whole ones stay free for large gangs and tasks.
 static int fillFree(Search &search, const std::vector<std::size_t> &workers, int wanted)
 {
-    std::vector<std::pair<std::int64_t, std::size_t>> order;
+    const auto &fleet = search.m_plan.m_input->m_workers;
+    std::map<std::string_view, std::int64_t> rackRoom;
+    for (const auto worker : workers) {
+        rackRoom[fleet[worker].m_report->m_rack] += std::max<std::int64_t>(roomOn(search, worker).m_accelerators, 0);
+    }
+    std::vector<std::tuple<std::int64_t, std::int64_t, std::size_t>> order;
     for (const auto worker : workers) {
         if (fittingTasks(roomOn(search, worker), search.m_step, 1) > 0) {
-            order.emplace_back(roomOn(search, worker).m_accelerators, worker);
+            order.emplace_back(rackRoom[fleet[worker].m_report->m_rack], roomOn(search, worker).m_accelerators, worker);
         }
     }
     std::sort(order.begin(), order.end());
-    for (const auto &[room, worker] : order) {
+    for (const auto &[rack, room, worker] : order) {
         if (wanted == 0) {
             break;
         }
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -4,6 +4,7 @@
 #include "floorplan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace PrimroseBridge {
@@ -13,6 +14,41 @@
 // A gang may be spread over racks, at a multiple of its run time, only while at least this share of the accelerators is free.
 constexpr double spreadFreeShare = 0.5;
 
+// A peak counts half after this time: several times the run time of urgent work, shorter than a lull that is worth filling.
+constexpr double peakHalfLifeSeconds = 10.0;
+
+UrgentDemand updatedDemand(const UrgentDemand &demand, double needed, Instant now)
+{
+    const auto seconds = std::chrono::duration<double>(now - demand.m_at).count();
+    const auto faded = demand.m_peak * std::exp2(-std::max(seconds, 0.0) / peakHalfLifeSeconds);
+    return UrgentDemand{.m_peak = std::max(faded, needed), .m_at = now};
+}
+
+static double activeAccelerators(const JobState &job)
+{
+    double needed = 0.0;
+    for (const auto &occurrence : job.m_occurrences) {
+        for (std::size_t step = 0; step < occurrence->m_steps.size(); ++step) {
+            const auto &state = *occurrence->m_steps[step];
+            const auto open = static_cast<double>(state.m_tasks.size()) - state.m_done;
+            needed += open * static_cast<double>(job.m_spec->m_steps[step].m_needs.m_accelerators);
+        }
+    }
+    return needed;
+}
+
+double urgentNeed(const PlacementInput &input)
+{
+    double needed = 0.0;
+    for (const auto &job : input.m_jobs) {
+        const auto *queue = queueNamed(*input.m_configuration, job->m_spec->m_queue);
+        if (queue && queue->m_priority == 0 && job->m_outcome == JobOutcome::Active) {
+            needed += activeAccelerators(*job);
+        }
+    }
+    return needed;
+}
+
 std::string_view stopReasonName(StopReason reason)
 {
     switch (reason) {
@@ -63,7 +99,7 @@
     std::vector<StopDecision> m_stops;
     int m_waiting = 0;
     int m_reservations = 0;
-    std::vector<bool> m_reservedFor = std::vector<bool>(4, false); // By rank: a step of that rank waits for places.
+    double m_keptFree = 0.0; // Accelerators that only urgent work may take.
 };
 
 } // namespace
@@ -218,6 +254,40 @@
     return best;
 }
 
+// What is free on a worker in accelerators: the scarcest of its resources, as a share of the worker, counts.
+static double effectiveFree(const Pass &pass, std::size_t worker)
+{
+    const auto &room = pass.m_plan.m_free[worker];
+    const auto &capacity = pass.m_input.m_workers[worker].m_report->m_capacity;
+    double share = 1.0;
+    const auto limit = [&share](std::int64_t free, std::int64_t all) {
+        if (all > 0) {
+            share = std::min(share, static_cast<double>(std::max<std::int64_t>(free, 0)) / static_cast<double>(all));
+        }
+    };
+    limit(room.m_milliCores, capacity.m_milliCores);
+    limit(room.m_memoryMb, capacity.m_memoryMb);
+    limit(room.m_accelerators, capacity.m_accelerators);
+    return share * static_cast<double>(capacity.m_accelerators);
+}
+
+// Tasks of the step that may start without touching what is kept free for urgent work.
+static int tasksWithinReserve(const Pass &pass, const Candidate &candidate, const std::vector<std::size_t> &workers)
+{
+    const auto wanted = static_cast<int>(candidate.m_waiting.size());
+    if (candidate.m_rank == UrgencyRank::Guaranteed || candidate.m_rank == UrgencyRank::Urgent || pass.m_keptFree <= 0.0) {
+        return wanted;
+    }
+    double free = -pass.m_keptFree;
+    for (const auto worker : workers) {
+        free += effectiveFree(pass, worker);
+    }
+    const auto &step = stepOf(pass, candidate);
+    const auto each = std::max(static_cast<double>(step.m_needs.m_accelerators), 1.0);
+    const int allowed = static_cast<int>(std::clamp(free / each, 0.0, static_cast<double>(wanted)));
+    return step.m_gang && allowed < wanted ? 0 : allowed;
+}
+
 static void reserve(Pass &pass, const Candidate &candidate, const StepPlacement &placement)
 {
     const auto &step = stepOf(pass, candidate);
@@ -316,6 +386,14 @@
         if (workers.empty()) {
             continue;
         }
+        const auto allowed = tasksWithinReserve(pass, candidate, workers);
+        if (allowed < static_cast<int>(candidate.m_waiting.size())) {
+            ++pass.m_waiting;
+            candidate.m_waiting.resize(static_cast<std::size_t>(allowed));
+        }
+        if (candidate.m_waiting.empty()) {
+            return;
+        }
         const auto scopes = scopesFor(pass, candidate, workers);
         const auto left = startWhatFits(pass, candidate, scopes);
         if (left == 0) {
@@ -341,6 +419,7 @@
 {
     const auto ranks = rankJobs(input);
     Pass pass{.m_input = input, .m_plan = makeFloorPlan(input, ranks), .m_starts = {}, .m_stops = {}};
+    pass.m_keptFree = std::max(0.0, input.m_urgentPeak - urgentNeed(input));
     for (auto &candidate : findCandidates(input, ranks)) {
         placeCandidate(pass, std::move(candidate));
     }
--- a/scheduling/unittests/Fleet/fleetbuilder.h
+++ b/scheduling/unittests/Fleet/fleetbuilder.h
@@ -97,6 +97,12 @@
         return *this;
     }
 
+    FleetBuilder &urgentPeak(double accelerators)
+    {
+        m_urgentPeak = accelerators;
+        return *this;
+    }
+
     [[nodiscard]] PlacementInput input() const
     {
         return PlacementInput{.m_now = fromMilliseconds(nowMs),
@@ -111,7 +117,8 @@
                               .m_jobs = m_jobs,
                               .m_workers = m_workers,
                               .m_remoteFactor = 3.0,
-                              .m_lockedJobs = m_locked};
+                              .m_lockedJobs = m_locked,
+                              .m_urgentPeak = m_urgentPeak};
     }
 
 private:
@@ -162,6 +169,7 @@
     std::vector<JobPointer> m_jobs;
     std::vector<OrganisationSettings> m_organisations;
     std::vector<std::string> m_locked;
+    double m_urgentPeak = 0.0;
 };
 
 } // namespace PrimroseBridge
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -125,6 +125,30 @@
     CHECK(startsOf(decisions, "new") == 1);
 }
 
+// Guards against urgent jobs that wait for victims to stop, and against the victims' lost work: pattern of bursts of urgent jobs
+// on a fleet that background work would fill.
+TEST_CASE("less urgent work leaves the lately needed accelerators free")
+{
+    FleetBuilder builder;
+    builder.guarantee("org", 16).racks(1, 4).urgentPeak(12.0);
+    builder.job("check", "urgent", TestStep{.m_tasks = 1, .m_accelerators = 4});
+    builder.job("scan", "background", TestStep{.m_tasks = 40});
+    builder.job("curve", "normal", TestStep{.m_tasks = 4, .m_accelerators = 8, .m_gang = true});
+    const auto decisions = decidePlacement(builder.input());
+    CHECK(startsOf(decisions, "check") == 1);
+    CHECK(startsOf(decisions, "curve") == 0);
+    CHECK(startsOf(decisions, "scan") == 32 - 4 - 8);
+}
+
+// Guards against a reserve that outlives the burst that it was kept for.
+TEST_CASE("the peak of urgent need fades")
+{
+    const auto peak = updatedDemand(UrgentDemand{.m_peak = 0.0, .m_at = fromMilliseconds(0)}, 64.0, fromMilliseconds(0));
+    CHECK(peak.m_peak == Approx(64.0));
+    CHECK(updatedDemand(peak, 8.0, fromMilliseconds(10'000)).m_peak == Approx(32.0));
+    CHECK(updatedDemand(peak, 50.0, fromMilliseconds(10'000)).m_peak == Approx(50.0));
+}
+
 // Guards against attempts lost to a worker that fails what it starts: pattern of grey workers.
 TEST_CASE("isolated workers are used only if nothing else will do")
 {
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -67,7 +67,11 @@
         .m_workers = workersToPlaceOn(state, now),
         .m_remoteFactor = state.m_context.m_settings.m_remoteFactor,
         .m_lockedJobs = std::vector<std::string>(state.m_lockedJobs.begin(), state.m_lockedJobs.end()),
+        .m_urgentPeak = state.m_urgentPeak,
     };
+    const auto demand = updatedDemand(UrgentDemand{.m_peak = state.m_urgentPeak, .m_at = state.m_urgentPeakAt}, urgentNeed(input), now);
+    state.m_urgentPeak = demand.m_peak;
+    state.m_urgentPeakAt = demand.m_at;
     const auto decisions = decidePlacement(input);
     for (const auto &stop : decisions.m_stops) {
         orderStop(state, stop.m_place, stop.m_task, stop.m_run, stop.m_reason, now);
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -68,6 +68,8 @@
     std::int64_t m_recordedRoster = 0; ///< Newest that the store has acknowledged.
     bool m_rosterChanged = false;
     bool m_mustPlace = false;
+    double m_urgentPeak = 0.0; ///< See UrgentDemand.
+    Instant m_urgentPeakAt;
     bool m_decides = true; ///< The store's lease holds, so that no other VM can be the owner.
 };
 
