--- a/service/include/primrosebridge/Fleetservice/peercalls.h
+++ b/service/include/primrosebridge/Fleetservice/peercalls.h
@@ -38,8 +38,10 @@
 class PeerDesk
 {
 public:
-    /// Starts listening. Unavailable if the address cannot be bound. @p owner must outlive the desk.
-    static Result<std::unique_ptr<PeerDesk>> create(const std::string &address, const FleetOwner &owner, std::shared_ptr<PlatformStore> store);
+    /// Starts listening. Unavailable if the address cannot be bound. @p owner must outlive the desk. A peer's record is refused at
+    /// once while the store has not answered for @p storeSilence.
+    static Result<std::unique_ptr<PeerDesk>>
+    create(const std::string &address, const FleetOwner &owner, std::shared_ptr<PlatformStore> store, Duration storeSilence);
     /// Ends after calls in progress, at most 1 s.
     ~PeerDesk();
     PeerDesk(const PeerDesk &) = delete;
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -25,11 +25,12 @@
 
 namespace PrimroseBridge {
 
-// A VM whose store calls have all failed for this long asks its peers instead, and fails its readiness check.
-static constexpr Duration storeSilence(1500);
+// A VM whose store calls have all failed for this long asks its peers instead, and fails its readiness check. The lease is
+// renewed four times a second, and a slow store answers within about 500 ms.
+static constexpr Duration storeSilence(900);
 // Time for a peer to answer a question, and to write to the store for this VM.
 static constexpr Duration questionTimeout(600);
-static constexpr Duration recordTimeout(2000);
+static constexpr Duration recordTimeout(1500);
 // Peers that are asked to write for this VM before it gives up.
 static constexpr std::size_t maxRecordPeers = 2;
 static constexpr Duration snapshotRetry(100);
@@ -434,7 +435,7 @@
                                               .m_gained = [this](std::int64_t fence) { gain(fence); },
                                               .m_lost = [this](std::int64_t fence, const std::string &reason) { lose(fence, reason); },
                                           });
-    auto desk = PeerDesk::create(m_settings.m_peerAddress, *m_owner, m_store);
+    auto desk = PeerDesk::create(m_settings.m_peerAddress, *m_owner, m_store, storeSilence);
     if (!desk.ok()) {
         return desk.error();
     }
@@ -533,6 +534,9 @@
             return {.m_known = true, .m_status = answer.value().m_status};
         }
     }
+    if (!m_private->m_store->answeredWithin(storeSilence)) {
+        return {.m_known = false, .m_status = std::nullopt};
+    }
     return readStatus(*m_private->m_store, queue, job);
 }
 
--- a/service/lib/Fleetservice/inbox.cpp
+++ b/service/lib/Fleetservice/inbox.cpp
@@ -5,6 +5,9 @@
 
 namespace PrimroseBridge {
 
+// A store that has not answered any call for this long would not answer the read-back in time either.
+static constexpr Duration readBackSilence(900);
+
 static bool nothingDone(const Error &error)
 {
     return error.kind() != ErrorKind::DeadlineExceeded;
@@ -21,6 +24,9 @@
     if (nothingDone(result.error())) {
         return InboxOutcome::NotRecorded;
     }
+    if (!store.answeredWithin(readBackSilence)) {
+        return InboxOutcome::Unknown; // The caller waits; it asks again once the store answers.
+    }
     const auto found = store.get(key);
     return found.ok() && found.value() ? InboxOutcome::Recorded : InboxOutcome::Unknown;
 }
--- a/service/lib/Fleetservice/peercalls.cpp
+++ b/service/lib/Fleetservice/peercalls.cpp
@@ -136,9 +136,10 @@
 class PeerService : public wire::FleetPeer::Service
 {
 public:
-    PeerService(const FleetOwner &owner, std::shared_ptr<PlatformStore> store)
+    PeerService(const FleetOwner &owner, std::shared_ptr<PlatformStore> store, Duration storeSilence)
         : m_owner(owner)
         , m_store(std::move(store))
+        , m_storeSilence(storeSilence)
     {
     }
 
@@ -162,6 +163,10 @@
 
     grpc::Status Record(grpc::ServerContext *, const wire::RecordRequest *request, wire::RecordReply *reply) override // NOLINT(readability-identifier-naming)
     {
+        if (!m_store->answeredWithin(m_storeSilence)) {
+            reply->set_outcome(wire::RecordReply::NOT_RECORDED);
+            return grpc::Status::OK;
+        }
         const auto outcome
             = request->cancellation() ? recordCancellation(*m_store, request->job()) : recordSubmission(*m_store, request->job(), request->submission());
         switch (outcome) {
@@ -184,13 +189,14 @@
 private:
     const FleetOwner &m_owner;
     const std::shared_ptr<PlatformStore> m_store;
+    const Duration m_storeSilence;
 };
 
 } // namespace
 
 struct PeerDesk::Private {
-    Private(const FleetOwner &owner, std::shared_ptr<PlatformStore> store)
-        : m_service(owner, std::move(store))
+    Private(const FleetOwner &owner, std::shared_ptr<PlatformStore> store, Duration storeSilence)
+        : m_service(owner, std::move(store), storeSilence)
     {
     }
 
@@ -198,9 +204,10 @@
     std::unique_ptr<grpc::Server> m_server;
 };
 
-Result<std::unique_ptr<PeerDesk>> PeerDesk::create(const std::string &address, const FleetOwner &owner, std::shared_ptr<PlatformStore> store)
+Result<std::unique_ptr<PeerDesk>>
+PeerDesk::create(const std::string &address, const FleetOwner &owner, std::shared_ptr<PlatformStore> store, Duration storeSilence)
 {
-    auto state = std::make_unique<Private>(owner, std::move(store));
+    auto state = std::make_unique<Private>(owner, std::move(store), storeSilence);
     grpc::ResourceQuota quota;
     quota.SetMaxThreads(serverThreads);
     grpc::ServerBuilder builder;
