Stop renewing leases without the own lease; notice workers that left

The owner was cut off with its zone and went on renewing the leases there; the successor counted on them to lapse, started a task again, and the first run had ended as done. Change: an owner whose lease may have lapsed renews nothing; the check comes before any event of a round, also after a suspension. A worker whose entry goes while it still answers has left in order: its tasks are placed again at once and it leaves the roster, as does a worker on which nothing ran.

--- a/recovery/include/primrosebridge/Progress/jobstate.h
+++ b/recovery/include/primrosebridge/Progress/jobstate.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -78,6 +79,9 @@
     Cancelled,
 };
 
+/// The outcome's name in lower_snake_case, for logs and records. Thread-safe.
+std::string_view outcomeName(JobOutcome outcome);
+
 /// The state of one job.
 struct JobState {
     const JobSpecPointer m_spec;
--- a/recovery/lib/Progress/jobstate.cpp
+++ b/recovery/lib/Progress/jobstate.cpp
@@ -6,6 +6,21 @@
 
 namespace PrimroseBridge {
 
+std::string_view outcomeName(JobOutcome outcome)
+{
+    switch (outcome) {
+    case JobOutcome::Active:
+        return "active";
+    case JobOutcome::Complete:
+        return "complete";
+    case JobOutcome::Failed:
+        return "failed";
+    case JobOutcome::Cancelled:
+        return "cancelled";
+    }
+    return "active";
+}
+
 static TaskPointer freshTask(Instant now)
 {
     return std::make_shared<const TaskState>(TaskState{
--- a/recovery/lib/Progress/record.cpp
+++ b/recovery/lib/Progress/record.cpp
@@ -136,21 +136,6 @@
     return notes;
 }
 
-static std::string_view outcomeName(JobOutcome outcome)
-{
-    switch (outcome) {
-    case JobOutcome::Active:
-        return "active";
-    case JobOutcome::Complete:
-        return "complete";
-    case JobOutcome::Failed:
-        return "failed";
-    case JobOutcome::Cancelled:
-        return "cancelled";
-    }
-    return "active";
-}
-
 static Result<JobOutcome> outcomeFromName(const std::string &name)
 {
     for (const auto outcome : {JobOutcome::Active, JobOutcome::Complete, JobOutcome::Failed, JobOutcome::Cancelled}) {
--- /dev/null
+++ b/service/include/primrosebridge/Fleetservice/fleetmetrics.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace PrimroseBridge {
+
+/// What a VM of a fleet counts. docs/OPERATIONS.md lists names, units and alarms.
+enum class FleetCounter {
+    CallsAnswered, ///< Label: status.
+    OrdersAnswered, ///< Start orders. Label: how the worker answered.
+    RunsEnded, ///< Label: how.
+    StopsOrdered, ///< Label: reason.
+    JobsEnded, ///< Label: outcome.
+    Takeovers,
+    RecordsSkipped, ///< Entries of the store that cannot be read.
+};
+
+/// Durations whose distribution is kept, in seconds.
+enum class FleetHistogram {
+    CallSeconds, ///< A caller's call, from its decoding to its answer.
+    QueueSeconds, ///< From the acceptance of a job until the owner knows it.
+    OrderSeconds, ///< From a start order to its answer.
+    JobSeconds, ///< From the acceptance of a job to its recorded outcome.
+    PassSeconds, ///< One placement pass.
+};
+
+/// What a VM measures as of now.
+enum class FleetGauge {
+    OwnsFleet,
+    ActiveJobs,
+    WaitingSteps,
+    Workers,
+    ConfigurationVersion,
+    StoreReads,
+    StoreWrites,
+    StoreRenewals,
+    StoreWatches,
+    StoreFailures,
+    LogLinesDropped,
+};
+
+/// The metrics of this process. One set for each process; thread-safe.
+class FleetMetrics
+{
+public:
+    static FleetMetrics &instance();
+
+    void count(FleetCounter counter, std::string_view label = {});
+    void observe(FleetHistogram histogram, double seconds);
+    void set(FleetGauge gauge, double value);
+    /// Everything in Prometheus's text format.
+    [[nodiscard]] std::string serialize() const;
+
+private:
+    FleetMetrics();
+    struct Private;
+    std::unique_ptr<Private> m_private;
+};
+
+} // namespace PrimroseBridge
--- a/service/include/primrosebridge/Fleetservice/fleetnode.h
+++ b/service/include/primrosebridge/Fleetservice/fleetnode.h
@@ -37,6 +37,9 @@
     /// Jobs that have not begun; empty if the owner cannot be reached. Blocks for at most 1 s.
     std::optional<std::int64_t> waitingJobs(const std::string &queue);
 
+    /// The metrics page in Prometheus's text format.
+    [[nodiscard]] std::string metrics() const;
+
     /// Fails the readiness check from now on.
     void announceStop();
     /// Gives up ownership and the session, so that another VM takes over at once.
--- a/service/lib/Fleetservice/fleetfront.cpp
+++ b/service/lib/Fleetservice/fleetfront.cpp
@@ -1,11 +1,13 @@
 #include "primrosebridge/Fleetservice/fleetfront.h"
 
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Fleetwire/decode.h"
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Pipeline/timerservice.h"
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
 
 namespace PrimroseBridge {
 
@@ -152,7 +154,11 @@
 
 HttpReply answerFleetCall(FleetNode &node, const HttpCall &call)
 {
+    const auto startedAt = std::chrono::steady_clock::now();
     const auto result = answer(node, call);
+    auto &metrics = FleetMetrics::instance();
+    metrics.count(FleetCounter::CallsAnswered, std::to_string(result.m_status));
+    metrics.observe(FleetHistogram::CallSeconds, std::chrono::duration<double>(std::chrono::steady_clock::now() - startedAt).count());
     const auto configuration = node.configuration();
     logEvent(call.m_method == "GET" && result.m_status == 200 ? LogLevel::Debug : LogLevel::Info,
              "call_answered",
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -3,6 +3,7 @@
 #include "session.h"
 #include "storewatch.h"
 
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Fleetservice/fleetowner.h"
 #include "primrosebridge/Fleetservice/keys.h"
 #include "primrosebridge/Fleetservice/peercalls.h"
@@ -197,6 +198,7 @@
 
 static void skipRecord(const std::string &key, const Error &error)
 {
+    FleetMetrics::instance().count(FleetCounter::RecordsSkipped);
     logEvent(LogLevel::Warn, "record_skipped", {{"key", key}, {"reason", error.message()}});
 }
 
@@ -553,6 +555,22 @@
     return answer.ok() ? answer.value() : std::nullopt;
 }
 
+std::string FleetNode::metrics() const
+{
+    auto &metrics = FleetMetrics::instance();
+    const auto calls = m_private->m_store->calls();
+    const auto configuration = m_private->m_configuration.current();
+    metrics.set(FleetGauge::OwnsFleet, m_private->m_owner->fence() ? 1.0 : 0.0);
+    metrics.set(FleetGauge::ConfigurationVersion, configuration ? static_cast<double>(configuration->m_version) : 0.0);
+    metrics.set(FleetGauge::StoreReads, static_cast<double>(calls.m_reads));
+    metrics.set(FleetGauge::StoreWrites, static_cast<double>(calls.m_writes));
+    metrics.set(FleetGauge::StoreRenewals, static_cast<double>(calls.m_renewals));
+    metrics.set(FleetGauge::StoreWatches, static_cast<double>(calls.m_watches));
+    metrics.set(FleetGauge::StoreFailures, static_cast<double>(calls.m_failures));
+    metrics.set(FleetGauge::LogLinesDropped, static_cast<double>(droppedLogLines()));
+    return metrics.serialize();
+}
+
 void FleetNode::announceStop()
 {
     m_private->m_stopping = true;
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -38,6 +38,10 @@
     while (!m_state.m_events->closed()) {
         const auto events = m_state.m_events->popBatchFor(maxBatch, longestWait);
         const auto now = bootNow();
+        // Before anything is sent: the VM may have been suspended since the last round. Workers that a successor cannot reach
+        // still obey this VM. Without the lease it starts nothing, because a job that it knows as waiting may have been run by
+        // the successor, and renews nothing, because the successor counts on the leases that it cannot renew to lapse.
+        noteAuthority(m_state, m_state.m_context.m_leaseHolds());
         for (const auto &event : events) {
             applyEvent(m_state, event, now);
         }
@@ -45,15 +49,11 @@
             continue;
         }
         recordRoster(m_state);
-        // Workers that a successor cannot reach still obey this VM. Without the lease it only renews what runs there:
-        // a job that it knows as waiting may have been run to its end by the successor.
-        const bool decides = m_state.m_context.m_leaseHolds();
-        noteAuthority(m_state, decides);
         if (now - reviewedAt >= longestWait) {
             reviewFleet(m_state, now);
             reviewedAt = now;
         }
-        if (!decides) {
+        if (!m_state.m_decides) {
             continue;
         }
         if (m_state.m_mustPlace || now - placedAt >= longestPlacementGap) {
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -1,5 +1,6 @@
 #include "ownerstate.h"
 
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Fleetservice/keys.h"
 #include "primrosebridge/Fleetservice/roster.h"
 #include "primrosebridge/Observe/log.h"
@@ -12,6 +13,8 @@
 // Clocks of workers may be 2% slow; the rest covers the way of the last renewal.
 static constexpr double leaseStretch = 1.03;
 static constexpr Duration leaseSlack(300);
+// An entry is removed for silence after three heartbeats (4.5 s). A worker that has answered more lately than this was not silent.
+static constexpr Duration recentAnswer(2500);
 
 WorkerEntry *findWorker(OwnerState &state, const WorkerLife &life)
 {
@@ -177,6 +180,7 @@
     }
     worker.m_report = report;
     worker.m_entryPresent = true;
+    worker.m_leftInOrder = false;
     if (added) {
         state.m_rosterChanged = true;
         logEvent(LogLevel::Info, "worker_known", {{"worker", entry->first}, {"zone", report->m_zone}, {"rack", report->m_rack}});
@@ -185,13 +189,16 @@
     state.m_mustPlace = true;
 }
 
-static void applyEntryRemoved(OwnerState &state, const std::string &name)
+static void applyEntryRemoved(OwnerState &state, const std::string &name, Instant now)
 {
     const auto found = state.m_workers.find(name);
     if (found == state.m_workers.end()) {
         return;
     }
-    found->second.m_entryPresent = false;
+    auto &worker = found->second;
+    worker.m_entryPresent = false;
+    worker.m_leftInOrder = worker.m_fenced && now - worker.m_answeredAt <= recentAnswer;
+    requestLists(state, worker, true, now);
     logEvent(LogLevel::Info, "worker_entry_removed", {{"worker", name}, {"tasks", std::to_string(found->second.m_tasks.size())}});
 }
 
@@ -214,12 +221,11 @@
     if (state.m_jobs.find(spec->m_id)) {
         return;
     }
+    const auto age = TimerService::now() - spec->m_acceptedAt;
+    FleetMetrics::instance().observe(FleetHistogram::QueueSeconds, std::chrono::duration<double>(age).count());
     logEvent(LogLevel::Info,
              "job_queued",
-             {{"request", spec->m_id},
-              {"queue", spec->m_queue},
-              {"organisation", spec->m_organisation},
-              {"age_ms", std::to_string((TimerService::now() - spec->m_acceptedAt).count())}});
+             {{"request", spec->m_id}, {"queue", spec->m_queue}, {"organisation", spec->m_organisation}, {"age_ms", std::to_string(age.count())}});
     addJob(state, newJob(spec, attemptsOf(state, spec->m_queue), now));
 }
 
@@ -274,6 +280,7 @@
     for (const auto &job : snapshot.m_cancelledJobs) {
         applyCancellation(state, job, now);
     }
+    FleetMetrics::instance().count(FleetCounter::Takeovers);
     logEvent(LogLevel::Info,
              "ownership_taken",
              {{"fence", std::to_string(snapshot.m_fence)},
@@ -291,11 +298,12 @@
     const auto changed = recorded(*job, event.m_version, event.m_outcome);
     state.m_jobs.update(event.m_job, [&](const auto &) { return changed; });
     if (event.m_outcome != JobOutcome::Active && job->m_recordedOutcome == JobOutcome::Active) {
+        const auto age = TimerService::now() - job->m_spec->m_acceptedAt;
+        FleetMetrics::instance().count(FleetCounter::JobsEnded, outcomeName(event.m_outcome));
+        FleetMetrics::instance().observe(FleetHistogram::JobSeconds, std::chrono::duration<double>(age).count());
         logEvent(LogLevel::Info,
                  "job_ended",
-                 {{"request", event.m_job},
-                  {"outcome", event.m_outcome == JobOutcome::Complete ? "complete" : (event.m_outcome == JobOutcome::Failed ? "failed" : "cancelled")},
-                  {"age_ms", std::to_string((TimerService::now() - job->m_spec->m_acceptedAt).count())}});
+                 {{"request", event.m_job}, {"outcome", std::string(outcomeName(event.m_outcome))}, {"age_ms", std::to_string(age.count())}});
     }
     for (auto &[name, worker] : state.m_workers) {
         const auto before = worker.m_endsTaken;
@@ -353,7 +361,7 @@
     void operator()(const WorkerEntryRemoved &event) const
     {
         if (m_state.m_fence != 0) {
-            applyEntryRemoved(m_state, event.m_worker);
+            applyEntryRemoved(m_state, event.m_worker, m_now);
         }
     }
     void operator()(const ReportArrived &event) const
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -1,5 +1,6 @@
 #include "ownerstate.h"
 
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Observe/log.h"
 
 #include <algorithm>
@@ -39,7 +40,7 @@
         return;
     }
     open = true;
-    const bool renew = worker.m_fenced && worker.m_missed < missedBeforeLookOnly;
+    const bool renew = state.m_decides && worker.m_fenced && worker.m_missed < missedBeforeLookOnly;
     const bool waits = !quick && renew && worker.m_pendingEnds.empty();
     const auto wait = waits ? (worker.m_tasks.empty() ? idleReportWait : busyReportWait) : Duration(0);
     if (renew) {
@@ -88,6 +89,7 @@
     if (task && task->m_place && *task->m_place == life && task->m_run == run) {
         setTask(state, reference, taskInPhase(*task, TaskPhase::Stopping, true, now));
     }
+    FleetMetrics::instance().count(FleetCounter::StopsOrdered, stopReasonName(reason));
     logEvent(LogLevel::Info,
              "stop_ordered",
              {{"request", reference.m_job},
@@ -163,6 +165,8 @@
               {"worker", event.m_life.m_worker},
               {"after_ms", std::to_string((now - event.m_sentAt).count())},
               {"outcome", std::string(answerName(answer))}});
+    FleetMetrics::instance().count(FleetCounter::OrdersAnswered, answerName(answer));
+    FleetMetrics::instance().observe(FleetHistogram::OrderSeconds, std::chrono::duration<double>(now - event.m_sentAt).count());
     if (answer == StartAnswer::Fenced) {
         state.m_context.m_superseded(event.m_fence, "worker " + event.m_life.m_worker + " has seen a higher fence");
     }
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -1,9 +1,11 @@
 #include "ownerstate.h"
 
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Pipeline/timerservice.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace PrimroseBridge {
 
@@ -72,7 +74,13 @@
     const auto demand = updatedDemand(UrgentDemand{.m_peak = state.m_urgentPeak, .m_at = state.m_urgentPeakAt}, urgentNeed(input), now);
     state.m_urgentPeak = demand.m_peak;
     state.m_urgentPeakAt = demand.m_at;
+    const auto startedAt = std::chrono::steady_clock::now();
     const auto decisions = decidePlacement(input);
+    auto &metrics = FleetMetrics::instance();
+    metrics.observe(FleetHistogram::PassSeconds, std::chrono::duration<double>(std::chrono::steady_clock::now() - startedAt).count());
+    metrics.set(FleetGauge::WaitingSteps, decisions.m_waitingSteps);
+    metrics.set(FleetGauge::ActiveJobs, static_cast<double>(input.m_jobs.size()));
+    metrics.set(FleetGauge::Workers, static_cast<double>(input.m_workers.size()));
     for (const auto &stop : decisions.m_stops) {
         orderStop(state, stop.m_place, stop.m_task, stop.m_run, stop.m_reason, now);
     }
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -1,5 +1,6 @@
 #include "ownerstate.h"
 
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Observe/log.h"
 
 #include <algorithm>
@@ -78,6 +79,7 @@
               {"worker", worker.m_life->m_worker},
               {"how", std::string(endName(end.m_kind))},
               {"known", job ? "yes" : "no"}});
+    FleetMetrics::instance().count(FleetCounter::RunsEnded, endName(end.m_kind));
     scoreWorker(worker, end, now);
     if (!job) {
         worker.m_pendingEnds.push_back(PendingEnd{.m_number = end.m_number, .m_job = end.m_task.m_job, .m_version = 0});
@@ -235,6 +237,9 @@
         return;
     }
     (event.m_quick ? worker->m_quickRequestOpen : worker->m_requestOpen) = false;
+    if (event.m_quick && !event.m_reply.m_lists && worker->m_entryPresent) {
+        return; // The regular request tells whether the worker is silent.
+    }
     if (!event.m_reply.m_lists) {
         noteSilence(state, *worker, event, now);
         return;
@@ -272,10 +277,13 @@
             requestLists(state, worker, false, now);
         }
         const bool lapsed = worker.m_missed > 0 && worker.m_leaseBound <= now;
-        if (lapsed && !worker.m_tasks.empty()) {
-            releaseTasks(state, worker, "leases_lapsed", now);
+        // A worker that left in order runs nothing once it answers no more; neither does one on which nothing ran.
+        const bool left = worker.m_missed > 0 && !worker.m_entryPresent && worker.m_leftInOrder;
+        const bool idle = worker.m_missed > 0 && worker.m_fenced && worker.m_tasks.empty();
+        if ((lapsed || left) && !worker.m_tasks.empty()) {
+            releaseTasks(state, worker, left ? "worker_left" : "leases_lapsed", now);
         }
-        if (lapsed && !worker.m_entryPresent) {
+        if ((lapsed || left || idle) && !worker.m_entryPresent) {
             logEvent(LogLevel::Info, "worker_forgotten", {{"worker", entry->first}});
             state.m_awaitedWorkers.erase(entry->first);
             state.m_rosterChanged = true;
@@ -354,7 +362,7 @@
 
 void noteAuthority(OwnerState &state, bool decides)
 {
-    if (state.m_decides == decides) {
+    if (state.m_decides == decides || state.m_fence == 0) {
         return;
     }
     state.m_decides = decides;
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -29,6 +29,7 @@
     WorkerReportPointer m_report;
     std::shared_ptr<const WorkerLife> m_life;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
+    bool m_leftInOrder = false; ///< The entry went while the worker still answered, so it was not removed for silence.
     bool m_fenced = false; ///< It has answered under the present fence.
     Instant m_answeredAt;
     std::int64_t m_clockAtAnswer = 0; ///< Worker's clock in milliseconds.
--- a/service/tools/primrosebridged/fleetmain.cpp
+++ b/service/tools/primrosebridged/fleetmain.cpp
@@ -22,6 +22,7 @@
 static constexpr int maxQueuedConnections = 256;
 static constexpr int frontThreads = 64; // Connections of callers that stay open, each on a thread.
 static constexpr int readinessThreads = 4;
+static constexpr int metricsThreads = 2;
 static constexpr Duration frontKeepAlive(15000); // As long as the platform's usual limit for idle connections.
 // The balancer stops sending connections after two failed checks, one a second.
 static constexpr Duration balancerDelay(2300);
@@ -99,6 +100,12 @@
                                                                  .m_keepAlive = frontKeepAlive},
                                               [&node](const HttpCall &) { return answerReadiness(*node); })
                                .take();
+    const auto metrics
+        = HttpServer::create(
+              HttpServerSettings{
+                  .m_address = settings.m_metricsAddress, .m_threads = metricsThreads, .m_maxBodyBytes = 0, .m_maxQueuedConnections = maxQueuedConnections},
+              [&node](const HttpCall &) { return HttpReply{.m_status = 200, .m_contentType = "text/plain; version=0.0.4", .m_body = node->metrics()}; })
+              .take();
     logEvent(LogLevel::Info, "started", {{"zone", settings.m_zone.text()}, {"front", settings.m_frontAddress}, {"store", settings.m_storeAddress}});
     waitForStop(signals, path);
     node->announceStop();
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -212,6 +212,25 @@
     CHECK(rig.waitFor([&] { return rig.isComplete(); }));
 }
 
+// Guards against two runs of one task: a former owner that is cut off with its zone renews the leases there, and the run outlives
+// the time after which the successor starts it elsewhere.
+TEST_CASE("no lease is renewed while the own lease may have lapsed")
+{
+    StandinWorker worker("w1", "r1", Duration(60'000));
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return worker.running().size() == 1; }));
+    rig.m_leaseHolds = false;
+    std::this_thread::sleep_for(Duration(200));
+    const auto leaseEnd = worker.leaseEnd();
+    CHECK(leaseEnd > 0);
+    std::this_thread::sleep_for(Duration(2500));
+    CHECK(worker.leaseEnd() == leaseEnd);
+    rig.m_leaseHolds = true;
+    CHECK(rig.waitFor([&] { return worker.leaseEnd() > leaseEnd; }));
+}
+
 // Runs one task of the job at the worker, as a predecessor with a lower fence started it.
 static void startAsPredecessor(const StandinWorker &worker)
 {
@@ -249,6 +268,40 @@
     CHECK(unlisted.runs().size() == 1);
 }
 
+// Guards against tasks that wait a whole lease for a worker which was taken away in an orderly way.
+TEST_CASE("tasks of a worker that left in order are placed again at once")
+{
+    auto leaving = std::make_unique<StandinWorker>("w1", "r1", Duration(60'000));
+    StandinWorker staying("w2", "r1", Duration(100));
+    Rig rig;
+    rig.own({}, {reportOf(*leaving)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return leaving->running().size() == 1; }));
+    rig.m_owner->post(WorkerReported{.m_report = reportOf(staying)});
+    leaving.reset();
+    rig.m_owner->post(WorkerEntryRemoved{.m_worker = "w1"});
+    CHECK(rig.waitFor([&] { return rig.isComplete(); }, 1500));
+}
+
+// Guards against two runs of one task: a worker whose entry was removed for silence may still run it.
+TEST_CASE("tasks of a silent worker wait until its leases have lapsed")
+{
+    StandinWorker silent("w1", "r1", Duration(60'000));
+    StandinWorker sound("w2", "r1", Duration(100));
+    Rig rig;
+    rig.own({}, {reportOf(silent)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return silent.running().size() == 1; }));
+    rig.m_owner->post(WorkerReported{.m_report = reportOf(sound)});
+    silent.setFaults([](const std::string &) { return WorkerFault::Unreachable; });
+    // The stand-in still answers the request that it received before; its last answer comes within two seconds.
+    std::this_thread::sleep_for(Duration(4700));
+    rig.m_owner->post(WorkerEntryRemoved{.m_worker = "w1"});
+    std::this_thread::sleep_for(Duration(300));
+    CHECK(sound.runs().empty());
+    CHECK(rig.waitFor([&] { return rig.isComplete(); }, 4000));
+}
+
 // Guards against an end that is lost: the worker may forget it only once it is recorded.
 TEST_CASE("an end is acknowledged after its record")
 {
--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -45,6 +45,7 @@
     std::vector<End> m_ends;
     std::vector<StandinRun> m_history;
     std::int64_t m_nextEnd = 1;
+    std::int64_t m_leaseEnd = 0;
     std::string m_failing;
     bool m_stopping = false;
     std::function<WorkerFault(const std::string &)> m_faults;
@@ -142,6 +143,7 @@
         return reply(409, Json{{"reason", "fence"}});
     }
     m_fence = fence;
+    m_leaseEnd = std::max(m_leaseEnd, body.value("deadlineMs", std::int64_t(0)));
     advance();
     if (call.m_path == "/run-start") {
         return start(body);
@@ -256,6 +258,12 @@
     return names;
 }
 
+std::int64_t StandinWorker::leaseEnd() const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    return m_private->m_leaseEnd;
+}
+
 std::size_t StandinWorker::listedEnds() const
 {
     const std::lock_guard lock(m_private->m_mutex);
