--- a/service/tools/primrosebridged/main.cpp
+++ b/service/tools/primrosebridged/main.cpp
@@ -101,7 +101,7 @@
         return PrimroseBridge::runFleet(fleetSettings);
     }
     if (absl::GetFlag(FLAGS_settings).empty()) {
-        std::cerr << "primrosebridged: --settings=FILE is missing; see docs/operations.md\n";
+        std::cerr << "primrosebridged: --settings=FILE is missing; see docs/OPERATIONS.md\n";
         return PrimroseBridge::exitUsage;
     }
     try {
