Hold every end back until its job's newest state is recorded

The first member's end settles a gang; the ends of the other members changed nothing and were acknowledged at once. The owner then lost the store before the record was written and the first member's worker crashed, so the successor knew nothing of the end and ran the gang again. Change: ends as done or failed wait for the newest version of their job.

--- a/service/lib/Fleetservice/fleetfront.cpp
+++ b/service/lib/Fleetservice/fleetfront.cpp
@@ -155,7 +155,7 @@
 HttpReply answerFleetCall(FleetNode &node, const HttpCall &call)
 {
     const auto startedAt = std::chrono::steady_clock::now();
-    const auto result = answer(node, call);
+    auto result = answer(node, call);
     auto &metrics = FleetMetrics::instance();
     metrics.count(FleetCounter::CallsAnswered, std::to_string(result.m_status));
     metrics.observe(FleetHistogram::CallSeconds, std::chrono::duration<double>(std::chrono::steady_clock::now() - startedAt).count());
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -29,6 +29,21 @@
     }
 }
 
+bool takeRecordedEnds(const OwnerState &state, WorkerEntry &worker)
+{
+    const auto before = worker.m_endsTaken;
+    while (!worker.m_pendingEnds.empty()) {
+        const auto &first = worker.m_pendingEnds.front();
+        const auto job = first.m_version == 0 ? nullptr : state.m_jobs.find(first.m_job);
+        if (job && job->m_recordedVersion < first.m_version) {
+            break;
+        }
+        worker.m_endsTaken = first.m_number;
+        worker.m_pendingEnds.pop_front();
+    }
+    return worker.m_endsTaken != before;
+}
+
 static void unlist(OwnerState &state, const TaskReference &reference, const TaskPointer &task)
 {
     if (task && task->m_place) {
@@ -54,7 +69,7 @@
         return;
     }
     unlist(state, reference, findTask(*job, reference));
-    const auto changed = withTask(*job, reference, task);
+    auto changed = withTask(*job, reference, task);
     state.m_jobs.update(reference.m_job, [&](const auto &) { return changed; });
     list(state, reference, task);
 }
@@ -295,7 +310,7 @@
     if (!job) {
         return;
     }
-    const auto changed = recorded(*job, event.m_version, event.m_outcome);
+    auto changed = recorded(*job, event.m_version, event.m_outcome);
     state.m_jobs.update(event.m_job, [&](const auto &) { return changed; });
     if (event.m_outcome != JobOutcome::Active && job->m_recordedOutcome == JobOutcome::Active) {
         const auto age = TimerService::now() - job->m_spec->m_acceptedAt;
@@ -306,17 +321,7 @@
                  {{"request", event.m_job}, {"outcome", std::string(outcomeName(event.m_outcome))}, {"age_ms", std::to_string(age.count())}});
     }
     for (auto &[name, worker] : state.m_workers) {
-        const auto before = worker.m_endsTaken;
-        while (!worker.m_pendingEnds.empty()) {
-            const auto &first = worker.m_pendingEnds.front();
-            const auto owner = first.m_version == 0 ? nullptr : state.m_jobs.find(first.m_job);
-            if (owner && owner->m_recordedVersion < first.m_version) {
-                break;
-            }
-            worker.m_endsTaken = first.m_number;
-            worker.m_pendingEnds.pop_front();
-        }
-        if (worker.m_endsTaken != before && !worker.m_requestOpen) {
+        if (takeRecordedEnds(state, worker) && !worker.m_requestOpen) {
             requestLists(state, worker, false, now);
         }
     }
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -87,8 +87,9 @@
     }
     const auto effect = applyEnd(job, end, worker.m_life->m_worker, now);
     setJob(state, effect.m_job);
-    worker.m_pendingEnds.push_back(
-        PendingEnd{.m_number = end.m_number, .m_job = end.m_task.m_job, .m_version = effect.m_mustRecord ? effect.m_job->m_version : 0});
+    // Also an end that changes nothing waits for the job's newest version: that of another member of its gang may have settled it.
+    const bool counts = end.m_kind == EndKind::Done || end.m_kind == EndKind::Failed;
+    worker.m_pendingEnds.push_back(PendingEnd{.m_number = end.m_number, .m_job = end.m_task.m_job, .m_version = counts ? effect.m_job->m_version : 0});
     if (effect.m_mustRecord) {
         recordIfChanged(state, effect.m_job);
     }
@@ -106,10 +107,7 @@
             applyOneEnd(state, worker, end, now);
         }
     }
-    while (!worker.m_pendingEnds.empty() && worker.m_pendingEnds.front().m_version == 0) {
-        worker.m_endsTaken = worker.m_pendingEnds.front().m_number;
-        worker.m_pendingEnds.pop_front();
-    }
+    takeRecordedEnds(state, worker);
 }
 
 static bool isWanted(const JobPointer &job, const TaskPointer &task)
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -99,6 +99,8 @@
 WorkerEntry *findWorker(OwnerState &state, const WorkerLife &life);
 /// Queues the job's progress for the store if it has changed since the last time.
 void recordIfChanged(const OwnerState &state, const JobPointer &job);
+/// Lets the worker forget the ends whose jobs are recorded, in order. Returns whether there were any.
+bool takeRecordedEnds(const OwnerState &state, WorkerEntry &worker);
 /// Stops every run of a job whose outcome is settled.
 void stopRuns(OwnerState &state, const JobPointer &job, StopReason reason, Instant now);
 /// The worker is there, answers, is named in the recorded roster and takes new work.
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -322,6 +322,22 @@
     CHECK(rig.waitFor([&] { return rig.isComplete() && worker.listedEnds() == 0; }));
 }
 
+// Guards against a gang that is run again after a takeover: one member's end settles the job, and the ends of the others were
+// acknowledged before that was recorded.
+TEST_CASE("the ends of all members of a gang wait for the record")
+{
+    StandinWorker first("w1", "r1", Duration(100));
+    StandinWorker second("w2", "r1", Duration(100));
+    Rig rig;
+    rig.m_holdBack = true;
+    rig.own({}, {reportOf(first), reportOf(second)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(2, true)});
+    REQUIRE(rig.waitFor([&] { return first.listedEnds() + second.listedEnds() == 2; }));
+    std::this_thread::sleep_for(Duration(800));
+    CHECK(first.listedEnds() == 1);
+    CHECK(second.listedEnds() == 1);
+}
+
 // Guards against tasks that run on after their job was cancelled, also if the stop's answer is lost.
 TEST_CASE("a cancelled job's runs are stopped")
 {
