--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -57,7 +57,7 @@
     StandinAnswer perform(const StandinCall &call);
     StandinAnswer start(const Json &body);
     StandinAnswer stop(const Json &body);
-    StandinAnswer hold(const Json &body);
+    StandinAnswer hold();
     StandinAnswer reply(int status, Json body) const;
     void advance();
     void end(const std::string &task, std::int64_t run, const std::string &how);
@@ -119,13 +119,12 @@
     return reply(200, Json::object());
 }
 
-StandinAnswer StandinWorker::Private::hold(const Json &body)
+StandinAnswer StandinWorker::Private::hold()
 {
     Json running = Json::array();
     for (const auto &[task, run] : m_running) {
         running.push_back(Json::array({task, run.m_number, "", 50, 0.0}));
     }
-    std::erase_if(m_ends, [seen = body.value("lastSeen", std::int64_t(0))](const End &entry) { return entry.m_number <= seen; });
     Json ended = Json::array();
     for (const auto &entry : m_ends) {
         ended.push_back(Json::array({entry.m_number, entry.m_task, entry.m_run, entry.m_how, ""}));
@@ -152,12 +151,13 @@
         return stop(body);
     }
     const auto seen = body.value("lastSeen", std::int64_t(0));
+    std::erase_if(m_ends, [seen](const End &entry) { return entry.m_number <= seen; });
     const auto hasNews = [&] { return std::any_of(m_ends.begin(), m_ends.end(), [&](const End &entry) { return entry.m_number > seen; }); };
     while (!hasNews() && Clock::now() < until && !m_stopping) {
         m_changed.wait_until(lock, std::min(until, Clock::now() + std::chrono::milliseconds(10)));
         advance();
     }
-    return hold(body);
+    return hold();
 }
 
 StandinAnswer StandinWorker::Private::answer(const StandinCall &call)
