--- /dev/null
+++ b/scheduling/include/primrosebridge/Fleet/progresswatch.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "primrosebridge/Fleet/worker.h"
+#include "primrosebridge/Progress/jobstate.h"
+
+namespace PrimroseBridge {
+
+/// True if the task has run for a while without any progress, so that its worker is likely to be at fault. Thread-safe.
+bool hasStalled(const TaskState &task, const JobStep &step, Instant now);
+
+/// The time that the task still needs, judged by its progress so far, or by its estimate while there is none. Thread-safe.
+Duration remainingTime(const TaskState &task, const JobStep &step, Instant now);
+
+/// True if a task that needs @p remaining more time cannot end before a worker leaves that is there for @p left. Thread-safe.
+bool outlivesWorker(Duration remaining, Duration left);
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/scheduling/unittests/Fleet/progresswatch.cpp
@@ -0,0 +1,51 @@
+#include "primrosebridge/Fleet/progresswatch.h"
+
+#include "fleetbuilder.h"
+
+#include <catch2/catch.hpp>
+
+namespace PrimroseBridge {
+
+static TaskPointer runningTask(int percent, std::int64_t sinceMs, std::int64_t progressMs)
+{
+    return std::make_shared<const TaskState>(TaskState{
+        .m_phase = TaskPhase::Running,
+        .m_place = nullptr,
+        .m_run = 1,
+        .m_failedRuns = {},
+        .m_checkpoint = {},
+        .m_percent = percent,
+        .m_phaseSince = fromMilliseconds(sinceMs),
+        .m_progressAt = fromMilliseconds(progressMs),
+        .m_unconfirmed = false,
+        .m_failedOn = {},
+    });
+}
+
+static JobStep stepWith(int estimateMs)
+{
+    FleetBuilder builder;
+    return builder.job("job", "urgent", TestStep{.m_estimateMs = estimateMs}).input().m_jobs.front()->m_spec->m_steps.front();
+}
+
+// Guards against work that waits on a worker where tasks stand still, and against long tasks that are taken for such work: pattern of
+// grey workers that hang.
+TEST_CASE("a task without progress has stalled, a slow one has not")
+{
+    CHECK(hasStalled(*runningTask(10, 0, 1000), stepWith(2500), fromMilliseconds(3300)));
+    CHECK_FALSE(hasStalled(*runningTask(10, 0, 1000), stepWith(2500), fromMilliseconds(3000)));
+    CHECK_FALSE(hasStalled(*runningTask(100, 0, 1000), stepWith(2500), fromMilliseconds(60'000)));
+    CHECK_FALSE(hasStalled(*runningTask(10, 0, 1000), stepWith(3'600'000), fromMilliseconds(600'000)));
+}
+
+// Guards against work that is lost with a worker that leaves, and against stopping work that would have ended in time.
+TEST_CASE("the remaining time follows from the progress")
+{
+    CHECK(remainingTime(*runningTask(0, 0, 0), stepWith(2500), fromMilliseconds(100)) == Duration(2500));
+    CHECK(remainingTime(*runningTask(25, 0, 1000), stepWith(100), fromMilliseconds(1000)) == Duration(3000));
+    CHECK(remainingTime(*runningTask(25, 0, 1000), stepWith(100), fromMilliseconds(2000)) == Duration(2000));
+    CHECK(outlivesWorker(Duration(3000), Duration(2000)));
+    CHECK_FALSE(outlivesWorker(Duration(2400), Duration(2000)));
+}
+
+} // namespace PrimroseBridge
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -15,6 +15,8 @@
 static constexpr Duration leaseSlack(300);
 // An entry is removed for silence after three heartbeats (4.5 s). A worker that has answered more lately than this was not silent.
 static constexpr Duration recentAnswer(2500);
+// A worker that drains without saying how long serves at least this long; the platform's bound on its smallest deployments.
+static constexpr Duration shortestDrain(2000);
 
 WorkerEntry *findWorker(OwnerState &state, const WorkerLife &life)
 {
@@ -193,6 +195,9 @@
     if (!added && report->m_draining && !worker.m_report->m_draining) {
         logEvent(LogLevel::Info, "worker_draining", {{"worker", entry->first}, {"tasks", std::to_string(worker.m_tasks.size())}});
     }
+    if (report->m_draining && (added || !worker.m_report->m_draining)) {
+        worker.m_leavesAt = now + report->m_leavesIn.value_or(shortestDrain);
+    }
     worker.m_report = report;
     worker.m_entryPresent = true;
     worker.m_leftInOrder = false;
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -1,10 +1,12 @@
 #include "ownerstate.h"
 
+#include "primrosebridge/Fleet/progresswatch.h"
 #include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Observe/log.h"
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace PrimroseBridge {
 
@@ -34,6 +36,14 @@
     return "unknown";
 }
 
+static void isolate(WorkerEntry &worker, Instant now)
+{
+    worker.m_isolatedUntil = now + isolationTime;
+    logEvent(LogLevel::Warn,
+             "worker_isolated",
+             {{"worker", worker.m_life->m_worker}, {"failures", std::to_string(worker.m_failureStreak)}, {"for_ms", std::to_string(isolationTime.count())}});
+}
+
 static void scoreWorker(WorkerEntry &worker, const RunEnd &end, Instant now)
 {
     if (end.m_kind == EndKind::Done) {
@@ -46,11 +56,7 @@
     }
     worker.m_lastFailedJob = end.m_task.m_job;
     if (++worker.m_failureStreak >= failuresBeforeIsolation) {
-        worker.m_isolatedUntil = now + isolationTime;
-        logEvent(
-            LogLevel::Warn,
-            "worker_isolated",
-            {{"worker", worker.m_life->m_worker}, {"failures", std::to_string(worker.m_failureStreak)}, {"for_ms", std::to_string(isolationTime.count())}});
+        isolate(worker, now);
     }
 }
 
@@ -337,6 +343,65 @@
     }
 }
 
+static void noteStall(OwnerState &state, const TaskReference &reference, const TaskState &task, Instant now)
+{
+    auto *worker = findWorker(state, *task.m_place);
+    if (!worker || worker->m_lastFailedJob == reference.m_job) {
+        return;
+    }
+    worker->m_lastFailedJob = reference.m_job;
+    if (++worker->m_failureStreak >= failuresBeforeIsolation) {
+        isolate(*worker, now);
+    }
+}
+
+// Why the task should not stay where it runs, if there is a reason.
+static std::optional<StopReason> reasonToMove(OwnerState &state, const TaskState &task, const JobStep &step, Instant now)
+{
+    if (task.m_phase != TaskPhase::Running || step.m_longRunning) {
+        return std::nullopt;
+    }
+    if (hasStalled(task, step, now)) {
+        return StopReason::Stalled;
+    }
+    const auto *worker = findWorker(state, *task.m_place);
+    const bool leaves = worker && worker->m_report->m_draining && outlivesWorker(remainingTime(task, step, now), worker->m_leavesAt - now);
+    return leaves && worker->m_leavesAt > now ? std::optional(StopReason::WorkerLeaves) : std::nullopt;
+}
+
+// Tasks that stand still, or that cannot end before their worker leaves, are moved; a gang as a whole. Members of a gang stand
+// still until all of them are there, so a gang counts only once all of it runs.
+static void reviewProgress(OwnerState &state, const JobState &job, const OccurrenceState &occurrence, int step, Instant now)
+{
+    const auto &spec = job.m_spec->m_steps[static_cast<std::size_t>(step)];
+    const auto &tasks = occurrence.m_steps[static_cast<std::size_t>(step)]->m_tasks;
+    const auto runs = std::count_if(tasks.begin(), tasks.end(), [](const auto &task) { return task->m_phase == TaskPhase::Running; });
+    if (runs == 0 || (spec.m_gang && runs != static_cast<std::ptrdiff_t>(tasks.size()))) {
+        return;
+    }
+    std::optional<StopReason> gangReason;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const TaskReference reference{.m_job = job.m_spec->m_id, .m_occurrence = occurrence.m_number, .m_step = step, .m_index = static_cast<int>(index)};
+        const auto reason = reasonToMove(state, *tasks[index], spec, now);
+        if (reason == StopReason::Stalled) {
+            noteStall(state, reference, *tasks[index], now);
+        }
+        if (reason && spec.m_gang) {
+            gangReason = reason;
+        } else if (reason) {
+            orderStop(state, *tasks[index]->m_place, reference, tasks[index]->m_run, *reason, now);
+        }
+    }
+    for (std::size_t index = 0; gangReason && index < tasks.size(); ++index) {
+        orderStop(state,
+                  *tasks[index]->m_place,
+                  TaskReference{.m_job = job.m_spec->m_id, .m_occurrence = occurrence.m_number, .m_step = step, .m_index = static_cast<int>(index)},
+                  tasks[index]->m_run,
+                  *gangReason,
+                  now);
+    }
+}
+
 static void reviewJob(OwnerState &state, const JobPointer &job, Instant now)
 {
     const bool locked = state.m_lockedJobs.contains(job->m_spec->m_id);
@@ -351,9 +416,13 @@
                     *tasks[index],
                     now);
             }
-            if (!locked && job->m_outcome == JobOutcome::Active && job->m_spec->m_steps[step].m_gang) {
+            if (locked || job->m_outcome != JobOutcome::Active) {
+                continue;
+            }
+            if (job->m_spec->m_steps[step].m_gang) {
                 reviewGang(state, *job, *occurrence, static_cast<int>(step), now);
             }
+            reviewProgress(state, *job, *occurrence, static_cast<int>(step), now);
         }
     }
 }
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -39,6 +39,7 @@
     int m_failureStreak = 0; ///< Failed runs of different jobs since the last success.
     Instant m_isolatedUntil;
     Instant m_noStartsUntil;
+    Instant m_leavesAt; ///< Boot clock; a draining worker is there until then at least.
     std::int64_t m_endsHandled = 0;
     std::int64_t m_endsTaken = 0; ///< Handled and recorded, so that the worker may forget them.
     std::deque<PendingEnd> m_pendingEnds;
