Judge progress by the worker's reports, not by its silence

Change: progress is judged at the time of the worker's last report, and not at all while the worker is silent.

--- a/scheduling/include/primrosebridge/Fleet/progresswatch.h
+++ b/scheduling/include/primrosebridge/Fleet/progresswatch.h
@@ -5,8 +5,10 @@
 
 namespace PrimroseBridge {
 
-/// True if the task has run for a while without any progress, so that its worker is likely to be at fault. Thread-safe.
-bool hasStalled(const TaskState &task, const JobStep &step, Instant now);
+/// True if the task has run for a while without any progress, so that its worker is likely to be at fault.
+///
+/// @p reportedAt is the boot clock at the worker's last report; a worker that is silent tells nothing. Thread-safe.
+bool hasStalled(const TaskState &task, const JobStep &step, Instant reportedAt);
 
 /// The time that the task still needs, judged by its progress so far, or by its estimate while there is none. Thread-safe.
 Duration remainingTime(const TaskState &task, const JobStep &step, Instant now);
--- a/scheduling/lib/Fleet/progresswatch.cpp
+++ b/scheduling/lib/Fleet/progresswatch.cpp
@@ -12,12 +12,12 @@
 // A prediction from whole hundredths is this uncertain at least.
 static constexpr Duration predictionSlack(500);
 
-bool hasStalled(const TaskState &task, const JobStep &step, Instant now)
+bool hasStalled(const TaskState &task, const JobStep &step, Instant reportedAt)
 {
     const auto patience = std::max(shortestStall, std::chrono::duration_cast<Duration>(step.m_estimate * stallEstimates));
     // A member of a gang that has done its own work stays at 100 until the others have.
     const bool waitsForOthers = task.m_percent >= 100;
-    return task.m_phase == TaskPhase::Running && !waitsForOthers && now - task.m_progressAt >= patience && now - task.m_phaseSince >= patience;
+    return task.m_phase == TaskPhase::Running && !waitsForOthers && reportedAt - task.m_progressAt >= patience && reportedAt - task.m_phaseSince >= patience;
 }
 
 Duration remainingTime(const TaskState &task, const JobStep &step, Instant now)
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -361,11 +361,14 @@
     if (task.m_phase != TaskPhase::Running || step.m_longRunning) {
         return std::nullopt;
     }
-    if (hasStalled(task, step, now)) {
+    const auto *worker = findWorker(state, *task.m_place);
+    if (!worker || worker->m_missed > 0) {
+        return std::nullopt; // Nothing is known of the progress on a silent worker.
+    }
+    if (hasStalled(task, step, worker->m_answeredAt)) {
         return StopReason::Stalled;
     }
-    const auto *worker = findWorker(state, *task.m_place);
-    const bool leaves = worker && worker->m_report->m_draining && outlivesWorker(remainingTime(task, step, now), worker->m_leavesAt - now);
+    const bool leaves = worker->m_report->m_draining && outlivesWorker(remainingTime(task, step, now), worker->m_leavesAt - now);
     return leaves && worker->m_leavesAt > now ? std::optional(StopReason::WorkerLeaves) : std::nullopt;
 }
 
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -302,6 +302,22 @@
     CHECK(rig.waitFor([&] { return rig.isComplete(); }, 4000));
 }
 
+// Guards against work that is stopped because its worker cannot be reached for a while: pattern of a zone that is cut off.
+TEST_CASE("tasks on a silent worker are not taken for standing still")
+{
+    StandinWorker worker("w1", "r1", Duration(4500));
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return worker.running().size() == 1; }));
+    worker.setFaults([](const std::string &) { return WorkerFault::Unreachable; });
+    std::this_thread::sleep_for(Duration(2800));
+    worker.setFaults([](const std::string &) { return WorkerFault::None; });
+    std::this_thread::sleep_for(Duration(500));
+    CHECK(worker.running().size() == 1);
+    CHECK(worker.runs().size() == 1);
+}
+
 // Guards against an end that is lost: the worker may forget it only once it is recorded.
 TEST_CASE("an end is acknowledged after its record")
 {
