Test whole VMs on loopback; stop their stages in order

The new test crashed at once: a VM that was destroyed took the progress writer away while the owner's thread still used it (the daemon ends with quick_exit and did not show it), and giving up ownership ran on a detached thread. Change: stages are stopped before what they call goes; the session's thread gives ownership up. VMs other than the owner renew their lease every 550 ms. Jobs on queues that need placement advice stay queued instead of being refused by workers again and again.

--- a/scheduling/lib/Fleet/candidates.cpp
+++ b/scheduling/lib/Fleet/candidates.cpp
@@ -93,7 +93,8 @@
 {
     const auto &spec = *input.m_jobs[index]->m_spec;
     const auto *queue = queueNamed(*input.m_configuration, spec.m_queue);
-    if (!queue) {
+    // Workers refuse starts without a ticket of the advising service, which is not asked yet; such jobs stay queued.
+    if (!queue || queue->m_needsPlacementAdvice) {
         return;
     }
     for (std::size_t step = 0; step < spec.m_steps.size(); ++step) {
--- a/service/include/primrosebridge/Fleetservice/fleetowner.h
+++ b/service/include/primrosebridge/Fleetservice/fleetowner.h
@@ -46,7 +46,9 @@
     FleetOwner(const FleetOwner &) = delete;
     FleetOwner &operator=(const FleetOwner &) = delete;
 
-    /// Queues an event. Never blocks; false if the queue is full, which is logged.
+    /// Ends the stage's thread; later events are dropped. What the context refers to may go after this.
+    void stop();
+    /// Queues an event. Never blocks; false if the queue is full, which is logged, or if the stage has stopped.
     bool post(OwnerEvent event);
     /// The state of a job of @p queue.
     [[nodiscard]] OwnedJobStatus status(const std::string &queue, const std::string &job) const;
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -27,7 +27,7 @@
 namespace PrimroseBridge {
 
 // A VM whose store calls have all failed for this long asks its peers instead, and fails its readiness check. The lease is
-// renewed four times a second, and a slow store answers within about 500 ms.
+// renewed about twice a second, and a slow store answers within about 500 ms.
 static constexpr Duration storeSilence(900);
 // Time for a peer to answer a question, and to write to the store for this VM.
 static constexpr Duration questionTimeout(600);
@@ -108,6 +108,13 @@
             thread->join();
         }
     }
+    // The stages call each other, so each is stopped before what it calls goes.
+    m_desk.reset();
+    if (m_owner) {
+        m_owner->stop();
+    }
+    m_writer.reset();
+    m_session.reset();
 }
 
 void FleetNode::Private::applyConfiguration(const std::string &text)
@@ -301,7 +308,9 @@
             m_term = OwnerTerm{};
         }
     }
-    m_writer->end();
+    if (m_writer) {
+        m_writer->end();
+    }
     m_owner->post(OwnershipLost{.m_fence = fence, .m_reason = reason});
 }
 
@@ -422,11 +431,7 @@
                                      .m_configuration = m_configuration,
                                      .m_record = [this](const OwnerRecord &record) { m_writer->record(record); },
                                      .m_leaseHolds = [this] { return m_session && m_session->leaseHolds(); },
-                                     .m_superseded =
-                                         [this](std::int64_t fence, const std::string &reason) {
-                                             // The session calls the store, which the owner's thread must not wait for.
-                                             std::thread([this, fence, reason] { m_session->noteSuperseded(fence, reason); }).detach();
-                                         },
+                                     .m_superseded = [this](std::int64_t fence, const std::string &reason) { m_session->noteSuperseded(fence, reason); },
                                  })
                   .take();
     m_session = std::make_unique<Session>(m_self,
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -81,9 +81,16 @@
 }
 
 FleetOwner::~FleetOwner()
+{
+    stop();
+}
+
+void FleetOwner::stop()
 {
     m_private->m_state.m_events->close();
-    m_private->m_thread.join();
+    if (m_private->m_thread.joinable()) {
+        m_private->m_thread.join();
+    }
 }
 
 bool FleetOwner::post(OwnerEvent event)
@@ -91,6 +98,9 @@
     if (m_private->m_state.m_events->tryPush(std::move(event))) {
         return true;
     }
+    if (m_private->m_state.m_events->closed()) {
+        return false;
+    }
     logEvent(LogLevel::Error, "event_dropped", {{"queue", "owner"}, {"limit", std::to_string(maxQueuedEvents)}});
     return false;
 }
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -13,8 +13,10 @@
 
 namespace PrimroseBridge {
 
-// Four renewals fit into the shortest lease, so that a lost packet does not end it.
-static constexpr Duration renewalPeriod(250);
+// Four renewals of the owner fit into the shortest lease, so that a lost packet does not end it.
+static constexpr Duration ownerRenewalPeriod(250);
+// The other VMs lose only their registration if a renewal is late; twice as many calls would tell them nothing more.
+static constexpr Duration renewalPeriod(550);
 // Between renewals even if the store answers late or refuses.
 static constexpr Duration shortestPause(50);
 // The owner's key is looked for again this often while no owner is known, in case the watch missed its removal.
@@ -39,6 +41,7 @@
     bool m_ownerKnown = true;
     std::int64_t m_lease = 0;
     std::int64_t m_fence = 0; // 0 while this VM is not the owner.
+    std::string m_supersededReason; // Not empty if the ownership has to be given up.
     std::atomic<std::int64_t> m_validUntil = 0; // Boot clock in milliseconds.
     std::thread m_renewer;
     std::thread m_elector;
@@ -49,6 +52,7 @@
     void keepLease(std::int64_t lease);
     void tryAcquire();
     void lose(const std::string &reason);
+    void yieldOwnership();
     bool waitFor(Duration time);
 };
 
@@ -106,10 +110,30 @@
     openLease();
 }
 
+// If the key is still this VM's, nobody else could take it; ending the lease removes it.
+void Session::Private::yieldOwnership()
+{
+    std::string reason;
+    std::int64_t lease = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::swap(reason, m_supersededReason);
+        if (reason.empty() || m_fence == 0) {
+            return;
+        }
+        std::swap(lease, m_lease);
+    }
+    lose(reason);
+    if (!m_store->endLease(lease).ok()) {
+        logEvent(LogLevel::Warn, "session_not_ended", {{"lease", std::to_string(lease)}, {"outcome", "the lease lapses by itself"}});
+    }
+}
+
 bool Session::Private::waitFor(Duration time)
 {
     std::unique_lock lock(m_mutex);
-    return !m_changed.wait_for(lock, time, [&] { return m_closed; });
+    m_changed.wait_for(lock, time, [&] { return m_closed || !m_supersededReason.empty(); });
+    return !m_closed;
 }
 
 void Session::Private::renew()
@@ -117,10 +141,13 @@
     Duration pause(0);
     while (waitFor(pause)) {
         const auto startedAt = bootNow();
+        yieldOwnership();
         std::int64_t lease = 0;
+        Duration period(0);
         {
             const std::lock_guard lock(m_mutex);
             lease = m_lease;
+            period = m_fence != 0 ? ownerRenewalPeriod : renewalPeriod;
         }
         if (lease == 0) {
             openLease();
@@ -128,7 +155,7 @@
             keepLease(lease);
         }
         // Counted from the call's start, so that a slow store does not stretch the period towards the lease time.
-        pause = std::max(shortestPause, renewalPeriod - (bootNow() - startedAt));
+        pause = std::max(shortestPause, period - (bootNow() - startedAt));
     }
 }
 
@@ -224,19 +251,14 @@
 
 void Session::noteSuperseded(std::int64_t fence, const std::string &reason)
 {
-    std::int64_t lease = 0;
     {
         const std::lock_guard lock(m_private->m_mutex);
-        if (m_private->m_fence != fence) {
+        if (m_private->m_fence != fence || fence == 0) {
             return;
         }
-        std::swap(lease, m_private->m_lease);
-    }
-    m_private->lose(reason);
-    // If the key is still this VM's, nobody else could take it; ending the lease removes it.
-    if (!m_private->m_store->endLease(lease).ok()) {
-        logEvent(LogLevel::Warn, "session_not_ended", {{"lease", std::to_string(lease)}, {"outcome", "the lease lapses by itself"}});
+        m_private->m_supersededReason = reason;
     }
+    m_private->m_changed.notify_all();
 }
 
 void Session::close()
--- a/service/lib/Fleetservice/session.h
+++ b/service/lib/Fleetservice/session.h
@@ -30,7 +30,7 @@
 
     /// Tells whether the store names an owner. Wakes the session if there is none.
     void noteOwner(const std::optional<FleetOwnerRecord> &owner);
-    /// The ownership under @p fence has ended according to someone else.
+    /// The ownership under @p fence has ended according to someone else. Never blocks: the session's thread gives it up.
     void noteSuperseded(std::int64_t fence, const std::string &reason);
     /// False once the lease may have lapsed, so that another VM may have become the owner.
     ///
--- /dev/null
+++ b/service/unittests/Fleetservice/node.cpp
@@ -0,0 +1,160 @@
+#include "primrosebridge/Fleetservice/fleetfront.h"
+#include "primrosebridge/Fleetservice/fleetnode.h"
+#include "primrosebridge/Fleetservice/keys.h"
+#include "primrosebridge/Fleetstandin/standinstore.h"
+#include "primrosebridge/Fleetstandin/standinworker.h"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+namespace PrimroseBridge {
+
+static std::string freeAddress()
+{
+    Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().toString();
+}
+
+static FleetSettings settingsOf(const std::string &vm, const StandinStore &store)
+{
+    return FleetSettings{.m_vm = VmId::create(vm).value(),
+                         .m_zone = ZoneId::create("zone-a").value(),
+                         .m_frontAddress = {},
+                         .m_readinessAddress = {},
+                         .m_peerAddress = freeAddress(),
+                         .m_metricsAddress = {},
+                         .m_storeAddress = store.address(),
+                         .m_taskLease = Duration(3000),
+                         .m_shortestStoreLease = Duration(1000),
+                         .m_gangTimeout = Duration(3000),
+                         .m_stopBound = Duration(900),
+                         .m_shutdownBound = Duration(6000),
+                         .m_statusRetention = Duration(120000),
+                         .m_remoteFactor = 3.0,
+                         .m_logLevel = "info"};
+}
+
+static std::string configurationText(int version, const std::string &keys)
+{
+    return R"({"version":)" + std::to_string(version)
+           + R"(,"routes":[{"name":"q","host":"h.example","prefix":"/q/","service":"pool","attempts":2,"priority":0,"latencyGoalMs":300,)"
+             R"("slackFactor":1.5}],"services":[{"name":"pool"}],"limits":{},"tenants":[{"name":"org","keys":[)"
+           + keys + R"(],"guaranteed":{"gpu":8}}]})";
+}
+
+static HttpCall callOf(const std::string &method, const std::string &path, const std::string &body, const std::string &key = "k1")
+{
+    return HttpCall{.m_method = method,
+                    .m_path = {},
+                    .m_query = {},
+                    .m_headers = {{"host", "H.example:80"}, {"authorization", "Bearer " + key}},
+                    .m_body = body,
+                    .m_rawPath = path};
+}
+
+static const std::string oneTask = R"({"spec":"x","phases":[{"count":1,"cpu":1000,"memMb":10,"gpu":1,"estimateMs":100}]})";
+
+template<class Condition>
+static bool waitFor(Condition condition, int milliseconds = 6000)
+{
+    for (int waited = 0; waited < milliseconds; waited += 20) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(Duration(20));
+    }
+    return condition();
+}
+
+static bool isComplete(FleetNode &node, const std::string &path)
+{
+    return answerFleetCall(node, callOf("GET", path, {})).m_body == R"({"state":"complete"})";
+}
+
+// Guards against a path through two VMs, the store and a worker that is broken anywhere, and against an owner whose stop leaves the
+// fleet without one for longer than a lease.
+TEST_CASE("jobs run through any VM, also after the owner has stopped")
+{
+    StandinStore store;
+    StandinWorker worker("w1", "r1", Duration(100));
+    store.put("op/config", configurationText(1, R"("k1")"));
+    store.put("servers/w1", worker.entry("ready"));
+    store.put("servers/odd", "not a worker");
+    auto first = FleetNode::create(settingsOf("vm-1", store)).take();
+    REQUIRE(waitFor([&] { return store.value(std::string(StoreKeys::owner)).has_value(); }));
+    const auto second = FleetNode::create(settingsOf("vm-2", store)).take();
+    REQUIRE(waitFor([&] { return first->ready() && second->ready(); }));
+    CHECK(answerFleetCall(*second, callOf("POST", "/q/job1", oneTask)).m_status == 200);
+    CHECK(answerFleetCall(*first, callOf("POST", "/q/job1", oneTask)).m_status == 200);
+    CHECK(waitFor([&] { return isComplete(*first, "/q/job1") && isComplete(*second, "/q/job1"); }));
+    CHECK(worker.runs().size() == 1);
+    CHECK(answerFleetCall(*second, callOf("GET", "/q/", {})).m_body == R"({"pending":0})");
+
+    first->announceStop();
+    first->handOver();
+    CHECK_FALSE(first->ready());
+    CHECK(answerFleetCall(*second, callOf("POST", "/q/job2", oneTask)).m_status == 200);
+    CHECK(waitFor([&] { return isComplete(*second, "/q/job2"); }));
+    CHECK(isComplete(*second, "/q/job1"));
+    CHECK(worker.runs().size() == 2);
+}
+
+// Guards against a configuration that does not come into force, or that goes back.
+TEST_CASE("a new configuration is in force within two seconds and never reverts")
+{
+    StandinStore store;
+    store.put("op/config", configurationText(5, R"("k1")"));
+    const auto node = FleetNode::create(settingsOf("vm-1", store)).take();
+    REQUIRE(waitFor([&] { return node->ready(); }));
+    CHECK(answerFleetCall(*node, callOf("GET", "/q/none", {}, "k2")).m_status == 401);
+    store.put("op/config", configurationText(9, R"("k2")"));
+    CHECK(waitFor([&] { return answerFleetCall(*node, callOf("GET", "/q/none", {}, "k2")).m_status == 410; }, 2000));
+    CHECK(answerFleetCall(*node, callOf("GET", "/q/none", {}, "k1")).m_status == 401);
+    store.put("op/config", configurationText(6, R"("k1")"));
+    store.put("op/config", "damaged");
+    std::this_thread::sleep_for(Duration(500));
+    CHECK(node->configuration()->m_version == 9);
+}
+
+// Guards against bad input that changes something, ends the process or is held: each call is answered at once with a clear status.
+TEST_CASE("bad calls are refused at once")
+{
+    StandinStore store;
+    store.put("op/config", configurationText(1, R"("k1")"));
+    const auto node = FleetNode::create(settingsOf("vm-1", store)).take();
+    REQUIRE(waitFor([&] { return node->ready(); }));
+    CHECK(answerFleetCall(*node, callOf("POST", "/q/job", "{")).m_status == 400);
+    CHECK(answerFleetCall(*node, callOf("POST", "/q/job", R"({"spec":1,"phases":3})")).m_status == 400);
+    CHECK(answerFleetCall(*node, callOf("POST", "/q/job", R"({"spec":")" + std::string(5000, 'x') + R"(","phases":[{"count":1}]})")).m_status == 400);
+    CHECK(answerFleetCall(*node, callOf("POST", "/q/a/b", oneTask)).m_status == 400);
+    CHECK(answerFleetCall(*node, callOf("PUT", "/q/job", oneTask)).m_status == 405);
+    CHECK(answerFleetCall(*node, callOf("POST", "/other/job", oneTask)).m_status == 404);
+    CHECK(answerFleetCall(*node, callOf("POST", "/q/job", oneTask, "wrong")).m_status == 401);
+    CHECK(answerFleetCall(*node, callOf("DELETE", "/q/job", {})).m_status == 410);
+    CHECK(answerFleetCall(*node, callOf("GET", "/q/job", {})).m_status == 410);
+    CHECK_FALSE(store.value(submissionKey("job")));
+}
+
+// Guards against requests that are held until their deadline while the store is away: pattern of an outage of the store.
+TEST_CASE("submissions are refused at once while the store is silent")
+{
+    StandinStore store;
+    store.put("op/config", configurationText(1, R"("k1")"));
+    const auto node = FleetNode::create(settingsOf("vm-1", store)).take();
+    REQUIRE(waitFor([&] { return node->ready(); }));
+    store.setFaults([](const std::string &, const std::string &) { return StoreFault::Refused; });
+    REQUIRE(waitFor([&] { return !node->ready(); }, 2500));
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto refused = answerFleetCall(*node, callOf("POST", "/q/job", oneTask));
+    CHECK(refused.m_status == 503);
+    CHECK(refused.m_headers.front().first == "Retry-After");
+    CHECK(std::chrono::steady_clock::now() - startedAt < std::chrono::milliseconds(200));
+    store.setFaults([](const std::string &, const std::string &) { return StoreFault::None; });
+    CHECK(waitFor([&] { return node->ready(); }, 3000));
+    CHECK_FALSE(store.value(submissionKey("job")));
+}
+
+} // namespace PrimroseBridge
