Send work to slow workers only if nothing else will do

Change: the running tasks of a step are compared with each other; a worker whose tasks are behind the median by more than a factor of two gets work only if nothing else will do, until 3 s after the last sign.

--- a/scheduling/include/primrosebridge/Fleet/progresswatch.h
+++ b/scheduling/include/primrosebridge/Fleet/progresswatch.h
@@ -3,6 +3,8 @@
 #include "primrosebridge/Fleet/worker.h"
 #include "primrosebridge/Progress/jobstate.h"
 
+#include <vector>
+
 namespace PrimroseBridge {
 
 /// True if the task has run for a while without any progress, so that its worker is likely to be at fault.
@@ -16,4 +18,10 @@
 /// True if a task that needs @p remaining more time cannot end before a worker leaves that is there for @p left. Thread-safe.
 bool outlivesWorker(Duration remaining, Duration left);
 
+/// Workers on which tasks progress at less than half of the usual speed.
+///
+/// The tasks of one step are compared with each other, so that wrong estimates do not matter: a worker is slow if its tasks are
+/// behind the median of their steps by a factor. Steps with fewer than three tasks at work tell nothing. Sorted; thread-safe.
+std::vector<WorkerLife> slowWorkers(const std::vector<JobPointer> &jobs, Instant now);
+
 } // namespace PrimroseBridge
--- a/scheduling/lib/Fleet/progresswatch.cpp
+++ b/scheduling/lib/Fleet/progresswatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 
 namespace PrimroseBridge {
 
@@ -12,6 +13,12 @@
 // A prediction from whole hundredths is this uncertain at least.
 static constexpr Duration predictionSlack(500);
 
+// Whole hundredths of a short sample are too coarse to compare.
+static constexpr Duration shortestSpeedSample(600);
+static constexpr std::size_t smallestComparison = 3;
+// Sound workers differ by less than a third, and the tasks of one step by about as much.
+static constexpr double slowShare = 0.45;
+
 bool hasStalled(const TaskState &task, const JobStep &step, Instant reportedAt)
 {
     const auto patience = std::max(shortestStall, std::chrono::duration_cast<Duration>(step.m_estimate * stallEstimates));
@@ -36,4 +43,71 @@
     return remaining > left + predictionSlack;
 }
 
+namespace {
+
+struct TaskSpeed {
+    double m_percentPerMs;
+    const WorkerLife *m_worker;
+};
+
+struct SpeedSum {
+    double m_relative = 0.0;
+    int m_tasks = 0;
+};
+
+} // namespace
+
+static std::vector<TaskSpeed> speedsOf(const StepState &step, Instant now)
+{
+    std::vector<TaskSpeed> speeds;
+    for (const auto &task : step.m_tasks) {
+        const auto measured = std::max(task->m_progressAt - task->m_phaseSince, Duration(1));
+        const bool atWork = task->m_phase == TaskPhase::Running && task->m_percent > 0 && task->m_percent < 100;
+        if (atWork && now - task->m_phaseSince >= shortestSpeedSample && measured >= shortestSpeedSample) {
+            speeds.push_back(
+                TaskSpeed{.m_percentPerMs = static_cast<double>(task->m_percent) / static_cast<double>(measured.count()), .m_worker = task->m_place.get()});
+        }
+    }
+    return speeds;
+}
+
+static double medianOf(const std::vector<TaskSpeed> &speeds)
+{
+    std::vector<double> values;
+    for (const auto &speed : speeds) {
+        values.push_back(speed.m_percentPerMs);
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+std::vector<WorkerLife> slowWorkers(const std::vector<JobPointer> &jobs, Instant now)
+{
+    std::map<WorkerLife, SpeedSum> sums;
+    for (const auto &job : jobs) {
+        for (const auto &occurrence : job->m_occurrences) {
+            for (const auto &step : occurrence->m_steps) {
+                const auto speeds = speedsOf(*step, now);
+                if (speeds.size() < smallestComparison) {
+                    continue;
+                }
+                const auto median = medianOf(speeds);
+                for (const auto &speed : speeds) {
+                    auto &sum = sums[*speed.m_worker];
+                    sum.m_relative += speed.m_percentPerMs / median;
+                    ++sum.m_tasks;
+                }
+            }
+        }
+    }
+    std::vector<WorkerLife> slow;
+    for (const auto &[worker, sum] : sums) {
+        if (sum.m_relative < slowShare * sum.m_tasks) {
+            slow.push_back(worker);
+        }
+    }
+    return slow;
+}
+
 } // namespace PrimroseBridge
--- a/scheduling/unittests/Fleet/progresswatch.cpp
+++ b/scheduling/unittests/Fleet/progresswatch.cpp
@@ -48,4 +48,27 @@
     CHECK_FALSE(outlivesWorker(Duration(2400), Duration(2000)));
 }
 
+// Guards against urgent gangs that are as slow as their slowest member: pattern of workers that turn slow.
+TEST_CASE("a worker whose tasks are behind those of their steps is slow")
+{
+    FleetBuilder builder;
+    builder.racks(1, 4).running("scan", "background", TestStep{.m_tasks = 4}, {"w0-0", "w0-1", "w0-2", "w0-3"}, 90'000);
+    builder.running("pair", "background", TestStep{.m_tasks = 2}, {"w0-0", "w0-1"}, 90'000);
+    auto jobs = builder.input().m_jobs;
+    const auto report = [&](std::size_t job, int index, int percent) {
+        const TaskReference task{.m_job = jobs[job]->m_spec->m_id, .m_occurrence = 0, .m_step = 0, .m_index = index};
+        const auto state = findTask(*jobs[job], task);
+        jobs[job] = withTask(*jobs[job], task, taskReported(*state, state->m_place, 1, {}, percent, fromMilliseconds(92'000)));
+    };
+    report(0, 0, 40);
+    report(0, 1, 44);
+    report(0, 2, 7);
+    report(0, 3, 30);
+    report(1, 0, 2);
+    report(1, 1, 80);
+    const auto slow = slowWorkers(jobs, fromMilliseconds(92'000));
+    REQUIRE(slow.size() == 1);
+    CHECK(slow.front().m_worker == "w0-2");
+}
+
 } // namespace PrimroseBridge
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -49,8 +49,10 @@
 {
     std::vector<PlacementWorker> workers;
     for (const auto &[name, worker] : state.m_workers) {
-        workers.push_back(PlacementWorker{
-            .m_report = worker.m_report, .m_life = worker.m_life, .m_usable = isUsable(state, worker, now), .m_isolated = worker.m_isolatedUntil > now});
+        workers.push_back(PlacementWorker{.m_report = worker.m_report,
+                                          .m_life = worker.m_life,
+                                          .m_usable = isUsable(state, worker, now),
+                                          .m_isolated = worker.m_isolatedUntil > now || worker.m_slowUntil > now});
     }
     return workers;
 }
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -14,6 +14,9 @@
 static constexpr int failuresBeforeIsolation = 2;
 // Long enough to outlast most spells in which a worker fails what it starts, short enough not to lose a sound one for long.
 static constexpr Duration isolationTime(6000);
+static constexpr Duration speedReviewPeriod(300);
+// After the last sign that a worker is slow; its tasks may have ended since.
+static constexpr Duration slowTime(3000);
 // Between requests to a worker that does not answer, or whose ends wait to be recorded.
 static constexpr Duration requestPause(250);
 
@@ -442,6 +445,31 @@
              {{"fence", std::to_string(state.m_fence.load())}, {"reason", decides ? "the lease was renewed" : "the lease may have lapsed"}});
 }
 
+// Work goes to slow workers only if nothing else will do.
+static void reviewSpeeds(OwnerState &state, Instant now)
+{
+    if (now < state.m_speedsReviewedAt + speedReviewPeriod) {
+        return;
+    }
+    state.m_speedsReviewedAt = now;
+    std::vector<JobPointer> jobs;
+    for (const auto &name : state.m_order) {
+        if (auto job = state.m_jobs.find(name)) {
+            jobs.push_back(std::move(job));
+        }
+    }
+    for (const auto &life : slowWorkers(jobs, now)) {
+        auto *worker = findWorker(state, life);
+        if (!worker) {
+            continue;
+        }
+        if (worker->m_slowUntil <= now) {
+            logEvent(LogLevel::Info, "worker_slow", {{"worker", life.m_worker}, {"tasks", std::to_string(worker->m_tasks.size())}});
+        }
+        worker->m_slowUntil = now + slowTime;
+    }
+}
+
 void reviewFleet(OwnerState &state, Instant now)
 {
     reviewWorkers(state, now);
@@ -449,6 +477,7 @@
         return;
     }
     reviewLocks(state, now);
+    reviewSpeeds(state, now);
     for (const auto &name : state.m_order) {
         if (const auto job = state.m_jobs.find(name)) {
             reviewJob(state, job, now);
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -39,6 +39,7 @@
     int m_failureStreak = 0; ///< Failed runs of different jobs since the last success.
     Instant m_isolatedUntil;
     Instant m_noStartsUntil;
+    Instant m_slowUntil; ///< Tasks there were lately behind those of their steps elsewhere.
     Instant m_leavesAt; ///< Boot clock; a draining worker is there until then at least.
     std::int64_t m_endsHandled = 0;
     std::int64_t m_endsTaken = 0; ///< Handled and recorded, so that the worker may forget them.
@@ -70,6 +71,7 @@
     std::int64_t m_recordedRoster = 0; ///< Newest that the store has acknowledged.
     bool m_rosterChanged = false;
     bool m_mustPlace = false;
+    Instant m_speedsReviewedAt;
     double m_urgentPeak = 0.0; ///< See UrgentDemand.
     Instant m_urgentPeakAt;
     bool m_decides = true; ///< The store's lease holds, so that no other VM can be the owner.
