Name the stand-ins' calls by what they ask; drop settings that nothing reads

Cause: tests outside platform/ spelled the platform's paths, and three settings (gang wait, stop bound, status retention) were read and checked but not used. Change: faults of the stand-ins are set by kind of call; the settings are gone until something needs them.

--- a/core/include/primrosebridge/Config/fleetsettings.h
+++ b/core/include/primrosebridge/Config/fleetsettings.h
@@ -21,10 +21,7 @@
     const std::string m_storeAddress; ///< IP number and port of the platform's store.
     const Duration m_taskLease; ///< Longest lease that a worker grants to what runs on it.
     const Duration m_shortestStoreLease;
-    const Duration m_gangTimeout; ///< A member of a gang waits this long for the others.
-    const Duration m_stopBound; ///< A stop takes at most this long.
     const Duration m_shutdownBound; ///< Between SIGTERM and SIGKILL.
-    const Duration m_statusRetention; ///< The state of a finished job can be asked for this long.
     const double m_remoteFactor; ///< Run time away from the data, or of a gang over several racks, as a multiple.
     const std::string m_logLevel; ///< trace, debug, info, warn or error.
 
--- a/core/lib/Config/fleetsettings.cpp
+++ b/core/lib/Config/fleetsettings.cpp
@@ -54,10 +54,7 @@
         .m_storeAddress = readSocketAddress(fields, "storeAddress"),
         .m_taskLease = readDuration(fields, "taskLeaseMs", 6000),
         .m_shortestStoreLease = readDuration(fields, "shortestStoreLeaseMs", 1000),
-        .m_gangTimeout = readDuration(fields, "gangTimeoutMs", 3000),
-        .m_stopBound = readDuration(fields, "stopBoundMs", 900),
         .m_shutdownBound = readSeconds(fields, "shutdownBoundS", 6.0),
-        .m_statusRetention = readSeconds(fields, "statusRetentionS", 120.0),
         .m_remoteFactor = fields.number("remoteFactor", factorRange, 3.0),
         .m_logLevel = readLevel(fields),
     };
--- a/service/unittests/Fleetservice/node.cpp
+++ b/service/unittests/Fleetservice/node.cpp
@@ -29,10 +29,7 @@
                          .m_storeAddress = store.address(),
                          .m_taskLease = Duration(3000),
                          .m_shortestStoreLease = Duration(1000),
-                         .m_gangTimeout = Duration(3000),
-                         .m_stopBound = Duration(900),
                          .m_shutdownBound = Duration(6000),
-                         .m_statusRetention = Duration(120000),
                          .m_remoteFactor = 3.0,
                          .m_logLevel = "info"};
 }
@@ -145,14 +142,14 @@
     store.put("op/config", configurationText(1, R"("k1")"));
     const auto node = FleetNode::create(settingsOf("vm-1", store)).take();
     REQUIRE(waitFor([&] { return node->ready(); }));
-    store.setFaults([](const std::string &, const std::string &) { return StoreFault::Refused; });
+    store.setFaults([](StoreCall) { return StoreFault::Refused; });
     REQUIRE(waitFor([&] { return !node->ready(); }, 2500));
     const auto startedAt = std::chrono::steady_clock::now();
     const auto refused = answerFleetCall(*node, callOf("POST", "/q/job", oneTask));
     CHECK(refused.m_status == 503);
     CHECK(refused.m_headers.front().first == "Retry-After");
     CHECK(std::chrono::steady_clock::now() - startedAt < std::chrono::milliseconds(200));
-    store.setFaults([](const std::string &, const std::string &) { return StoreFault::None; });
+    store.setFaults([](StoreCall) { return StoreFault::None; });
     CHECK(waitFor([&] { return node->ready(); }, 3000));
     CHECK_FALSE(store.value(submissionKey("job")));
 }
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -26,10 +26,7 @@
                          .m_storeAddress = {},
                          .m_taskLease = Duration(3000),
                          .m_shortestStoreLease = Duration(1000),
-                         .m_gangTimeout = Duration(3000),
-                         .m_stopBound = Duration(900),
                          .m_shutdownBound = Duration(6000),
-                         .m_statusRetention = Duration(120000),
                          .m_remoteFactor = 3.0,
                          .m_logLevel = "info"};
 }
@@ -174,8 +171,7 @@
     StandinWorker slow("w1", "r1", Duration(200));
     StandinWorker sound("w2", "r1", Duration(200));
     std::atomic<int> starts = 0;
-    const auto firstStartLate
-        = [&](const std::string &path) { return path == "/run-start" && starts++ == 0 ? WorkerFault::CarriedOutLate : WorkerFault::None; };
+    const auto firstStartLate = [&](WorkerCall call) { return call == WorkerCall::Start && starts++ == 0 ? WorkerFault::CarriedOutLate : WorkerFault::None; };
     slow.setFaults(firstStartLate);
     sound.setFaults(firstStartLate);
     Rig rig;
@@ -190,7 +186,7 @@
 TEST_CASE("a start whose answer is lost is found in the worker's lists")
 {
     StandinWorker worker("w1", "r1", Duration(800));
-    worker.setFaults([](const std::string &path) { return path == "/run-start" ? WorkerFault::AnswerLost : WorkerFault::None; });
+    worker.setFaults([](WorkerCall call) { return call == WorkerCall::Start ? WorkerFault::AnswerLost : WorkerFault::None; });
     Rig rig;
     rig.own({}, {reportOf(worker)});
     rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
@@ -257,7 +253,7 @@
     startAsPredecessor(unlisted);
     REQUIRE(unlisted.runs().size() == 1);
     std::atomic<bool> cut = true;
-    unlisted.setFaults([&](const std::string &) { return cut ? WorkerFault::Unreachable : WorkerFault::None; });
+    unlisted.setFaults([&](WorkerCall) { return cut ? WorkerFault::Unreachable : WorkerFault::None; });
     Rig rig;
     rig.own({newJob(specOf(1, false), 2, bootNow())}, {reportOf(listed)}, {reportOf(unlisted), reportOf(listed)});
     std::this_thread::sleep_for(Duration(500));
@@ -293,7 +289,7 @@
     rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
     REQUIRE(rig.waitFor([&] { return silent.running().size() == 1; }));
     rig.m_owner->post(WorkerReported{.m_report = reportOf(sound)});
-    silent.setFaults([](const std::string &) { return WorkerFault::Unreachable; });
+    silent.setFaults([](WorkerCall) { return WorkerFault::Unreachable; });
     // The stand-in still answers the request that it received before; its last answer comes within two seconds.
     std::this_thread::sleep_for(Duration(4700));
     rig.m_owner->post(WorkerEntryRemoved{.m_worker = "w1"});
@@ -310,9 +306,9 @@
     rig.own({}, {reportOf(worker)});
     rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
     REQUIRE(rig.waitFor([&] { return worker.running().size() == 1; }));
-    worker.setFaults([](const std::string &) { return WorkerFault::Unreachable; });
+    worker.setFaults([](WorkerCall) { return WorkerFault::Unreachable; });
     std::this_thread::sleep_for(Duration(2800));
-    worker.setFaults([](const std::string &) { return WorkerFault::None; });
+    worker.setFaults([](WorkerCall) { return WorkerFault::None; });
     std::this_thread::sleep_for(Duration(500));
     CHECK(worker.running().size() == 1);
     CHECK(worker.runs().size() == 1);
@@ -359,7 +355,7 @@
 {
     StandinWorker worker("w1", "r1", Duration(60'000));
     std::atomic<int> stops = 0;
-    worker.setFaults([&](const std::string &path) { return path == "/run-stop" && stops++ == 0 ? WorkerFault::Unreachable : WorkerFault::None; });
+    worker.setFaults([&](WorkerCall call) { return call == WorkerCall::Stop && stops++ == 0 ? WorkerFault::Unreachable : WorkerFault::None; });
     Rig rig;
     rig.own({}, {reportOf(worker)});
     rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
@@ -376,7 +372,7 @@
     StandinWorker second("w2", "r1", Duration(300));
     StandinWorker third("w3", "r1", Duration(300));
     std::atomic<int> starts = 0;
-    first.setFaults([&](const std::string &path) { return path == "/run-start" && starts++ == 0 ? WorkerFault::CarriedOutLate : WorkerFault::None; });
+    first.setFaults([&](WorkerCall call) { return call == WorkerCall::Start && starts++ == 0 ? WorkerFault::CarriedOutLate : WorkerFault::None; });
     Rig rig;
     rig.own({}, {reportOf(first), reportOf(second), reportOf(third)});
     rig.m_owner->post(JobSubmitted{.m_spec = specOf(2, true)});
--- a/service/unittests/Fleetservice/records.cpp
+++ b/service/unittests/Fleetservice/records.cpp
@@ -63,8 +63,7 @@
 {
     WriterRig rig;
     std::atomic<int> calls = 0;
-    rig.m_store.setFaults(
-        [&](const std::string &path, const std::string &) { return path == "/kv-txn" && calls++ == 0 ? StoreFault::AnswerLost : StoreFault::None; });
+    rig.m_store.setFaults([&](StoreCall call) { return call == StoreCall::Commit && calls++ == 0 ? StoreFault::AnswerLost : StoreFault::None; });
     rig.m_writer->record(valueOf("first", 1));
     CHECK(rig.waitFor([&] { return rig.m_recorded == 1; }));
     CHECK(rig.m_store.value("primrosebridge/test") == "first");
@@ -76,8 +75,7 @@
 {
     WriterRig rig;
     std::atomic<int> calls = 0;
-    rig.m_store.setFaults(
-        [&](const std::string &path, const std::string &) { return path == "/kv-txn" && calls++ == 0 ? StoreFault::CarriedOutLate : StoreFault::None; });
+    rig.m_store.setFaults([&](StoreCall call) { return call == StoreCall::Commit && calls++ == 0 ? StoreFault::CarriedOutLate : StoreFault::None; });
     rig.m_writer->record(valueOf("first", 1));
     std::this_thread::sleep_for(Duration(50));
     rig.m_writer->record(valueOf("second", 2));
@@ -104,11 +102,11 @@
     CHECK(recordSubmission(*client, "a", "one") == InboxOutcome::Recorded);
     CHECK(recordSubmission(*client, "a", "two") == InboxOutcome::Recorded);
     CHECK(store.value(submissionKey("a")) == "one");
-    store.setFaults([](const std::string &path, const std::string &) { return path == "/kv-txn" ? StoreFault::AnswerLost : StoreFault::None; });
+    store.setFaults([](StoreCall call) { return call == StoreCall::Commit ? StoreFault::AnswerLost : StoreFault::None; });
     CHECK(recordSubmission(*client, "b", "one") == InboxOutcome::Recorded);
-    store.setFaults([](const std::string &path, const std::string &) { return path == "/kv-txn" ? StoreFault::Refused : StoreFault::None; });
+    store.setFaults([](StoreCall call) { return call == StoreCall::Commit ? StoreFault::Refused : StoreFault::None; });
     CHECK(recordSubmission(*client, "c", "one") == InboxOutcome::NotRecorded);
-    store.setFaults([](const std::string &path, const std::string &) { return path == "/kv-txn" ? StoreFault::CarriedOutLate : StoreFault::None; });
+    store.setFaults([](StoreCall call) { return call == StoreCall::Commit ? StoreFault::CarriedOutLate : StoreFault::None; });
     CHECK(recordSubmission(*client, "d", "one") == InboxOutcome::Unknown);
     std::this_thread::sleep_for(Duration(500));
     CHECK(store.value(submissionKey("d")) == "one");
--- a/standins/include/primrosebridge/Fleetstandin/standinstore.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinstore.h
@@ -11,6 +11,14 @@
 
 namespace PrimroseBridge {
 
+/// What a call asks of the store.
+enum class StoreCall {
+    Read,
+    Watch,
+    Commit,
+    Lease,
+};
+
 /// What happens to one call of the stand-in store.
 enum class StoreFault {
     None,
@@ -30,8 +38,8 @@
     StandinStore &operator=(const StandinStore &) = delete;
 
     [[nodiscard]] std::string address() const;
-    /// Decides the fault of each call; @p path has no query.
-    void setFaults(std::function<StoreFault(const std::string &path, const std::string &body)> faults);
+    /// Decides the fault of each call.
+    void setFaults(std::function<StoreFault(StoreCall)> faults);
     /// Answers a call as the store does, without faults. Lets a test put a gate with faults of its own before the store.
     StandinAnswer handle(const StandinCall &call);
     /// Writes a key as the operator or a worker does.
--- a/standins/include/primrosebridge/Fleetstandin/standinworker.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinworker.h
@@ -11,6 +11,13 @@
 
 namespace PrimroseBridge {
 
+/// What a call asks of a worker.
+enum class WorkerCall {
+    Start,
+    Stop,
+    Report,
+};
+
 /// What happens to one call of a stand-in worker.
 enum class WorkerFault {
     None,
@@ -40,8 +47,8 @@
     [[nodiscard]] const std::string &identifier() const;
     /// The entry that the worker keeps in the store, with room for eight accelerators.
     [[nodiscard]] std::string entry(const std::string &state) const;
-    /// Decides the fault of each call; @p path is /run-start, /run-stop or /hold.
-    void setFaults(std::function<WorkerFault(const std::string &path)> faults);
+    /// Decides the fault of each call.
+    void setFaults(std::function<WorkerFault(WorkerCall)> faults);
     /// The next runs of a task whose name begins with @p prefix end as failed.
     void failTasks(const std::string &prefix);
     /// Every run that ever began, in order.
--- a/standins/lib/Fleetstandin/standinstore.cpp
+++ b/standins/lib/Fleetstandin/standinstore.cpp
@@ -74,7 +74,7 @@
     std::int64_t m_revision = 1;
     std::int64_t m_nextLease = 100;
     bool m_stopping = false;
-    std::function<StoreFault(const std::string &, const std::string &)> m_faults;
+    std::function<StoreFault(StoreCall)> m_faults;
     std::vector<std::thread> m_late;
     std::unique_ptr<HttpHost> m_host;
 
@@ -249,12 +249,23 @@
     return lease(call);
 }
 
+static StoreCall kindOf(const StandinCall &call)
+{
+    if (call.m_path == "/kv-txn") {
+        return StoreCall::Commit;
+    }
+    if (call.m_path == "/kv-watch") {
+        return StoreCall::Watch;
+    }
+    return call.m_method == "GET" ? StoreCall::Read : StoreCall::Lease;
+}
+
 StandinAnswer StandinStore::Private::answer(const StandinCall &call)
 {
     auto fault = StoreFault::None;
     {
         const std::lock_guard lock(m_mutex);
-        fault = m_faults ? m_faults(call.m_path, call.m_body) : StoreFault::None;
+        fault = m_faults ? m_faults(kindOf(call)) : StoreFault::None;
     }
     switch (fault) {
     case StoreFault::None:
@@ -307,7 +318,7 @@
     return m_private->perform(call);
 }
 
-void StandinStore::setFaults(std::function<StoreFault(const std::string &path, const std::string &body)> faults)
+void StandinStore::setFaults(std::function<StoreFault(StoreCall)> faults)
 {
     const std::lock_guard lock(m_private->m_mutex);
     m_private->m_faults = std::move(faults);
--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -48,7 +48,7 @@
     std::int64_t m_leaseEnd = 0;
     std::string m_failing;
     bool m_stopping = false;
-    std::function<WorkerFault(const std::string &)> m_faults;
+    std::function<WorkerFault(WorkerCall)> m_faults;
     std::vector<std::thread> m_late;
     Clock::time_point m_startedAt = Clock::now();
     std::unique_ptr<HttpHost> m_host;
@@ -160,12 +160,20 @@
     return hold();
 }
 
+static WorkerCall kindOf(const StandinCall &call)
+{
+    if (call.m_path == "/run-start") {
+        return WorkerCall::Start;
+    }
+    return call.m_path == "/run-stop" ? WorkerCall::Stop : WorkerCall::Report;
+}
+
 StandinAnswer StandinWorker::Private::answer(const StandinCall &call)
 {
     auto fault = WorkerFault::None;
     {
         const std::lock_guard lock(m_mutex);
-        fault = m_faults ? m_faults(call.m_path) : WorkerFault::None;
+        fault = m_faults ? m_faults(kindOf(call)) : WorkerFault::None;
     }
     switch (fault) {
     case WorkerFault::None:
@@ -230,7 +238,7 @@
         .dump();
 }
 
-void StandinWorker::setFaults(std::function<WorkerFault(const std::string &path)> faults)
+void StandinWorker::setFaults(std::function<WorkerFault(WorkerCall)> faults)
 {
     const std::lock_guard lock(m_private->m_mutex);
     m_private->m_faults = std::move(faults);
