--- a/scheduling/lib/Fleet/progresswatch.cpp
+++ b/scheduling/lib/Fleet/progresswatch.cpp
@@ -74,6 +74,7 @@
 static double medianOf(const std::vector<TaskSpeed> &speeds)
 {
     std::vector<double> values;
+    values.reserve(speeds.size());
     for (const auto &speed : speeds) {
         values.push_back(speed.m_percentPerMs);
     }
