--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -14,6 +14,8 @@
 static constexpr int failuresBeforeIsolation = 2;
 // Long enough to outlast most spells in which a worker fails what it starts, short enough not to lose a sound one for long.
 static constexpr Duration isolationTime(6000);
+// The time-out of an order and the way of a late answer; repeating a stop does no harm.
+static constexpr Duration stopRepeatDelay(700);
 static constexpr Duration speedReviewPeriod(300);
 // After the last sign that a worker is slow; its tasks may have ended since.
 static constexpr Duration slowTime(3000);
@@ -317,7 +319,7 @@
 // A stop without an answer is repeated.
 static void reviewStops(OwnerState &state, const TaskReference &reference, const TaskState &task, Instant now)
 {
-    if (task.m_phase == TaskPhase::Stopping && task.m_unconfirmed && now - task.m_phaseSince >= Duration(700)) {
+    if (task.m_phase == TaskPhase::Stopping && task.m_unconfirmed && now - task.m_phaseSince >= stopRepeatDelay) {
         orderStop(state, *task.m_place, reference, task.m_run, StopReason::Superseded, now);
     }
 }
--- a/service/lib/Fleetservice/peercalls.cpp
+++ b/service/lib/Fleetservice/peercalls.cpp
@@ -61,7 +61,7 @@
 static Error errorOf(const grpc::Status &status)
 {
     if (status.error_code() == grpc::StatusCode::UNAVAILABLE) {
-        return {ErrorKind::Unavailable, "the peer cannot be reached: " + status.error_message(), "ask another VM", Duration(500)};
+        return {ErrorKind::Unavailable, "the peer cannot be reached: " + status.error_message(), "ask another VM", Duration(reconnectBackoffMs)};
     }
     return {ErrorKind::DeadlineExceeded, "the peer did not answer: " + status.error_message(), "ask another VM"};
 }
