Never write the owner's key without a lease

Cause: found by reading: the session's lease may lapse between the election's wait and its write, and lease 0 means none; the key would then outlive its process and no other VM could take over. Change: the election gives up if there is no lease.

--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -173,6 +173,9 @@
         const std::lock_guard lock(m_mutex);
         lease = m_lease;
     }
+    if (lease == 0) {
+        return; // The lease lapsed just now. A key written without one would outlive this process.
+    }
     const std::string key(StoreKeys::owner);
     const auto result = m_store->commit(StoreTransaction{
         .m_expectations = {{.m_key = key, .m_revision = 0}}, .m_writes = {{.m_key = key, .m_value = encodePeer(m_self), .m_lease = lease}}, .m_removals = {}});
