Keep at most a quarter of the fleet free for urgent work

A takeover with crashed workers had locked jobs for 5 s; the backlog of urgent work then needed many times the fleet, and the peak that is kept free faded from there. Change: at most a quarter of the usable accelerators is kept free.

--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -17,6 +17,19 @@
 // A peak counts half after this time: several times the run time of urgent work, shorter than a lull that is worth filling.
 constexpr double peakHalfLifeSeconds = 10.0;
 
+// Largest share of the fleet that is kept free. A backlog of urgent work can need many times the fleet; with a quarter, a gang for
+// which there is room twice over on a fleet that is half idle always starts.
+constexpr double maxKeptShare = 0.25;
+
+static double usableAccelerators(const PlacementInput &input)
+{
+    double accelerators = 0.0;
+    for (const auto &worker : input.m_workers) {
+        accelerators += worker.m_usable ? static_cast<double>(worker.m_report->m_capacity.m_accelerators) : 0.0;
+    }
+    return accelerators;
+}
+
 UrgentDemand updatedDemand(const UrgentDemand &demand, double needed, Instant now)
 {
     const auto seconds = std::chrono::duration<double>(now - demand.m_at).count();
@@ -419,7 +432,7 @@
 {
     const auto ranks = rankJobs(input);
     Pass pass{.m_input = input, .m_plan = makeFloorPlan(input, ranks), .m_starts = {}, .m_stops = {}};
-    pass.m_keptFree = std::max(0.0, input.m_urgentPeak - urgentNeed(input));
+    pass.m_keptFree = std::clamp(input.m_urgentPeak - urgentNeed(input), 0.0, maxKeptShare * usableAccelerators(input));
     for (auto &candidate : findCandidates(input, ranks)) {
         placeCandidate(pass, std::move(candidate));
     }
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -140,6 +140,16 @@
     CHECK(startsOf(decisions, "scan") == 32 - 4 - 8);
 }
 
+// Guards against work that waits on an idle fleet, because a backlog of urgent work needed many times the fleet a while ago: pattern
+// of a takeover that locks jobs for a whole lease.
+TEST_CASE("the reserve is at most a quarter of the fleet")
+{
+    FleetBuilder builder;
+    builder.racks(1, 4).urgentPeak(400.0);
+    builder.job("curve", "normal", TestStep{.m_tasks = 3, .m_accelerators = 8, .m_gang = true});
+    CHECK(startsOf(decidePlacement(builder.input()), "curve") == 3);
+}
+
 // Guards against a reserve that outlives the burst that it was kept for.
 TEST_CASE("the peak of urgent need fades")
 {
