Give each type of the product one definition

Cause: every failure proof ended as not run, because primrosebridged crashed right after its start without fleet settings. Two structs named OwnerRecord, in Election and in Fleetservice, had the same linkage name, and the linker kept the destructor of one of them for both: a backtrace shows it freeing an integer as a string.

--- a/core/include/primrosebridge/Model/request.h
+++ b/core/include/primrosebridge/Model/request.h
@@ -84,7 +84,7 @@
 };
 
 /// The state of a task as its worker reports it.
-enum class TaskState {
+enum class TaskStatus {
     Held, ///< Resources are reserved; not started.
     Running,
     Checkpointed, ///< Stopped with its progress saved.
@@ -94,12 +94,12 @@
 };
 
 /// The name in lower_snake_case. Thread-safe.
-std::string_view taskStateName(TaskState state);
+std::string_view taskStatusName(TaskStatus state);
 
 /// What a worker reports of one task. Usage lags behind the truth.
 struct TaskReport {
     const TaskId m_task;
-    const TaskState m_state;
+    const TaskStatus m_state;
     const bool m_everStarted; ///< False only if the worker never started it and now never will.
     const Duration m_runTime;
     const std::int64_t m_usedMemoryMb;
--- a/core/lib/Model/request.cpp
+++ b/core/lib/Model/request.cpp
@@ -31,20 +31,20 @@
     return Error(ErrorKind::InvalidArgument, "outcome '" + std::string(name) + "' does not exist", "upgrade the older of the two processes");
 }
 
-std::string_view taskStateName(TaskState state)
+std::string_view taskStatusName(TaskStatus state)
 {
     switch (state) {
-    case TaskState::Held:
+    case TaskStatus::Held:
         return "held";
-    case TaskState::Running:
+    case TaskStatus::Running:
         return "running";
-    case TaskState::Checkpointed:
+    case TaskStatus::Checkpointed:
         return "checkpointed";
-    case TaskState::Done:
+    case TaskStatus::Done:
         return "done";
-    case TaskState::Failed:
+    case TaskStatus::Failed:
         return "failed";
-    case TaskState::Stopped:
+    case TaskStatus::Stopped:
         return "stopped";
     }
     return "stopped";
--- a/recovery/include/primrosebridge/Records/lifecycle.h
+++ b/recovery/include/primrosebridge/Records/lifecycle.h
@@ -48,18 +48,18 @@
 };
 
 /// The job after an event and the actions that follow, in order.
-struct JobStep {
+struct JobTransition {
     const Job m_job;
     const std::vector<JobAction> m_actions;
 
-    bool operator==(const JobStep &) const = default;
+    bool operator==(const JobTransition &) const = default;
 };
 
 /// The life of a job as a pure step function. An event that does not fit the phase changes nothing. Thread-safe.
 ///
 /// Rules: no start is sent before every member is held; a non-idempotent job is placed again only if every member of the
 /// last attempt is known never to have started or was checkpointed; NotRun is never concluded while a member may have started.
-JobStep stepJob(const Job &job, const JobEvent &event, Instant now);
+JobTransition stepJob(const Job &job, const JobEvent &event, Instant now);
 
 /// A job as a new owner finds it in the records: its members' states are not known. Thread-safe.
 Job recoveredJob(const Job &recorded);
--- a/recovery/lib/Records/answer.cpp
+++ b/recovery/lib/Records/answer.cpp
@@ -30,7 +30,7 @@
     if (report.m_task.m_member < 0 || static_cast<std::size_t>(report.m_task.m_member) >= job.m_members.size()) {
         return AnswerCheck::OtherRequest;
     }
-    if (report.m_state != TaskState::Done) {
+    if (report.m_state != TaskStatus::Done) {
         return AnswerCheck::Whole;
     }
     if (report.m_result.size() != report.m_resultLength) {
@@ -45,17 +45,17 @@
 MemberState memberStateOf(const TaskReport &report)
 {
     switch (report.m_state) {
-    case TaskState::Held:
+    case TaskStatus::Held:
         return MemberState::Held;
-    case TaskState::Running:
+    case TaskStatus::Running:
         return MemberState::Running;
-    case TaskState::Checkpointed:
+    case TaskStatus::Checkpointed:
         return MemberState::Checkpointed;
-    case TaskState::Done:
+    case TaskStatus::Done:
         return MemberState::Done;
-    case TaskState::Failed:
+    case TaskStatus::Failed:
         return MemberState::Failed;
-    case TaskState::Stopped:
+    case TaskStatus::Stopped:
         return report.m_everStarted ? MemberState::Stopped : MemberState::NeverStarted;
     }
     return MemberState::NotKnown;
--- a/recovery/lib/Records/lifecycle.cpp
+++ b/recovery/lib/Records/lifecycle.cpp
@@ -45,12 +45,12 @@
         draft.m_members.begin(), draft.m_members.end(), [](const MemberStatus &member) { return rankOf(member.m_state) >= rankOf(MemberState::Lost); });
 }
 
-static JobStep unchanged(const Job &job)
+static JobTransition unchanged(const Job &job)
 {
-    return JobStep{.m_job = job, .m_actions = {}};
+    return JobTransition{.m_job = job, .m_actions = {}};
 }
 
-static JobStep finish(JobDraft draft, OutcomeKind kind, const std::string &result, const std::string &reason)
+static JobTransition finish(JobDraft draft, OutcomeKind kind, const std::string &result, const std::string &reason)
 {
     draft.m_phase = JobPhase::Finished;
     draft.m_outcomeKind = kind;
@@ -61,10 +61,10 @@
     if (draft.m_recorded) {
         actions.push_back(JobAction::WriteOutcome);
     }
-    return JobStep{.m_job = draft.build(), .m_actions = actions};
+    return JobTransition{.m_job = draft.build(), .m_actions = actions};
 }
 
-static JobStep requeue(JobDraft draft)
+static JobTransition requeue(JobDraft draft)
 {
     if (draft.m_cancelRequested) {
         return finish(draft, OutcomeKind::Cancelled, {}, "cancelled by the caller");
@@ -75,10 +75,10 @@
     draft.m_startedAt.reset();
     draft.m_outcomeKind = OutcomeKind::Pending;
     draft.m_reason.clear();
-    return JobStep{.m_job = draft.build(), .m_actions = {JobAction::Requeue}};
+    return JobTransition{.m_job = draft.build(), .m_actions = {JobAction::Requeue}};
 }
 
-static JobStep retryOrFail(JobDraft draft, const std::string &reason)
+static JobTransition retryOrFail(JobDraft draft, const std::string &reason)
 {
     ++draft.m_failures;
     if (draft.m_failures >= draft.m_jobClass.m_maxAttempts) {
@@ -87,13 +87,13 @@
     return requeue(draft);
 }
 
-static JobStep becomeUnknown(JobDraft draft)
+static JobTransition becomeUnknown(JobDraft draft)
 {
     draft.m_phase = JobPhase::Unknown;
     draft.m_outcomeKind = OutcomeKind::Unknown;
     draft.m_reason = "a worker that may have run it does not answer";
     draft.m_outcomeAttempt = draft.m_attempt;
-    return JobStep{.m_job = draft.build(), .m_actions = {JobAction::PublishOutcome}};
+    return JobTransition{.m_job = draft.build(), .m_actions = {JobAction::PublishOutcome}};
 }
 
 static std::string failureText(const JobDraft &draft)
@@ -112,7 +112,7 @@
 }
 
 // Idempotent jobs may be repeated whatever became of the members.
-static JobStep concludeIdempotent(const JobDraft &draft)
+static JobTransition concludeIdempotent(const JobDraft &draft)
 {
     switch (draft.m_stopCause) {
     case StopCause::Cancelled:
@@ -130,7 +130,7 @@
 }
 
 // A non-idempotent job is never started a second time: it ends, or it waits for the worker that knows.
-static JobStep concludeNonIdempotent(const JobDraft &draft)
+static JobTransition concludeNonIdempotent(const JobDraft &draft)
 {
     if (anyIs(draft, MemberState::Lost)) {
         return becomeUnknown(draft);
@@ -141,7 +141,7 @@
     return finish(draft, OutcomeKind::Failed, {}, failureText(draft) + "; it is not idempotent and is not run again");
 }
 
-static JobStep conclude(JobDraft draft)
+static JobTransition conclude(JobDraft draft)
 {
     if (allAre(draft, {MemberState::Done})) {
         return finish(draft, OutcomeKind::Done, draft.m_members.front().m_result, {});
@@ -159,14 +159,14 @@
     return draft.m_jobClass.m_idempotent ? concludeIdempotent(draft) : concludeNonIdempotent(draft);
 }
 
-static JobStep stopMembers(JobDraft draft, StopCause cause, JobAction how)
+static JobTransition stopMembers(JobDraft draft, StopCause cause, JobAction how)
 {
     draft.m_phase = JobPhase::Stopping;
     draft.m_stopCause = cause;
     if (allSettled(draft)) {
         return conclude(draft);
     }
-    return JobStep{.m_job = draft.build(), .m_actions = {how}};
+    return JobTransition{.m_job = draft.build(), .m_actions = {how}};
 }
 
 static std::optional<StopCause> brokenBy(const JobDraft &draft)
@@ -186,15 +186,15 @@
     return std::nullopt;
 }
 
-static JobStep startOrRun(JobDraft draft, Instant now)
+static JobTransition startOrRun(JobDraft draft, Instant now)
 {
     if (!allAre(draft, {MemberState::Held, MemberState::Running, MemberState::Done})) {
-        return JobStep{.m_job = draft.build(), .m_actions = {}};
+        return JobTransition{.m_job = draft.build(), .m_actions = {}};
     }
     if (anyIs(draft, MemberState::Held)) {
         const bool alreadySent = draft.m_phase == JobPhase::Starting;
         draft.m_phase = JobPhase::Starting;
-        return JobStep{.m_job = draft.build(), .m_actions = alreadySent ? std::vector<JobAction>{} : std::vector<JobAction>{JobAction::SendStart}};
+        return JobTransition{.m_job = draft.build(), .m_actions = alreadySent ? std::vector<JobAction>{} : std::vector<JobAction>{JobAction::SendStart}};
     }
     if (allAre(draft, {MemberState::Done})) {
         return conclude(draft);
@@ -203,12 +203,12 @@
     if (!draft.m_startedAt) {
         draft.m_startedAt = now;
     }
-    return JobStep{.m_job = draft.build(), .m_actions = {}};
+    return JobTransition{.m_job = draft.build(), .m_actions = {}};
 }
 
 // A member that was lost is live after all, so nothing about it is settled any more. The attempt goes on if every member is live and
 // nobody wanted it to end; else what is live is stopped.
-static JobStep continueOrStop(JobDraft draft, Instant now)
+static JobTransition continueOrStop(JobDraft draft, Instant now)
 {
     const bool wanted = draft.m_stopCause == StopCause::MemberLost && !draft.m_cancelRequested;
     if (wanted && allAre(draft, {MemberState::Held, MemberState::Running, MemberState::Done})) {
@@ -217,10 +217,10 @@
         return startOrRun(draft, now);
     }
     draft.m_phase = JobPhase::Stopping;
-    return JobStep{.m_job = draft.build(), .m_actions = {JobAction::SendStop}};
+    return JobTransition{.m_job = draft.build(), .m_actions = {JobAction::SendStop}};
 }
 
-static JobStep evaluateMembers(const JobDraft &draft, Instant now)
+static JobTransition evaluateMembers(const JobDraft &draft, Instant now)
 {
     switch (draft.m_phase) {
     case JobPhase::Holding:
@@ -232,7 +232,7 @@
         return startOrRun(draft, now);
     case JobPhase::Recovering:
         if (anyIs(draft, MemberState::NotKnown)) {
-            return JobStep{.m_job = draft.build(), .m_actions = {}};
+            return JobTransition{.m_job = draft.build(), .m_actions = {}};
         }
         if (const auto cause = brokenBy(draft)) {
             return stopMembers(draft, *cause, JobAction::SendStop);
@@ -243,14 +243,14 @@
         if (allSettled(draft)) {
             return conclude(draft);
         }
-        return JobStep{.m_job = draft.build(), .m_actions = {}};
+        return JobTransition{.m_job = draft.build(), .m_actions = {}};
     case JobPhase::Accepting:
     case JobPhase::Queued:
     case JobPhase::Intending:
     case JobPhase::Finished:
         break;
     }
-    return JobStep{.m_job = draft.build(), .m_actions = {}};
+    return JobTransition{.m_job = draft.build(), .m_actions = {}};
 }
 
 // The state that a report leads to, or the old one if the report says nothing new.
@@ -270,7 +270,7 @@
     return rankOf(event.m_state) > rankOf(member.m_state) ? event.m_state : member.m_state;
 }
 
-static JobStep onMemberReported(const Job &job, const JobEvent &event, Instant now)
+static JobTransition onMemberReported(const Job &job, const JobEvent &event, Instant now)
 {
     if (event.m_index >= job.m_members.size()) {
         return unchanged(job);
@@ -294,7 +294,7 @@
     return evaluateMembers(draft, now);
 }
 
-static JobStep onAccepted(const Job &job)
+static JobTransition onAccepted(const Job &job)
 {
     if (job.m_phase != JobPhase::Accepting) {
         return unchanged(job);
@@ -304,7 +304,7 @@
     return requeue(draft);
 }
 
-static JobStep onPlaced(const Job &job, const JobEvent &event)
+static JobTransition onPlaced(const Job &job, const JobEvent &event)
 {
     if (job.m_phase != JobPhase::Queued || event.m_members.empty()) {
         return unchanged(job);
@@ -314,10 +314,10 @@
     draft.m_fence = event.m_fence;
     ++draft.m_attempt;
     draft.m_phase = draft.m_recorded ? JobPhase::Intending : JobPhase::Holding;
-    return JobStep{.m_job = draft.build(), .m_actions = {draft.m_recorded ? JobAction::WriteIntent : JobAction::SendHold}};
+    return JobTransition{.m_job = draft.build(), .m_actions = {draft.m_recorded ? JobAction::WriteIntent : JobAction::SendHold}};
 }
 
-static JobStep onIntentRecorded(const Job &job)
+static JobTransition onIntentRecorded(const Job &job)
 {
     if (job.m_phase != JobPhase::Intending) {
         return unchanged(job);
@@ -327,10 +327,10 @@
         return finish(draft, OutcomeKind::Cancelled, {}, "cancelled by the caller before it started");
     }
     draft.m_phase = JobPhase::Holding;
-    return JobStep{.m_job = draft.build(), .m_actions = {JobAction::SendHold}};
+    return JobTransition{.m_job = draft.build(), .m_actions = {JobAction::SendHold}};
 }
 
-static JobStep onCancel(const Job &job)
+static JobTransition onCancel(const Job &job)
 {
     JobDraft draft(job);
     draft.m_cancelRequested = true;
@@ -345,7 +345,7 @@
     case JobPhase::Accepting:
     case JobPhase::Intending:
     case JobPhase::Stopping:
-        return JobStep{.m_job = draft.build(), .m_actions = {}};
+        return JobTransition{.m_job = draft.build(), .m_actions = {}};
     case JobPhase::Unknown:
     case JobPhase::Finished:
         break;
@@ -353,7 +353,7 @@
     return unchanged(job);
 }
 
-static JobStep onRelease(const Job &job, StopCause cause, bool checkpoint)
+static JobTransition onRelease(const Job &job, StopCause cause, bool checkpoint)
 {
     if (job.m_phase != JobPhase::Running) {
         return unchanged(job);
@@ -361,7 +361,7 @@
     return stopMembers(JobDraft(job), cause, checkpoint ? JobAction::SendCheckpoint : JobAction::SendStop);
 }
 
-static JobStep onRetryRefused(const Job &job)
+static JobTransition onRetryRefused(const Job &job)
 {
     if (job.m_phase != JobPhase::Queued) {
         return unchanged(job);
@@ -369,7 +369,7 @@
     return finish(JobDraft(job), OutcomeKind::Failed, {}, "an attempt failed and the retry budget of its tier is spent");
 }
 
-JobStep stepJob(const Job &job, const JobEvent &event, Instant now)
+JobTransition stepJob(const Job &job, const JobEvent &event, Instant now)
 {
     switch (event.m_kind) {
     case JobEventKind::Accepted:
--- a/recovery/unittests/Records/lifecycle.cpp
+++ b/recovery/unittests/Records/lifecycle.cpp
@@ -80,7 +80,7 @@
                        });
 }
 
-static bool contains(const JobStep &step, JobAction action)
+static bool contains(const JobTransition &step, JobAction action)
 {
     return std::find(step.m_actions.begin(), step.m_actions.end(), action) != step.m_actions.end();
 }
@@ -200,7 +200,7 @@
     const TaskId task = taskIdOf(job, 0);
     return TaskReport{
         .m_task = task,
-        .m_state = TaskState::Done,
+        .m_state = TaskStatus::Done,
         .m_everStarted = true,
         .m_runTime = Duration(5),
         .m_usedMemoryMb = 1,
@@ -221,9 +221,9 @@
     const TaskReport crossed{whole.m_task, whole.m_state, true, whole.m_runTime, 1, "crack at 99 mm", whole.m_resultLength, whole.m_resultDigest};
     CHECK(checkAnswer(job, crossed) == AnswerCheck::Damaged);
     const TaskId late{job.m_request.m_key, job.m_fence, job.m_attempt + 1, 0};
-    CHECK(checkAnswer(job, TaskReport{late, TaskState::Running, true, Duration(0), 0, "", 0, 0}) == AnswerCheck::OtherAttempt);
+    CHECK(checkAnswer(job, TaskReport{late, TaskStatus::Running, true, Duration(0), 0, "", 0, 0}) == AnswerCheck::OtherAttempt);
     const TaskId other{RequestKey::create("other").value(), job.m_fence, job.m_attempt, 0};
-    CHECK(checkAnswer(job, TaskReport{other, TaskState::Running, true, Duration(0), 0, "", 0, 0}) == AnswerCheck::OtherRequest);
+    CHECK(checkAnswer(job, TaskReport{other, TaskStatus::Running, true, Duration(0), 0, "", 0, 0}) == AnswerCheck::OtherRequest);
 }
 
 TEST_CASE("records survive a round trip and damaged ones are refused")
--- a/service/include/primrosebridge/Fleetservice/progresswriter.h
+++ b/service/include/primrosebridge/Fleetservice/progresswriter.h
@@ -12,18 +12,18 @@
 namespace PrimroseBridge {
 
 /// Something that only the owner writes: the progress of a job, or a value under a key of its own.
-struct OwnerRecord {
+struct DurableRecord {
     const std::string m_key;
     const JobPointer m_job; ///< Null for a plain value.
     const std::string m_value; ///< Empty for a job, which is encoded when it is written.
     const std::int64_t m_version; ///< Rises with each change of this record.
 
-    bool operator==(const OwnerRecord &) const = default;
+    bool operator==(const DurableRecord &) const = default;
 };
 
 /// What the writer reports back. Called on the writer's thread; must not block.
 struct ProgressCallbacks {
-    std::function<void(const OwnerRecord &record)> m_recorded;
+    std::function<void(const DurableRecord &record)> m_recorded;
     std::function<void(std::int64_t fence)> m_ownershipLost;
 };
 
@@ -53,7 +53,7 @@
     /// Stops writing and drops what is queued.
     void end();
     /// Queues a record; replaces an older one of the same key. Never blocks.
-    void record(const OwnerRecord &record);
+    void record(const DurableRecord &record);
     /// Records that wait to be written.
     [[nodiscard]] std::size_t backlog() const;
 
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -414,7 +414,7 @@
         = ProgressWriter::create(m_store,
                                  ProgressCallbacks{
                                      .m_recorded =
-                                         [this](const OwnerRecord &record) {
+                                         [this](const DurableRecord &record) {
                                              if (record.m_job) {
                                                  m_owner->post(ProgressRecorded{
                                                      .m_job = record.m_job->m_spec->m_id, .m_version = record.m_version, .m_outcome = record.m_job->m_outcome});
@@ -429,7 +429,7 @@
                                      .m_settings = m_settings,
                                      .m_workers = HttpClient::create().take(),
                                      .m_configuration = m_configuration,
-                                     .m_record = [this](const OwnerRecord &record) { m_writer->record(record); },
+                                     .m_record = [this](const DurableRecord &record) { m_writer->record(record); },
                                      .m_leaseHolds = [this] { return m_session && m_session->leaseHolds(); },
                                      .m_superseded = [this](std::int64_t fence, const std::string &reason) { m_session->noteSuperseded(fence, reason); },
                                  })
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -18,7 +18,7 @@
 // A worker that drains without saying how long serves at least this long; the platform's bound on its smallest deployments.
 static constexpr Duration shortestDrain(2000);
 
-WorkerEntry *findWorker(OwnerState &state, const WorkerLife &life)
+TrackedWorker *findWorker(OwnerState &state, const WorkerLife &life)
 {
     const auto found = state.m_workers.find(life.m_worker);
     return found == state.m_workers.end() || *found->second.m_life != life ? nullptr : &found->second;
@@ -27,11 +27,11 @@
 void recordIfChanged(const OwnerState &state, const JobPointer &job)
 {
     if (job->m_version > job->m_recordedVersion) {
-        state.m_context.m_record(OwnerRecord{.m_key = progressKey(job->m_spec->m_id), .m_job = job, .m_value = {}, .m_version = job->m_version});
+        state.m_context.m_record(DurableRecord{.m_key = progressKey(job->m_spec->m_id), .m_job = job, .m_value = {}, .m_version = job->m_version});
     }
 }
 
-bool takeRecordedEnds(const OwnerState &state, WorkerEntry &worker)
+bool takeRecordedEnds(const OwnerState &state, TrackedWorker &worker)
 {
     const auto before = worker.m_endsTaken;
     while (!worker.m_pendingEnds.empty()) {
@@ -111,7 +111,7 @@
     });
 }
 
-void releaseTasks(OwnerState &state, WorkerEntry &worker, std::string_view reason, Instant now)
+void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now)
 {
     const auto tasks = worker.m_tasks;
     for (const auto &reference : tasks) {
@@ -142,21 +142,21 @@
         workers.push_back(worker.m_report);
         worker.m_rosterVersion = worker.m_rosterVersion == 0 ? state.m_rosterVersion : worker.m_rosterVersion;
     }
-    state.m_context.m_record(OwnerRecord{.m_key = std::string(StoreKeys::roster),
-                                         .m_job = nullptr,
-                                         .m_value = encodeRoster(Roster{.m_version = state.m_rosterVersion, .m_workers = std::move(workers)}),
-                                         .m_version = state.m_rosterVersion});
+    state.m_context.m_record(DurableRecord{.m_key = std::string(StoreKeys::roster),
+                                           .m_job = nullptr,
+                                           .m_value = encodeRoster(Roster{.m_version = state.m_rosterVersion, .m_workers = std::move(workers)}),
+                                           .m_version = state.m_rosterVersion});
 }
 
-bool isUsable(const OwnerState &state, const WorkerEntry &worker, Instant now)
+bool isUsable(const OwnerState &state, const TrackedWorker &worker, Instant now)
 {
     const bool recorded = worker.m_rosterVersion > 0 && worker.m_rosterVersion <= state.m_recordedRoster;
     return recorded && worker.m_entryPresent && worker.m_fenced && worker.m_missed == 0 && !worker.m_report->m_draining && worker.m_noStartsUntil <= now;
 }
 
-static WorkerEntry newEntry(const WorkerReportPointer &report, Instant now)
+static TrackedWorker newEntry(const WorkerReportPointer &report, Instant now)
 {
-    WorkerEntry entry;
+    TrackedWorker entry;
     entry.m_report = report;
     entry.m_life = std::make_shared<const WorkerLife>(report->m_life);
     entry.m_answeredAt = now;
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -22,18 +22,18 @@
 // Unanswered requests after which leases are no longer renewed, so that the time by which they have lapsed stands still.
 static constexpr int missedBeforeLookOnly = 2;
 
-static std::int64_t leaseEndFor(const OwnerState &state, const WorkerEntry &worker, Instant now)
+static std::int64_t leaseEndFor(const OwnerState &state, const TrackedWorker &worker, Instant now)
 {
     return worker.m_clockAtAnswer + (now - worker.m_answeredAt).count() + state.m_context.m_settings.m_taskLease.count();
 }
 
-static void noteLease(const OwnerState &state, WorkerEntry &worker, Instant now)
+static void noteLease(const OwnerState &state, TrackedWorker &worker, Instant now)
 {
     const auto longest = std::chrono::duration_cast<Duration>(state.m_context.m_settings.m_taskLease * leaseStretch) + leaseSlack;
     worker.m_leaseBound = std::max(worker.m_leaseBound, now + longest);
 }
 
-void requestLists(OwnerState &state, WorkerEntry &worker, bool quick, Instant now)
+void requestLists(OwnerState &state, TrackedWorker &worker, bool quick, Instant now)
 {
     bool &open = quick ? worker.m_quickRequestOpen : worker.m_requestOpen;
     if (open) {
@@ -136,7 +136,7 @@
     return "unknown";
 }
 
-static void noteRefusal(WorkerEntry &worker, StartAnswer answer, Instant now)
+static void noteRefusal(TrackedWorker &worker, StartAnswer answer, Instant now)
 {
     switch (answer) {
     case StartAnswer::Unhealthy:
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -41,7 +41,7 @@
     return "unknown";
 }
 
-static void isolate(WorkerEntry &worker, Instant now)
+static void isolate(TrackedWorker &worker, Instant now)
 {
     worker.m_isolatedUntil = now + isolationTime;
     logEvent(LogLevel::Warn,
@@ -49,7 +49,7 @@
              {{"worker", worker.m_life->m_worker}, {"failures", std::to_string(worker.m_failureStreak)}, {"for_ms", std::to_string(isolationTime.count())}});
 }
 
-static void scoreWorker(WorkerEntry &worker, const RunEnd &end, Instant now)
+static void scoreWorker(TrackedWorker &worker, const RunEnd &end, Instant now)
 {
     if (end.m_kind == EndKind::Done) {
         worker.m_failureStreak = 0;
@@ -78,7 +78,7 @@
     }
 }
 
-static void applyOneEnd(OwnerState &state, WorkerEntry &worker, const RunEnd &end, Instant now)
+static void applyOneEnd(OwnerState &state, TrackedWorker &worker, const RunEnd &end, Instant now)
 {
     worker.m_endsHandled = end.m_number;
     const auto job = state.m_jobs.find(end.m_task.m_job);
@@ -111,7 +111,7 @@
     state.m_mustPlace = true;
 }
 
-static void applyEnds(OwnerState &state, WorkerEntry &worker, const WorkerLists &lists, Instant now)
+static void applyEnds(OwnerState &state, TrackedWorker &worker, const WorkerLists &lists, Instant now)
 {
     for (const auto &end : lists.m_ends) {
         if (end.m_number > worker.m_endsHandled) {
@@ -127,7 +127,7 @@
 }
 
 // The worker runs the task where the owner believes it to be.
-static void confirmRun(OwnerState &state, const WorkerEntry &worker, const RunningTask &row, const TaskState &task, Instant sentAt, Instant now)
+static void confirmRun(OwnerState &state, const TrackedWorker &worker, const RunningTask &row, const TaskState &task, Instant sentAt, Instant now)
 {
     if (task.m_phase == TaskPhase::Stopping) {
         const bool unanswered = task.m_unconfirmed && sentAt >= task.m_phaseSince + requestPause;
@@ -143,7 +143,7 @@
     }
 }
 
-static void applyRunning(OwnerState &state, WorkerEntry &worker, const RunningTask &row, Instant sentAt, Instant now)
+static void applyRunning(OwnerState &state, TrackedWorker &worker, const RunningTask &row, Instant sentAt, Instant now)
 {
     const auto job = state.m_jobs.find(row.m_task.m_job);
     const auto task = job ? findTask(*job, row.m_task) : nullptr;
@@ -183,7 +183,7 @@
 }
 
 // Tasks that are believed to be at the worker and that its list of running ones does not name.
-static void applyAbsences(OwnerState &state, WorkerEntry &worker, const WorkerLists &lists, Instant sentAt, Instant now)
+static void applyAbsences(OwnerState &state, TrackedWorker &worker, const WorkerLists &lists, Instant sentAt, Instant now)
 {
     const auto believed = worker.m_tasks;
     for (const auto &reference : believed) {
@@ -212,7 +212,7 @@
     }
 }
 
-static void noteAnswer(OwnerState &state, WorkerEntry &worker, const WorkerLists &lists, Instant now)
+static void noteAnswer(OwnerState &state, TrackedWorker &worker, const WorkerLists &lists, Instant now)
 {
     if (!worker.m_fenced || worker.m_missed > 0) {
         logEvent(LogLevel::Info, "worker_answers", {{"worker", worker.m_life->m_worker}, {"missed", std::to_string(worker.m_missed)}});
@@ -225,7 +225,7 @@
     state.m_awaitedWorkers.erase(worker.m_life->m_worker);
 }
 
-static void noteSilence(OwnerState &state, WorkerEntry &worker, const ReportArrived &event, Instant now)
+static void noteSilence(OwnerState &state, TrackedWorker &worker, const ReportArrived &event, Instant now)
 {
     const auto answer = event.m_reply.m_answer;
     if (answer == StartAnswer::Fenced) {
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -25,7 +25,7 @@
 };
 
 /// What the owner knows of one life of a worker.
-struct WorkerEntry {
+struct TrackedWorker {
     WorkerReportPointer m_report;
     std::shared_ptr<const WorkerLife> m_life;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
@@ -62,7 +62,7 @@
     std::shared_ptr<BoundedQueue<OwnerEvent>> m_events;
     JobShards m_jobs;
     std::atomic<std::int64_t> m_fence = 0; ///< 0 while another VM owns the fleet.
-    std::map<std::string, WorkerEntry> m_workers;
+    std::map<std::string, TrackedWorker> m_workers;
     std::vector<std::string> m_order; ///< Active jobs and those with tasks at workers, in the order of acceptance.
     std::set<std::string> m_lockedJobs; ///< May have runs at workers that have not answered since this VM became the owner.
     std::set<std::string> m_awaitedWorkers; ///< Workers that keep m_lockedJobs locked.
@@ -92,22 +92,22 @@
 /// Replaces a job and keeps the workers' lists of tasks in step.
 void setJob(OwnerState &state, const JobPointer &job);
 /// The tasks of a life of a worker that is over wait again.
-void releaseTasks(OwnerState &state, WorkerEntry &worker, std::string_view reason, Instant now);
+void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now);
 /// Sends a stop order; the task's place stays taken until the worker lists the end.
 void orderStop(OwnerState &state, const WorkerLife &life, const TaskReference &task, std::int64_t run, StopReason reason, Instant now);
 void orderStart(OwnerState &state, const StartDecision &decision, const PlacementWorker &worker, const JobPointer &job, Instant now);
 /// Asks a worker for its lists.
-void requestLists(OwnerState &state, WorkerEntry &worker, bool quick, Instant now);
+void requestLists(OwnerState &state, TrackedWorker &worker, bool quick, Instant now);
 /// The worker's entry for that life, or null.
-WorkerEntry *findWorker(OwnerState &state, const WorkerLife &life);
+TrackedWorker *findWorker(OwnerState &state, const WorkerLife &life);
 /// Queues the job's progress for the store if it has changed since the last time.
 void recordIfChanged(const OwnerState &state, const JobPointer &job);
 /// Lets the worker forget the ends whose jobs are recorded, in order. Returns whether there were any.
-bool takeRecordedEnds(const OwnerState &state, WorkerEntry &worker);
+bool takeRecordedEnds(const OwnerState &state, TrackedWorker &worker);
 /// Stops every run of a job whose outcome is settled.
 void stopRuns(OwnerState &state, const JobPointer &job, StopReason reason, Instant now);
 /// The worker is there, answers, is named in the recorded roster and takes new work.
-bool isUsable(const OwnerState &state, const WorkerEntry &worker, Instant now);
+bool isUsable(const OwnerState &state, const TrackedWorker &worker, Instant now);
 /// Sends the roster to the store if it has changed.
 void recordRoster(OwnerState &state);
 
--- a/service/lib/Fleetservice/progresswriter.cpp
+++ b/service/lib/Fleetservice/progresswriter.cpp
@@ -25,7 +25,7 @@
     ProgressCallbacks m_callbacks;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, std::shared_ptr<const OwnerRecord>> m_queued; // By key.
+    std::map<std::string, std::shared_ptr<const DurableRecord>> m_queued; // By key.
     std::map<std::string, std::int64_t> m_revisions;
     std::optional<std::int64_t> m_fence;
     std::uint64_t m_term = 0; // Rises with begin() and end(), so that a batch of an earlier term is dropped.
@@ -41,7 +41,7 @@
 struct Batch {
     std::int64_t m_fence = 0;
     std::uint64_t m_term = 0;
-    std::vector<std::shared_ptr<const OwnerRecord>> m_records;
+    std::vector<std::shared_ptr<const DurableRecord>> m_records;
     std::vector<std::string> m_values;
     std::vector<std::int64_t> m_revisions;
 };
@@ -220,11 +220,11 @@
     m_private->m_queued.clear();
 }
 
-void ProgressWriter::record(const OwnerRecord &record)
+void ProgressWriter::record(const DurableRecord &record)
 {
     {
         const std::lock_guard lock(m_private->m_mutex);
-        m_private->m_queued.insert_or_assign(record.m_key, std::make_shared<const OwnerRecord>(record));
+        m_private->m_queued.insert_or_assign(record.m_key, std::make_shared<const DurableRecord>(record));
     }
     m_private->m_changed.notify_all();
 }
--- a/service/lib/Runtime/reports.cpp
+++ b/service/lib/Runtime/reports.cpp
@@ -7,9 +7,9 @@
 
 namespace PrimroseBridge {
 
-static bool isSettled(TaskState state)
+static bool isSettled(TaskStatus state)
 {
-    return state != TaskState::Held && state != TaskState::Running;
+    return state != TaskStatus::Held && state != TaskStatus::Running;
 }
 
 static AddressedEvent memberEvent(const RequestKey &key, std::size_t index, MemberState state, std::int64_t sequence, const std::string &result)
--- a/service/lib/Runtime/schedulerworkers.cpp
+++ b/service/lib/Runtime/schedulerworkers.cpp
@@ -153,7 +153,7 @@
 
 static bool isLive(const ReportedTask &task)
 {
-    return task.m_report.m_state == TaskState::Held || task.m_report.m_state == TaskState::Running;
+    return task.m_report.m_state == TaskStatus::Held || task.m_report.m_state == TaskStatus::Running;
 }
 
 static void addOrphan(SchedulerCore &core, WorkerEntry &entry, const PollAnswer &answer, const ReportedTask &task, Instant now)
@@ -320,7 +320,7 @@
 
 static bool canContinue(const OrphanTask &orphan)
 {
-    return isLive(orphan.m_task) || orphan.m_task.m_report.m_state == TaskState::Done;
+    return isLive(orphan.m_task) || orphan.m_task.m_report.m_state == TaskStatus::Done;
 }
 
 bool adoptOrphan(SchedulerCore &core, Outgoing &outgoing, const RequestKey &key, Instant now)
--- a/service/lib/Runtime/zoneshard.cpp
+++ b/service/lib/Runtime/zoneshard.cpp
@@ -45,7 +45,7 @@
 static bool isLive(const OrphanTask &orphan)
 {
     const auto state = orphan.m_task.m_report.m_state;
-    return state == TaskState::Held || state == TaskState::Running;
+    return state == TaskStatus::Held || state == TaskStatus::Running;
 }
 
 AcceleratorSet freeAccelerators(const ZoneShard &shard, const WorkerId &worker)
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -98,7 +98,7 @@
                                          .m_settings = settingsOf(),
                                          .m_workers = HttpClient::create().take(),
                                          .m_configuration = m_configuration,
-                                         .m_record = [this](const OwnerRecord &record) { acknowledge(record); },
+                                         .m_record = [this](const DurableRecord &record) { acknowledge(record); },
                                          .m_leaseHolds = [this] { return m_leaseHolds.load(); },
                                          .m_superseded = [this](std::int64_t, const std::string &) { m_superseded = true; },
                                      })
@@ -128,7 +128,7 @@
         return m_owner->status("queue", std::string(jobName)).m_status == JobStatus::Complete;
     }
 
-    void acknowledge(const OwnerRecord &record)
+    void acknowledge(const DurableRecord &record)
     {
         if (record.m_job && m_holdBack) {
             const std::lock_guard lock(m_mutex);
@@ -330,7 +330,7 @@
     CHECK(worker.listedEnds() == 1);
     CHECK_FALSE(rig.isComplete());
     rig.m_holdBack = false;
-    rig.acknowledge(OwnerRecord{.m_key = {}, .m_job = rig.m_heldBack.front(), .m_value = {}, .m_version = rig.m_heldBack.front()->m_version});
+    rig.acknowledge(DurableRecord{.m_key = {}, .m_job = rig.m_heldBack.front(), .m_value = {}, .m_version = rig.m_heldBack.front()->m_version});
     CHECK(rig.waitFor([&] { return rig.isComplete() && worker.listedEnds() == 0; }));
 }
 
--- a/service/unittests/Fleetservice/records.cpp
+++ b/service/unittests/Fleetservice/records.cpp
@@ -19,9 +19,9 @@
     return std::make_shared<PlatformStore>(store.address(), HttpClient::create().take());
 }
 
-static OwnerRecord valueOf(const std::string &value, std::int64_t version)
+static DurableRecord valueOf(const std::string &value, std::int64_t version)
 {
-    return OwnerRecord{.m_key = "primrosebridge/test", .m_job = nullptr, .m_value = value, .m_version = version};
+    return DurableRecord{.m_key = "primrosebridge/test", .m_job = nullptr, .m_value = value, .m_version = version};
 }
 
 namespace {
@@ -35,7 +35,7 @@
         m_store.put(std::string(StoreKeys::owner), "owner");
         m_writer = ProgressWriter::create(clientOf(m_store),
                                           ProgressCallbacks{
-                                              .m_recorded = [this](const OwnerRecord &record) { m_recorded = record.m_version; },
+                                              .m_recorded = [this](const DurableRecord &record) { m_recorded = record.m_version; },
                                               .m_ownershipLost = [this](std::int64_t) { m_lost = true; },
                                           })
                        .take();
--- a/service/unittests/Runtime/reports.cpp
+++ b/service/unittests/Runtime/reports.cpp
@@ -115,7 +115,7 @@
 TEST_CASE("a live task of an earlier attempt is stopped and a settled one forgotten")
 {
     const auto job = makeJob(JobPhase::Running, MemberState::Running, 2);
-    const auto reportOf = [&job](TaskState state) {
+    const auto reportOf = [&job](TaskStatus state) {
         const TaskId old{.m_key = job.m_request.m_key, .m_fence = 5, .m_attempt = 1, .m_member = 0};
         return ReportedTask{
             .m_report = TaskReport{old, state, true, Duration(1), 1, "old", 3, answerDigest(old, "old")},
@@ -124,10 +124,10 @@
             .m_memoryMb = 64,
         };
     };
-    const auto live = concludePoll(tableOf(job), pollWith(1, "a", {reportOf(TaskState::Running)}));
+    const auto live = concludePoll(tableOf(job), pollWith(1, "a", {reportOf(TaskStatus::Running)}));
     CHECK(live.m_stop.size() == 1);
     CHECK(live.m_dropped == std::vector<AnswerCheck>{AnswerCheck::OtherAttempt});
-    const auto settled = concludePoll(tableOf(job), pollWith(1, "a", {reportOf(TaskState::Done)}));
+    const auto settled = concludePoll(tableOf(job), pollWith(1, "a", {reportOf(TaskStatus::Done)}));
     CHECK(settled.m_taken.size() == 1);
     CHECK(settled.m_stop.empty());
 }
@@ -137,7 +137,7 @@
     const auto job = makeJob(JobPhase::Running, MemberState::Running, 2);
     const TaskId other{.m_key = RequestKey::create("glaze-1").value(), .m_fence = 5, .m_attempt = 1, .m_member = 0};
     const ReportedTask task{
-        .m_report = TaskReport{other, TaskState::Running, true, Duration(1), 1, "", 0, 0},
+        .m_report = TaskReport{other, TaskStatus::Running, true, Duration(1), 1, "", 0, 0},
         .m_accelerators = 1,
         .m_cores = 1,
         .m_memoryMb = 64,
--- a/standins/tools/primrosebridge-standin/task.cpp
+++ b/standins/tools/primrosebridge-standin/task.cpp
@@ -49,7 +49,7 @@
 
 bool occupies(const Task &task)
 {
-    return task.m_life.m_state == TaskState::Held || task.m_life.m_state == TaskState::Running;
+    return task.m_life.m_state == TaskStatus::Held || task.m_life.m_state == TaskStatus::Running;
 }
 
 TaskPointer withLife(const Task &task, const TaskLife &life)
@@ -69,18 +69,18 @@
 
 TaskPointer started(const Task &task, Instant now)
 {
-    const auto running = withLife(task, {TaskState::Running, task.m_life.m_heldAt, now, std::nullopt, ""});
+    const auto running = withLife(task, {TaskStatus::Running, task.m_life.m_heldAt, now, std::nullopt, ""});
     return withProgress(*running, {task.m_progress.m_done, now, task.m_progress.m_throttlePercent});
 }
 
-TaskPointer ended(const Task &task, TaskState state, const std::string &ending, Instant now)
+TaskPointer ended(const Task &task, TaskStatus state, const std::string &ending, Instant now)
 {
     return withLife(task, {state, task.m_life.m_heldAt, task.m_life.m_startedAt, now, ending});
 }
 
 Duration doneAt(const Task &task, int workerPercent, Instant now)
 {
-    if (task.m_life.m_state != TaskState::Running) {
+    if (task.m_life.m_state != TaskStatus::Running) {
         return task.m_progress.m_done;
     }
     const Duration passed = std::max(Duration(0), now - task.m_progress.m_since);
--- a/standins/tools/primrosebridge-standin/task.h
+++ b/standins/tools/primrosebridge-standin/task.h
@@ -42,7 +42,7 @@
 };
 
 struct TaskLife {
-    const TaskState m_state;
+    const TaskStatus m_state;
     const Instant m_heldAt;
     const std::optional<Instant> m_startedAt;
     const std::optional<Instant> m_endedAt;
@@ -93,7 +93,7 @@
 /// The task after it was started; precondition: held. Thread-safe.
 TaskPointer started(const Task &task, Instant now);
 /// The task after it ended in @p state for the reason @p ending. Thread-safe.
-TaskPointer ended(const Task &task, TaskState state, const std::string &ending, Instant now);
+TaskPointer ended(const Task &task, TaskStatus state, const std::string &ending, Instant now);
 
 /// Share of the run time completed at @p now, on a worker that runs at @p workerPercent of full speed. Thread-safe.
 Duration doneAt(const Task &task, int workerPercent, Instant now);
--- a/standins/tools/primrosebridge-standin/worker.cpp
+++ b/standins/tools/primrosebridge-standin/worker.cpp
@@ -171,13 +171,13 @@
         if (!occupies(*task)) {
             continue;
         }
-        const bool running = task->m_life.m_state == TaskState::Running;
+        const bool running = task->m_life.m_state == TaskStatus::Running;
         const Instant finish = finishAt(*task, m_faults->m_speedPercent);
         if (running && finish <= now && finish <= task->m_leaseEnd) {
             const bool fails = task->m_plan.m_fails;
-            end(task, fails ? TaskState::Failed : TaskState::Done, fails ? "failed" : "done", finish);
+            end(task, fails ? TaskStatus::Failed : TaskStatus::Done, fails ? "failed" : "done", finish);
         } else if (task->m_leaseEnd <= now) {
-            end(task, TaskState::Stopped, "lease expired", task->m_leaseEnd);
+            end(task, TaskStatus::Stopped, "lease expired", task->m_leaseEnd);
         }
     }
 }
@@ -190,7 +190,7 @@
         if (occupies(*task)) {
             consider(task->m_leaseEnd);
         }
-        if (task->m_life.m_state == TaskState::Running) {
+        if (task->m_life.m_state == TaskStatus::Running) {
             consider(finishAt(*task, m_faults->m_speedPercent));
         }
     }
--- a/standins/tools/primrosebridge-standin/worker.h
+++ b/standins/tools/primrosebridge-standin/worker.h
@@ -197,7 +197,7 @@
     CommandAnswer throttle(const TaskPointer &task, int percent, Instant now);
     std::optional<CommandAnswer> refusalOfHold(const TaskDemand &demand) const;
     void set(const TaskPointer &task, Instant now);
-    void end(const TaskPointer &task, TaskState state, const std::string &ending, Instant now);
+    void end(const TaskPointer &task, TaskStatus state, const std::string &ending, Instant now);
     void endDueTasks(Instant now);
     void endTasksOnLostAccelerators(Instant now);
     void settleProgress(Instant now);
--- a/standins/tools/primrosebridge-standin/workerbooks.cpp
+++ b/standins/tools/primrosebridge-standin/workerbooks.cpp
@@ -70,7 +70,7 @@
     if (!task.m_life.m_startedAt) {
         return true;
     }
-    return task.m_life.m_endedAt && at >= *task.m_life.m_endedAt && task.m_life.m_state != TaskState::Done;
+    return task.m_life.m_endedAt && at >= *task.m_life.m_endedAt && task.m_life.m_state != TaskStatus::Done;
 }
 
 bool partialAt(const std::vector<TaskPointer> &gang, Instant at, Instant now)
@@ -113,7 +113,7 @@
             {"heldMs", toMilliseconds(task.m_life.m_heldAt)},
             {"startedMs", timeOrNull(task.m_life.m_startedAt)},
             {"finishedMs", timeOrNull(task.m_life.m_endedAt)},
-            {"state", taskStateName(task.m_life.m_state)},
+            {"state", taskStatusName(task.m_life.m_state)},
             {"ending", task.m_life.m_ending}};
 }
 
--- a/standins/tools/primrosebridge-standin/workercommands.cpp
+++ b/standins/tools/primrosebridge-standin/workercommands.cpp
@@ -15,7 +15,7 @@
     noteUsage(now);
 }
 
-void Worker::end(const TaskPointer &task, TaskState state, const std::string &ending, Instant now)
+void Worker::end(const TaskPointer &task, TaskStatus state, const std::string &ending, Instant now)
 {
     set(ended(*task, state, ending, now), now);
 }
@@ -64,7 +64,7 @@
                                                         command.m_demand,
                                                         planFromPayload(command.m_payload, name.m_key),
                                                         command.m_resume,
-                                                        {TaskState::Held, now, std::nullopt, std::nullopt, ""},
+                                                        {TaskStatus::Held, now, std::nullopt, std::nullopt, ""},
                                                         {progress, now, 100},
                                                         now + command.m_lease});
     m_bookNumbers.insert_or_assign(name, m_books.add(m_spec.m_id, m_spec.m_zone, task));
@@ -83,7 +83,7 @@
     const auto running = started(*task, now);
     set(running, now);
     if (m_faults->m_failTasks) {
-        end(running, TaskState::Failed, "failed", now);
+        end(running, TaskStatus::Failed, "failed", now);
     }
     return {CommandCode::Ok, ""};
 }
@@ -91,21 +91,21 @@
 CommandAnswer Worker::stop(const TaskPointer &task, Instant now)
 {
     if (occupies(*task)) {
-        end(task, TaskState::Stopped, "stopped", now);
+        end(task, TaskStatus::Stopped, "stopped", now);
     }
     return {CommandCode::Ok, ""};
 }
 
 CommandAnswer Worker::checkpoint(const TaskPointer &task, Instant now)
 {
-    if (task->m_life.m_state == TaskState::Checkpointed) {
+    if (task->m_life.m_state == TaskStatus::Checkpointed) {
         return {CommandCode::Ok, ""};
     }
-    if (task->m_life.m_state != TaskState::Running) {
+    if (task->m_life.m_state != TaskStatus::Running) {
         return refused("only a running task can be checkpointed");
     }
     m_checkpoints.save(task->m_name.m_key, task->m_name.m_member, doneAt(*task, m_faults->m_speedPercent, now));
-    end(task, TaskState::Checkpointed, "checkpointed", now);
+    end(task, TaskStatus::Checkpointed, "checkpointed", now);
     return {CommandCode::Ok, ""};
 }
 
--- a/standins/tools/primrosebridge-standin/workerfaults.cpp
+++ b/standins/tools/primrosebridge-standin/workerfaults.cpp
@@ -27,8 +27,8 @@
     const auto tasks = m_tasks;
     for (const auto &[name, task] : tasks) {
         if (occupies(*task) && (task->m_demand.m_accelerators & ~m_faults->m_usable) != 0) {
-            const bool running = task->m_life.m_state == TaskState::Running;
-            end(task, running ? TaskState::Failed : TaskState::Stopped, "accelerator removed", now);
+            const bool running = task->m_life.m_state == TaskStatus::Running;
+            end(task, running ? TaskStatus::Failed : TaskStatus::Stopped, "accelerator removed", now);
         }
     }
 }
@@ -36,7 +36,7 @@
 void Worker::settleProgress(Instant now)
 {
     for (auto &[name, task] : m_tasks) {
-        if (task->m_life.m_state == TaskState::Running) {
+        if (task->m_life.m_state == TaskStatus::Running) {
             task = withProgress(*task, {doneAt(*task, m_faults->m_speedPercent, now), now, task->m_progress.m_throttlePercent});
         }
     }
@@ -47,7 +47,7 @@
     const auto tasks = m_tasks;
     for (const auto &[name, task] : tasks) {
         if (occupies(*task)) {
-            end(task, TaskState::Stopped, "worker restarted", now);
+            end(task, TaskStatus::Stopped, "worker restarted", now);
         }
     }
     m_tasks.clear();
--- a/standins/tools/primrosebridge-standin/workerreports.cpp
+++ b/standins/tools/primrosebridge-standin/workerreports.cpp
@@ -6,7 +6,7 @@
 
 static bool hasResult(const Task &task)
 {
-    return task.m_life.m_state == TaskState::Done && !task.m_plan.m_result.empty();
+    return task.m_life.m_state == TaskStatus::Done && !task.m_plan.m_result.empty();
 }
 
 // Reports @p task with the result of @p source, which is another task if the answer is crossed.
@@ -47,7 +47,7 @@
 {
     int used = 0;
     for (const auto &[name, task] : m_tasks) {
-        used += task->m_life.m_state == TaskState::Running ? task->m_demand.m_cores : 0;
+        used += task->m_life.m_state == TaskStatus::Running ? task->m_demand.m_cores : 0;
     }
     m_usage.emplace_back(now, m_spec.m_cores == 0 ? 0.0 : 100.0 * used / m_spec.m_cores);
     while (m_usage.size() > 1 && m_usage[1].first <= now - usageLag) {
--- a/standins/tools/primrosebridge-standin/workerwire.cpp
+++ b/standins/tools/primrosebridge-standin/workerwire.cpp
@@ -45,20 +45,20 @@
     return Wire::CommandResult::REFUSED;
 }
 
-static Wire::TaskReport::State toWire(TaskState state)
+static Wire::TaskReport::State toWire(TaskStatus state)
 {
     switch (state) {
-    case TaskState::Held:
+    case TaskStatus::Held:
         return Wire::TaskReport::HELD;
-    case TaskState::Running:
+    case TaskStatus::Running:
         return Wire::TaskReport::RUNNING;
-    case TaskState::Checkpointed:
+    case TaskStatus::Checkpointed:
         return Wire::TaskReport::CHECKPOINTED;
-    case TaskState::Done:
+    case TaskStatus::Done:
         return Wire::TaskReport::DONE;
-    case TaskState::Failed:
+    case TaskStatus::Failed:
         return Wire::TaskReport::FAILED;
-    case TaskState::Stopped:
+    case TaskStatus::Stopped:
         return Wire::TaskReport::STOPPED;
     }
     return Wire::TaskReport::STOPPED;
--- a/standins/unittests/Standin/worker.cpp
+++ b/standins/unittests/Standin/worker.cpp
@@ -120,10 +120,10 @@
     REQUIRE(bench.one(hold(taskName("a"), 0x3)) == CommandCode::Ok);
     REQUIRE(bench.one(command(CommandKind::Start, taskName("a"))) == CommandCode::Ok);
     bench.pass(Duration(299));
-    REQUIRE(bench.pollNow().m_tasks.at(0).m_task->m_life.m_state == TaskState::Running);
+    REQUIRE(bench.pollNow().m_tasks.at(0).m_task->m_life.m_state == TaskStatus::Running);
     bench.pass(Duration(1));
     const auto report = bench.pollNow().m_tasks.at(0);
-    REQUIRE(report.m_task->m_life.m_state == TaskState::Done);
+    REQUIRE(report.m_task->m_life.m_state == TaskStatus::Done);
     REQUIRE(report.m_resultBytes == "r");
     REQUIRE(bench.summary("a")["starts"] == 1);
 }
@@ -214,7 +214,7 @@
     bench.pass(Duration(9000));
     bench.pollNow();
     bench.pass(Duration(9999));
-    REQUIRE(bench.pollNow().m_tasks.at(0).m_task->m_life.m_state == TaskState::Running);
+    REQUIRE(bench.pollNow().m_tasks.at(0).m_task->m_life.m_state == TaskStatus::Running);
     bench.pass(Duration(10000));
     const auto reports = bench.pollNow().m_tasks;
     REQUIRE(reports.at(0).m_task->m_life.m_ending == "lease expired");
@@ -247,7 +247,7 @@
     bench.one(hold(taskName("a", 2), 0x1, R"({"runMs":1000})", true));
     bench.one(command(CommandKind::Start, taskName("a", 2)));
     bench.pass(Duration(400));
-    REQUIRE(bench.pollNow().m_tasks.at(1).m_task->m_life.m_state == TaskState::Done);
+    REQUIRE(bench.pollNow().m_tasks.at(1).m_task->m_life.m_state == TaskStatus::Done);
     REQUIRE(bench.summary("a")["repeatedRuns"] == 0);
 }
 
@@ -262,9 +262,9 @@
     bench.pass(Duration(500));
     bench.m_worker.change(faults("speedPercent", 50), bench.m_now);
     bench.pass(Duration(999));
-    REQUIRE(bench.pollNow().m_tasks.at(0).m_task->m_life.m_state == TaskState::Running);
+    REQUIRE(bench.pollNow().m_tasks.at(0).m_task->m_life.m_state == TaskStatus::Running);
     bench.pass(Duration(1));
-    REQUIRE(bench.pollNow().m_tasks.at(0).m_task->m_life.m_state == TaskState::Done);
+    REQUIRE(bench.pollNow().m_tasks.at(0).m_task->m_life.m_state == TaskStatus::Done);
 }
 
 TEST_CASE("Truncated and crossed results are sent with the digest by which they are detected")
@@ -338,7 +338,7 @@
     bench.m_worker.change(faults("usable", 0xfe), bench.m_now);
     const auto answer = bench.pollNow();
     REQUIRE(answer.m_usable == 0xfe);
-    REQUIRE(answer.m_tasks.at(0).m_task->m_life.m_state == TaskState::Failed);
+    REQUIRE(answer.m_tasks.at(0).m_task->m_life.m_state == TaskStatus::Failed);
 }
 
 TEST_CASE("A lost answer leaves the commands in effect")
