--- a/core/include/primrosebridge/Config/fleetsettings.h
+++ b/core/include/primrosebridge/Config/fleetsettings.h
@@ -22,6 +22,7 @@
     const Duration m_taskLease; ///< Longest lease that a worker grants to what runs on it.
     const Duration m_shortestStoreLease;
     const Duration m_shutdownBound; ///< Between SIGTERM and SIGKILL.
+    const double m_processor; ///< Of this VM, in cores.
     const double m_remoteFactor; ///< Run time away from the data, or of a gang over several racks, as a multiple.
     const std::string m_logLevel; ///< trace, debug, info, warn or error.
 
--- a/core/lib/Config/fleetsettings.cpp
+++ b/core/lib/Config/fleetsettings.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t maxFleetSettingsBytes = 64 * 1024;
 constexpr IntegerRange millisecondsRange{.m_min = 1, .m_max = 24 * 3600 * 1000};
 constexpr NumberRange secondsRange{.m_min = 0.5, .m_max = 24.0 * 3600.0};
+constexpr NumberRange processorRange{.m_min = 0.01, .m_max = 1024.0};
 constexpr NumberRange factorRange{.m_min = 1.0, .m_max = 1000.0};
 
 static Duration readDuration(Fields &fields, std::string_view name, std::int64_t otherwise)
@@ -55,6 +56,7 @@
         .m_taskLease = readDuration(fields, "taskLeaseMs", 6000),
         .m_shortestStoreLease = readDuration(fields, "shortestStoreLeaseMs", 1000),
         .m_shutdownBound = readSeconds(fields, "shutdownBoundS", 6.0),
+        .m_processor = fields.number("processorShare", processorRange, 1.0) * fields.number("processorSpeed", processorRange, 1.0),
         .m_remoteFactor = fields.number("remoteFactor", factorRange, 3.0),
         .m_logLevel = readLevel(fields),
     };
--- a/service/include/primrosebridge/Fleetservice/peerdirectory.h
+++ b/service/include/primrosebridge/Fleetservice/peerdirectory.h
@@ -14,6 +14,7 @@
     const std::string m_vm;
     const std::string m_address; ///< IP number and port of its gRPC interface.
     const std::string m_incarnation; ///< Differs for each start of the VM's process.
+    const double m_processor; ///< In cores.
 
     bool operator==(const PeerVm &) const = default;
 };
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -13,6 +13,7 @@
 #include "primrosebridge/Http/httpclient.h"
 #include "primrosebridge/Kv/platformstore.h"
 #include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Ownership/succession.h"
 #include "primrosebridge/Pipeline/bootclock.h"
 #include "primrosebridge/Pipeline/timerservice.h"
 #include "primrosebridge/Progress/record.h"
@@ -52,13 +53,16 @@
         : m_settings(settings)
         , m_self{.m_vm = settings.m_vm.text(),
                  .m_address = settings.m_peerAddress,
-                 .m_incarnation = std::to_string(toMilliseconds(TimerService::now())) + "-" + std::to_string(toMilliseconds(bootNow()))}
+                 .m_incarnation = std::to_string(toMilliseconds(TimerService::now())) + "-" + std::to_string(toMilliseconds(bootNow())),
+                 .m_processor = settings.m_processor}
+        , m_startedAt(bootNow())
     {
     }
     ~Private();
 
     const FleetSettings m_settings;
     const PeerVm m_self;
+    const Instant m_startedAt;
     ConfigurationCell m_configuration;
     PeerDirectory m_directory;
     std::atomic<bool> m_stopping = false;
@@ -92,6 +96,7 @@
     bool loadSnapshot(std::int64_t fence);
     std::optional<OwnerTerm> waitForTerm();
     bool holds(std::int64_t fence);
+    Duration electionDelay() const;
     int attemptsOf(const std::string &queue) const;
     InboxOutcome recordElsewhere(const std::string &job, const std::string &submission);
 };
@@ -196,6 +201,17 @@
     followPrefix(*m_store, std::string(StoreKeys::control), std::nullopt, handlers, [this] { return !m_closed; });
 }
 
+Duration FleetNode::Private::electionDelay() const
+{
+    std::vector<double> peers;
+    for (const auto &peer : m_directory.peers()) {
+        if (peer != m_self) {
+            peers.push_back(peer.m_processor);
+        }
+    }
+    return successionDelay(SuccessionView{.m_processor = m_self.m_processor, .m_peers = std::move(peers), .m_age = bootNow() - m_startedAt});
+}
+
 int FleetNode::Private::attemptsOf(const std::string &queue) const
 {
     const auto configuration = m_configuration.current();
@@ -439,6 +455,7 @@
                                           m_store,
                                           SessionCallbacks{
                                               .m_mayOwn = [this] { return !m_stopping && m_configuration.current() != nullptr; },
+                                              .m_electionDelay = [this] { return electionDelay(); },
                                               .m_gained = [this](std::int64_t fence) { gain(fence); },
                                               .m_lost = [this](std::int64_t fence, const std::string &reason) { lose(fence, reason); },
                                           });
--- a/service/lib/Fleetservice/peerdirectory.cpp
+++ b/service/lib/Fleetservice/peerdirectory.cpp
@@ -8,7 +8,7 @@
 
 std::string encodePeer(const PeerVm &peer)
 {
-    return Json{{"vm", peer.m_vm}, {"address", peer.m_address}, {"incarnation", peer.m_incarnation}}.dump();
+    return Json{{"vm", peer.m_vm}, {"address", peer.m_address}, {"incarnation", peer.m_incarnation}, {"processor", peer.m_processor}}.dump();
 }
 
 std::optional<PeerVm> decodePeer(const std::string &text)
@@ -17,7 +17,8 @@
         const auto json = Json::parse(text);
         return PeerVm{.m_vm = json.at("vm").get<std::string>(),
                       .m_address = json.at("address").get<std::string>(),
-                      .m_incarnation = json.at("incarnation").get<std::string>()};
+                      .m_incarnation = json.at("incarnation").get<std::string>(),
+                      .m_processor = json.at("processor").get<double>()};
     } catch (const Json::exception &) {
         return std::nullopt; // The caller logs it with the key.
     }
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -205,9 +205,14 @@
         {
             std::unique_lock lock(m_mutex);
             m_changed.wait(lock, [&] { return m_closed || (!m_ownerKnown && m_fence == 0 && m_lease != 0); });
+            // An owner that appears meanwhile ends the wait.
+            m_changed.wait_for(lock, m_callbacks.m_electionDelay(), [&] { return m_closed || m_ownerKnown; });
             if (m_closed) {
                 return;
             }
+            if (m_ownerKnown) {
+                continue;
+            }
         }
         if (m_callbacks.m_mayOwn()) {
             tryAcquire();
--- a/service/lib/Fleetservice/session.h
+++ b/service/lib/Fleetservice/session.h
@@ -13,6 +13,7 @@
 /// What the session reports. Called on its thread.
 struct SessionCallbacks {
     std::function<bool()> m_mayOwn; ///< False while this VM should not take ownership, for example without a configuration.
+    std::function<Duration()> m_electionDelay; ///< How long this VM leaves the ownership to others that should have it.
     std::function<void(std::int64_t fence)> m_gained; ///< Reads the snapshot; may block.
     std::function<void(std::int64_t fence, const std::string &reason)> m_lost;
 };
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -27,6 +27,7 @@
                          .m_taskLease = Duration(3000),
                          .m_shortestStoreLease = Duration(1000),
                          .m_shutdownBound = Duration(6000),
+                         .m_processor = 1.0,
                          .m_remoteFactor = 3.0,
                          .m_logLevel = "info"};
 }
