Apply listed jobs before listed cancellations

The owner then reads both from one listing, in the order of the keys, in which in/cancel/ precedes in/job/; a cancellation of an unknown job was ignored. Change: submissions of a listing are applied before its cancellations.

--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -363,8 +363,13 @@
         const WatchHandlers handlers{
             .m_listed =
                 [this](const StoreListing &listing) {
-                    for (const auto &item : listing.m_items) {
-                        applyInbox(item.m_key, item.m_value);
+                    // In the order of the keys cancellations come before the jobs that they name, which would not be known yet.
+                    for (const auto prefix : {StoreKeys::submissions, StoreKeys::cancellations}) {
+                        for (const auto &item : listing.m_items) {
+                            if (item.m_key.starts_with(prefix)) {
+                                applyInbox(item.m_key, item.m_value);
+                            }
+                        }
                     }
                 },
             .m_changed =
--- a/service/unittests/Fleetservice/node.cpp
+++ b/service/unittests/Fleetservice/node.cpp
@@ -136,6 +136,29 @@
     CHECK_FALSE(store.value(submissionKey("job")));
 }
 
+// Guards against a cancelled job that runs: pattern of a store that forgets its history, so that the owner reads the job and its
+// cancellation from one listing.
+TEST_CASE("a job and its cancellation that are listed together run nothing")
+{
+    StandinStore store;
+    StandinWorker worker("w1", "r1", Duration(100));
+    store.put("op/config", configurationText(1, R"("k1")"));
+    store.put("servers/w1", worker.entry("ready"));
+    const auto node = FleetNode::create(settingsOf("vm-1", store)).take();
+    REQUIRE(waitFor([&] { return node->ready() && store.value(std::string(StoreKeys::owner)); }));
+    CHECK(answerFleetCall(*node, callOf("POST", "/q/first", oneTask)).m_status == 200);
+    REQUIRE(waitFor([&] { return isComplete(*node, "/q/first"); }));
+    store.setFaults([](StoreCall call) { return call == StoreCall::Watch ? StoreFault::Refused : StoreFault::None; });
+    std::this_thread::sleep_for(Duration(1700)); // Longer than a watch that is waiting.
+    CHECK(answerFleetCall(*node, callOf("POST", "/q/second", oneTask)).m_status == 200);
+    CHECK(answerFleetCall(*node, callOf("DELETE", "/q/second", {})).m_status == 200);
+    store.setFaults([](StoreCall call) { return call == StoreCall::Watch ? StoreFault::HistoryLost : StoreFault::None; });
+    std::this_thread::sleep_for(Duration(600));
+    store.setFaults([](StoreCall) { return StoreFault::None; });
+    CHECK(waitFor([&] { return answerFleetCall(*node, callOf("GET", "/q/second", {})).m_body == R"({"state":"canceled"})"; }));
+    CHECK(worker.runs().size() == 1);
+}
+
 // Guards against requests that are held until their deadline while the store is away: pattern of an outage of the store.
 TEST_CASE("submissions are refused at once while the store is silent")
 {
