Make placement passes several times cheaper

Cause: the owner of a grown deployment spent 0.395 of its 0.5 of a core; a pass with a backlog took 38 ms at 420 workers and 1,800 tasks, and one with reclaims 14 ms. Members of a gang, the worker of a task and a queue's settings were searched for in all tasks, workers and queues, every waiting step was placed in detail although nothing fitted, and every batch of events was followed by a pass. Change: gangs, workers and queues are indexed once a pass; a bound from the free room alone dismisses steps that cannot fit; room for victims is computed again only for workers that changed; passes are at least 8 ms apart.

--- /dev/null
+++ b/scheduling/benchmarks/fleetpass/main.cpp
@@ -0,0 +1,83 @@
+#include "../../unittests/Fleet/fleetbuilder.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace PrimroseBridge;
+
+// The target of docs/CAPACITY.md; the argument of each benchmark scales it in quarters.
+constexpr int targetWorkers = 420;
+constexpr int targetTasks = 1800;
+constexpr int workersPerRack = 12;
+constexpr int tasksPerJob = 6;
+
+static std::string workerName(int worker)
+{
+    return "w" + std::to_string(worker / workersPerRack) + "-" + std::to_string(worker % workersPerRack);
+}
+
+// A fleet with four tasks of one accelerator on most workers, and as many jobs waiting as running.
+static FleetBuilder busyFleet(int quarters)
+{
+    FleetBuilder fleet;
+    const int workers = targetWorkers * quarters / 4;
+    fleet.racks(workers / workersPerRack, workersPerRack).guarantee("org", 64);
+    const int tasks = targetTasks * quarters / 4;
+    const int present = workers / workersPerRack * workersPerRack;
+    for (int first = 0; first < tasks; first += tasksPerJob) {
+        std::vector<std::string> places;
+        for (int task = first; task < first + tasksPerJob; ++task) {
+            places.push_back(workerName(task % present));
+        }
+        fleet.running(
+            "running-" + std::to_string(first), first % 4 == 0 ? "normal" : "background", {.m_tasks = tasksPerJob, .m_accelerators = 1}, places, 90'000);
+    }
+    return fleet;
+}
+
+// Pattern of the calm day: one urgent job arrives and there is room.
+static void onePlacement(benchmark::State &state)
+{
+    auto fleet = busyFleet(static_cast<int>(state.range(0)));
+    fleet.job("new", "urgent", {.m_tasks = 3, .m_accelerators = 2, .m_gang = true, .m_sameRack = true});
+    const auto input = fleet.input();
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(decidePlacement(input));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+// Pattern of a burst of urgent gangs on a full fleet: each needs victims.
+static void reclaim(benchmark::State &state)
+{
+    auto fleet = busyFleet(static_cast<int>(state.range(0)));
+    for (int job = 0; job < 8; ++job) {
+        fleet.job("new-" + std::to_string(job), "urgent", {.m_tasks = 3, .m_accelerators = 8, .m_gang = true, .m_sameRack = true});
+    }
+    const auto input = fleet.input();
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(decidePlacement(input));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+// Pattern of a backlog: as many jobs wait as run, and little of it fits.
+static void backlog(benchmark::State &state)
+{
+    const int quarters = static_cast<int>(state.range(0));
+    auto fleet = busyFleet(quarters);
+    for (int job = 0; job < targetTasks * quarters / 4 / tasksPerJob; ++job) {
+        fleet.job(
+            "waiting-" + std::to_string(job), job % 2 == 0 ? "normal" : "background", {.m_tasks = tasksPerJob, .m_accelerators = 8, .m_gang = job % 2 == 0});
+    }
+    const auto input = fleet.input();
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(decidePlacement(input));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+BENCHMARK(onePlacement)->Arg(1)->Arg(4)->Arg(16)->Arg(64)->Unit(benchmark::kMicrosecond)->Complexity();
+BENCHMARK(reclaim)->Arg(1)->Arg(4)->Arg(16)->Unit(benchmark::kMicrosecond)->Complexity();
+BENCHMARK(backlog)->Arg(1)->Arg(4)->Arg(16)->Unit(benchmark::kMicrosecond)->Complexity();
+
+BENCHMARK_MAIN();
--- a/scheduling/lib/Fleet/candidates.cpp
+++ b/scheduling/lib/Fleet/candidates.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
+#include <unordered_map>
 
 namespace PrimroseBridge {
 
@@ -35,13 +37,29 @@
     return 0;
 }
 
-std::vector<UrgencyRank> rankJobs(const PlacementInput &input)
+std::vector<const QueueSettings *> queuesOfJobs(const PlacementInput &input)
+{
+    std::unordered_map<std::string_view, const QueueSettings *> byName;
+    for (const auto &queue : input.m_configuration->m_queues) {
+        byName.emplace(queue.m_name, &queue);
+    }
+    std::vector<const QueueSettings *> queues;
+    queues.reserve(input.m_jobs.size());
+    for (const auto &job : input.m_jobs) {
+        const auto found = byName.find(job->m_spec->m_queue);
+        queues.push_back(found == byName.end() ? nullptr : found->second);
+    }
+    return queues;
+}
+
+std::vector<UrgencyRank> rankJobs(const PlacementInput &input, const std::vector<const QueueSettings *> &queues)
 {
     std::map<std::string, std::int64_t> used;
     std::vector<UrgencyRank> ranks;
     ranks.reserve(input.m_jobs.size());
-    for (const auto &job : input.m_jobs) {
-        const auto *queue = queueNamed(*input.m_configuration, job->m_spec->m_queue);
+    for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
+        const auto &job = input.m_jobs[index];
+        const auto *queue = queues[index];
         const auto rank = rankOfPriority(queue ? queue->m_priority : 1);
         if (rank != UrgencyRank::Urgent || job->m_outcome != JobOutcome::Active) {
             ranks.push_back(rank);
@@ -89,10 +107,14 @@
     return waiting;
 }
 
-static void addSteps(const PlacementInput &input, std::size_t index, const OccurrenceState &occurrence, UrgencyRank rank, std::vector<Candidate> &candidates)
+static void addSteps(const PlacementInput &input,
+                     std::size_t index,
+                     const QueueSettings *queue,
+                     const OccurrenceState &occurrence,
+                     UrgencyRank rank,
+                     std::vector<Candidate> &candidates)
 {
     const auto &spec = *input.m_jobs[index]->m_spec;
-    const auto *queue = queueNamed(*input.m_configuration, spec.m_queue);
     // Workers refuse starts without a ticket of the advising service, which is not asked yet; such jobs stay queued.
     if (!queue || queue->m_needsPlacementAdvice) {
         return;
@@ -123,7 +145,7 @@
     }
 }
 
-std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<UrgencyRank> &ranks)
+std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<const QueueSettings *> &queues, const std::vector<UrgencyRank> &ranks)
 {
     std::vector<Candidate> candidates;
     for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
@@ -132,7 +154,7 @@
             continue;
         }
         for (const auto &occurrence : job.m_occurrences) {
-            addSteps(input, index, *occurrence, ranks[index], candidates);
+            addSteps(input, index, queues[index], *occurrence, ranks[index], candidates);
         }
     }
     // Work that is late already gains less from running next; within a group the order of acceptance holds.
--- a/scheduling/lib/Fleet/candidates.h
+++ b/scheduling/lib/Fleet/candidates.h
@@ -17,10 +17,13 @@
     std::vector<int> m_waiting; ///< Indices of the waiting tasks.
 };
 
+/// The settings of each job's queue, or null if the configuration no longer has it. A configuration may hold hundreds of queues.
+std::vector<const QueueSettings *> queuesOfJobs(const PlacementInput &input);
+
 /// The rank of each job of @p input. Guarantees are used up in the order of acceptance.
-std::vector<UrgencyRank> rankJobs(const PlacementInput &input);
+std::vector<UrgencyRank> rankJobs(const PlacementInput &input, const std::vector<const QueueSettings *> &queues);
 
 /// Every step that could start now, the most urgent first.
-std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<UrgencyRank> &ranks);
+std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<const QueueSettings *> &queues, const std::vector<UrgencyRank> &ranks);
 
 } // namespace PrimroseBridge
--- a/scheduling/lib/Fleet/floorplan.cpp
+++ b/scheduling/lib/Fleet/floorplan.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string_view>
 #include <tuple>
+#include <unordered_map>
 
 namespace PrimroseBridge {
 
@@ -47,38 +48,82 @@
     return cores * std::max(seconds, 0.0) * (step.m_checkpointing ? checkpointingLossShare : 1.0);
 }
 
+namespace {
+
+// Finds a worker's index by its life.
+class WorkerIndex
+{
+public:
+    explicit WorkerIndex(const std::vector<PlacementWorker> &workers)
+        : m_workers(workers)
+    {
+        m_byName.reserve(workers.size());
+        for (std::size_t worker = 0; worker < workers.size(); ++worker) {
+            m_byName.emplace(workers[worker].m_life->m_worker, worker);
+        }
+    }
+
+    [[nodiscard]] std::optional<std::size_t> find(const WorkerLife &life) const
+    {
+        const auto found = m_byName.find(life.m_worker);
+        return found != m_byName.end() && *m_workers[found->second].m_life == life ? std::optional(found->second) : std::nullopt;
+    }
+
+private:
+    const std::vector<PlacementWorker> &m_workers;
+    std::unordered_map<std::string_view, std::size_t> m_byName;
+};
+
+} // namespace
+
 // Adds the tasks of one step that are at a known worker.
-static void addPlaced(FloorPlan &plan, const std::map<WorkerLife, std::size_t> &indices, const PlacedTask &pattern, const StepState &state)
+static void addPlaced(FloorPlan &plan, const WorkerIndex &workers, const PlacedTask &pattern, const StepState &state)
 {
+    std::optional<std::size_t> gang;
     for (std::size_t index = 0; index < state.m_tasks.size(); ++index) {
         const auto &task = *state.m_tasks[index];
         if (!task.m_place) {
             continue;
         }
-        const auto found = indices.find(*task.m_place);
-        if (found == indices.end()) {
+        const auto worker = workers.find(*task.m_place);
+        if (!worker) {
             continue;
         }
-        const bool stopping = task.m_phase == TaskPhase::Stopping;
-        const auto worker = found->second;
-        takeFrom(plan.m_free[worker], *pattern.m_step, 1);
-        if (stopping) {
-            addTo(plan.m_soonFree[worker], *pattern.m_step, 1);
+        auto placed = pattern;
+        placed.m_index = static_cast<int>(index);
+        placed.m_state = &task;
+        placed.m_stopping = task.m_phase == TaskPhase::Stopping;
+        placed.m_worker = *worker;
+        placed.m_loss = lossOf(*plan.m_input, task, *pattern.m_step);
+        if (pattern.m_step->m_gang) {
+            if (!gang) {
+                gang = plan.m_gangs.size();
+                plan.m_gangs.emplace_back();
+            }
+            plan.m_gangs[*gang].m_tasks.push_back(plan.m_placed.size());
+            plan.m_gangs[*gang].m_loss += placed.m_loss;
+            placed.m_gang = gang;
         }
-        plan.m_tasksOn[worker].push_back(plan.m_placed.size());
-        plan.m_placed.push_back(PlacedTask{
-            .m_job = pattern.m_job,
-            .m_task = TaskReference{.m_job = pattern.m_task.m_job,
-                                    .m_occurrence = pattern.m_task.m_occurrence,
-                                    .m_step = pattern.m_task.m_step,
-                                    .m_index = static_cast<int>(index)},
-            .m_state = &task,
-            .m_step = pattern.m_step,
-            .m_rank = pattern.m_rank,
-            .m_stopping = stopping,
-            .m_gang = pattern.m_gang,
-            .m_loss = lossOf(*plan.m_input, task, *pattern.m_step),
-        });
+        takeFrom(plan.m_free[*worker], *pattern.m_step, 1);
+        if (placed.m_stopping) {
+            addTo(plan.m_soonFree[*worker], *pattern.m_step, 1);
+        }
+        plan.m_tasksOn[*worker].push_back(plan.m_placed.size());
+        plan.m_placed.push_back(placed);
+    }
+}
+
+static void numberRacks(FloorPlan &plan)
+{
+    std::map<std::string_view, std::size_t> racks;
+    for (const auto &worker : plan.m_input->m_workers) {
+        racks.emplace(worker.m_report->m_rack, 0);
+    }
+    for (auto &[name, number] : racks) {
+        number = plan.m_rackCount++;
+    }
+    for (const auto &worker : plan.m_input->m_workers) {
+        plan.m_rackOf.push_back(racks[worker.m_report->m_rack]);
     }
 }
 
@@ -86,29 +131,32 @@
 {
     FloorPlan plan;
     plan.m_input = &input;
-    std::map<WorkerLife, std::size_t> indices;
-    for (std::size_t worker = 0; worker < input.m_workers.size(); ++worker) {
-        const auto &capacity = input.m_workers[worker].m_report->m_capacity;
+    const WorkerIndex workers(input.m_workers);
+    for (const auto &worker : input.m_workers) {
+        const auto &capacity = worker.m_report->m_capacity;
         plan.m_free.push_back(Room{.m_milliCores = capacity.m_milliCores, .m_memoryMb = capacity.m_memoryMb, .m_accelerators = capacity.m_accelerators});
-        indices[*input.m_workers[worker].m_life] = worker;
     }
     plan.m_soonFree.resize(plan.m_free.size());
     plan.m_tasksOn.resize(plan.m_free.size());
+    numberRacks(plan);
     for (std::size_t job = 0; job < input.m_jobs.size(); ++job) {
         const auto &spec = *input.m_jobs[job]->m_spec;
         for (const auto &occurrence : input.m_jobs[job]->m_occurrences) {
             for (std::size_t step = 0; step < spec.m_steps.size(); ++step) {
                 const PlacedTask pattern{
                     .m_job = job,
-                    .m_task = TaskReference{.m_job = spec.m_id, .m_occurrence = occurrence->m_number, .m_step = static_cast<int>(step), .m_index = 0},
+                    .m_occurrence = occurrence->m_number,
+                    .m_stepNumber = static_cast<int>(step),
+                    .m_index = 0,
                     .m_state = nullptr,
                     .m_step = &spec.m_steps[step],
                     .m_rank = ranks[job],
                     .m_stopping = false,
-                    .m_gang = spec.m_steps[step].m_gang,
+                    .m_worker = 0,
+                    .m_gang = std::nullopt,
                     .m_loss = 0.0,
                 };
-                addPlaced(plan, indices, pattern, *occurrence->m_steps[step]);
+                addPlaced(plan, workers, pattern, *occurrence->m_steps[step]);
             }
         }
     }
@@ -116,20 +164,30 @@
     return plan;
 }
 
+TaskReference referenceTo(const FloorPlan &plan, const PlacedTask &task)
+{
+    return TaskReference{
+        .m_job = plan.m_input->m_jobs[task.m_job]->m_spec->m_id, .m_occurrence = task.m_occurrence, .m_step = task.m_stepNumber, .m_index = task.m_index};
+}
+
+namespace {
+
 // The state of one search: copies of what it changes.
 struct Search {
     const FloorPlan &m_plan;
     const Candidate &m_candidate;
     const JobStep &m_step;
-    std::map<std::size_t, Room> m_room; // Of the workers touched so far.
-    std::vector<std::size_t> m_victims;
-    std::vector<bool> m_isVictim;
+    std::vector<Room> m_room; // By worker.
+    std::vector<bool> m_isVictim; // By placed task; empty if nothing may be evicted.
     StepPlacement m_placement = {};
 };
 
-static bool sameStep(const PlacedTask &left, const TaskReference &right)
+} // namespace
+
+static bool isOfCandidate(const Search &search, const PlacedTask &task)
 {
-    return left.m_task.m_job == right.m_job && left.m_task.m_occurrence == right.m_occurrence && left.m_task.m_step == right.m_step;
+    const auto &candidate = search.m_candidate;
+    return task.m_job == candidate.m_job && task.m_occurrence == candidate.m_occurrence && task.m_stepNumber == candidate.m_step;
 }
 
 // Tasks of the candidate's step that may still be added to the worker.
@@ -138,40 +196,30 @@
     if (search.m_step.m_maxPerWorker <= 0) {
         return wanted;
     }
-    const auto &input = *search.m_plan.m_input;
-    const TaskReference step{.m_job = input.m_jobs[search.m_candidate.m_job]->m_spec->m_id,
-                             .m_occurrence = search.m_candidate.m_occurrence,
-                             .m_step = search.m_candidate.m_step,
-                             .m_index = 0};
     const auto &here = search.m_plan.m_tasksOn[worker];
-    const auto present = std::count_if(here.begin(), here.end(), [&](std::size_t task) { return sameStep(search.m_plan.m_placed[task], step); });
+    const auto present = std::count_if(here.begin(), here.end(), [&](std::size_t task) { return isOfCandidate(search, search.m_plan.m_placed[task]); });
     const auto chosen = std::count(search.m_placement.m_workers.begin(), search.m_placement.m_workers.end(), worker);
     return std::min(wanted, search.m_step.m_maxPerWorker - static_cast<int>(present + chosen));
 }
 
-static Room &roomOn(Search &search, std::size_t worker)
-{
-    return search.m_room.try_emplace(worker, search.m_plan.m_free[worker]).first->second;
-}
-
 static void assign(Search &search, std::size_t worker, int tasks)
 {
-    takeFrom(roomOn(search, worker), search.m_step, tasks);
+    takeFrom(search.m_room[worker], search.m_step, tasks);
     search.m_placement.m_workers.insert(search.m_placement.m_workers.end(), static_cast<std::size_t>(tasks), worker);
 }
 
 // Fills the racks, and in them the workers, with the least room first, so that whole ones stay free for large gangs and tasks.
 static int fillFree(Search &search, const std::vector<std::size_t> &workers, int wanted)
 {
-    const auto &fleet = search.m_plan.m_input->m_workers;
-    std::map<std::string_view, std::int64_t> rackRoom;
+    const auto &rackOf = search.m_plan.m_rackOf;
+    std::vector<std::int64_t> rackRoom(search.m_plan.m_rackCount, 0);
     for (const auto worker : workers) {
-        rackRoom[fleet[worker].m_report->m_rack] += std::max<std::int64_t>(roomOn(search, worker).m_accelerators, 0);
+        rackRoom[rackOf[worker]] += std::max<std::int64_t>(search.m_room[worker].m_accelerators, 0);
     }
     std::vector<std::tuple<std::int64_t, std::int64_t, std::size_t>> order;
     for (const auto worker : workers) {
-        if (fittingTasks(roomOn(search, worker), search.m_step, 1) > 0) {
-            order.emplace_back(rackRoom[fleet[worker].m_report->m_rack], roomOn(search, worker).m_accelerators, worker);
+        if (fittingTasks(search.m_room[worker], search.m_step, 1) > 0) {
+            order.emplace_back(rackRoom[rackOf[worker]], search.m_room[worker].m_accelerators, worker);
         }
     }
     std::sort(order.begin(), order.end());
@@ -179,39 +227,13 @@
         if (wanted == 0) {
             break;
         }
-        const int tasks = std::max(0, fittingTasks(roomOn(search, worker), search.m_step, perWorkerLimit(search, worker, wanted)));
+        const int tasks = std::max(0, fittingTasks(search.m_room[worker], search.m_step, perWorkerLimit(search, worker, wanted)));
         assign(search, worker, tasks);
         wanted -= tasks;
     }
     return wanted;
 }
 
-// Stopping one member of a gang ends all of them, wherever they are.
-static std::vector<std::size_t> unitOf(const FloorPlan &plan, std::size_t task)
-{
-    const auto &placed = plan.m_placed[task];
-    if (!placed.m_gang) {
-        return {task};
-    }
-    std::vector<std::size_t> unit;
-    for (std::size_t other = 0; other < plan.m_placed.size(); ++other) {
-        const auto &candidate = plan.m_placed[other];
-        if (candidate.m_job == placed.m_job && sameStep(candidate, placed.m_task)) {
-            unit.push_back(other);
-        }
-    }
-    return unit;
-}
-
-static double lossOfUnit(const FloorPlan &plan, const std::vector<std::size_t> &unit)
-{
-    double loss = 0.0;
-    for (const auto task : unit) {
-        loss += plan.m_placed[task].m_loss;
-    }
-    return loss;
-}
-
 static bool isEvictable(const Search &search, std::size_t task)
 {
     const auto &placed = search.m_plan.m_placed[task];
@@ -225,7 +247,14 @@
     double m_loss = std::numeric_limits<double>::infinity();
 };
 
-static Eviction cheapestEviction(Search &search, std::size_t worker)
+// Stopping one member of a gang ends all of them, wherever they are.
+static double lossWith(const FloorPlan &plan, std::size_t task)
+{
+    const auto &placed = plan.m_placed[task];
+    return placed.m_gang ? plan.m_gangs[*placed.m_gang].m_loss : placed.m_loss;
+}
+
+static Eviction cheapestEviction(const Search &search, std::size_t worker)
 {
     if (perWorkerLimit(search, worker, 1) < 1) {
         return {};
@@ -235,21 +264,24 @@
         if (isEvictable(search, task)) {
             const auto rank = static_cast<double>(search.m_plan.m_placed[task].m_rank);
             // The least urgent work goes first, whatever it loses.
-            order.emplace_back(lossOfUnit(search.m_plan, unitOf(search.m_plan, task)) - 1e9 * rank, task);
+            order.emplace_back(lossWith(search.m_plan, task) - 1e9 * rank, task);
         }
     }
     std::sort(order.begin(), order.end());
-    auto room = roomOn(search, worker);
+    auto room = search.m_room[worker];
     Eviction eviction{.m_tasks = {}, .m_loss = 0.0};
     for (const auto &[key, task] : order) {
         if (fittingTasks(room, search.m_step, 1) > 0) {
             break;
         }
         addTo(room, *search.m_plan.m_placed[task].m_step, 1);
-        for (const auto member : unitOf(search.m_plan, task)) {
-            eviction.m_tasks.push_back(member);
-            eviction.m_loss += search.m_plan.m_placed[member].m_loss;
+        if (const auto gang = search.m_plan.m_placed[task].m_gang) {
+            const auto &members = search.m_plan.m_gangs[*gang].m_tasks;
+            eviction.m_tasks.insert(eviction.m_tasks.end(), members.begin(), members.end());
+        } else {
+            eviction.m_tasks.push_back(task);
         }
+        eviction.m_loss += lossWith(search.m_plan, task);
     }
     return fittingTasks(room, search.m_step, 1) > 0 ? eviction : Eviction{};
 }
@@ -267,58 +299,71 @@
     search.m_placement.m_mustWait = true;
 }
 
-static std::size_t workerOf(const FloorPlan &plan, std::size_t task)
-{
-    for (std::size_t worker = 0; worker < plan.m_tasksOn.size(); ++worker) {
-        const auto &here = plan.m_tasksOn[worker];
-        if (std::find(here.begin(), here.end(), task) != here.end()) {
-            return worker;
-        }
-    }
-    return plan.m_tasksOn.size();
-}
-
 static int makeRoom(Search &search, const std::vector<std::size_t> &workers, int wanted)
 {
+    // Only the workers that a round changes are looked at again in the next one.
+    std::vector<std::optional<Eviction>> known(search.m_room.size());
     while (wanted > 0) {
-        Eviction best;
+        const Eviction *best = nullptr;
         std::size_t bestWorker = 0;
         for (const auto worker : workers) {
-            auto eviction = cheapestEviction(search, worker);
-            if (eviction.m_loss < best.m_loss) {
-                best = std::move(eviction);
+            auto &eviction = known[worker];
+            if (!eviction) {
+                eviction = cheapestEviction(search, worker);
+            }
+            if (eviction->m_loss < (best ? best->m_loss : std::numeric_limits<double>::infinity())) {
+                best = &*eviction;
                 bestWorker = worker;
             }
         }
-        if (best.m_tasks.empty()) {
+        if (!best || best->m_tasks.empty()) {
             break;
         }
         const auto before = search.m_placement.m_victims.size();
-        evict(search, best);
+        evict(search, *best);
         for (auto victim = before; victim < search.m_placement.m_victims.size(); ++victim) {
-            const auto task = search.m_placement.m_victims[victim];
-            addTo(roomOn(search, workerOf(search.m_plan, task)), *search.m_plan.m_placed[task].m_step, 1);
+            const auto &placed = search.m_plan.m_placed[search.m_placement.m_victims[victim]];
+            addTo(search.m_room[placed.m_worker], *placed.m_step, 1);
+            known[placed.m_worker].reset();
         }
-        const int tasks = std::max(1, fittingTasks(roomOn(search, bestWorker), search.m_step, perWorkerLimit(search, bestWorker, wanted)));
+        const int tasks = std::max(1, fittingTasks(search.m_room[bestWorker], search.m_step, perWorkerLimit(search, bestWorker, wanted)));
         assign(search, bestWorker, tasks);
+        known[bestWorker].reset();
         wanted -= tasks;
     }
     return wanted;
 }
 
+// True if the free room alone may hold enough of the step; an upper bound that costs little.
+static bool mayFit(const FloorPlan &plan, const JobStep &step, int wanted, const PlacementScope &scope)
+{
+    const int needed = scope.m_partial ? 1 : wanted;
+    const int perWorker = step.m_maxPerWorker > 0 ? std::min(wanted, step.m_maxPerWorker) : wanted;
+    int places = 0;
+    for (const auto worker : scope.m_workers) {
+        places += std::max(0, fittingTasks(plan.m_free[worker], step, perWorker));
+        if (places >= needed) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::optional<StepPlacement> placeTasks(const FloorPlan &plan, const Candidate &candidate, int wanted, const PlacementScope &scope)
 {
     const auto &step = plan.m_input->m_jobs[candidate.m_job]->m_spec->m_steps[static_cast<std::size_t>(candidate.m_step)];
+    if (!scope.m_useSoonFree && !scope.m_mayEvict && !mayFit(plan, step, wanted, scope)) {
+        return std::nullopt;
+    }
     Search search{.m_plan = plan,
                   .m_candidate = candidate,
                   .m_step = step,
-                  .m_room = {},
-                  .m_victims = {},
+                  .m_room = plan.m_free,
                   .m_isVictim = std::vector<bool>(scope.m_mayEvict ? plan.m_placed.size() : 0, false)};
     int left = fillFree(search, scope.m_workers, wanted);
     if (left > 0 && scope.m_useSoonFree) {
         for (const auto worker : scope.m_workers) {
-            auto &room = roomOn(search, worker);
+            auto &room = search.m_room[worker];
             room.m_milliCores += plan.m_soonFree[worker].m_milliCores;
             room.m_memoryMb += plan.m_soonFree[worker].m_memoryMb;
             room.m_accelerators += plan.m_soonFree[worker].m_accelerators;
--- a/scheduling/lib/Fleet/floorplan.h
+++ b/scheduling/lib/Fleet/floorplan.h
@@ -23,23 +23,35 @@
 
 /// A task that takes up room on a worker.
 struct PlacedTask {
-    std::size_t m_job;
-    TaskReference m_task;
+    std::size_t m_job; ///< Index in PlacementInput::m_jobs.
+    std::int64_t m_occurrence;
+    int m_stepNumber;
+    int m_index;
     const TaskState *m_state;
     const JobStep *m_step;
     UrgencyRank m_rank;
     bool m_stopping;
-    bool m_gang;
+    std::size_t m_worker;
+    std::optional<std::size_t> m_gang; ///< Index in FloorPlan::m_gangs.
     double m_loss; ///< Core-seconds of work that stopping it throws away; an accelerator counts as eight cores.
 };
 
+/// The placed members of a gang, which end together.
+struct PlacedGang {
+    std::vector<std::size_t> m_tasks; ///< Indices in FloorPlan::m_placed.
+    double m_loss = 0.0; ///< Of all of them.
+};
+
 /// The workers with what is free on them, updated as the pass takes decisions.
 struct FloorPlan {
     const PlacementInput *m_input = nullptr;
     std::vector<Room> m_free; ///< By worker; may be negative after a worker's capacity shrank.
     std::vector<Room> m_soonFree; ///< Held by tasks that are being stopped.
     std::vector<std::vector<std::size_t>> m_tasksOn; ///< By worker; indices in m_placed.
+    std::vector<std::size_t> m_rackOf; ///< By worker; racks are numbered in the order of their names.
+    std::size_t m_rackCount = 0;
     std::vector<PlacedTask> m_placed;
+    std::vector<PlacedGang> m_gangs;
     std::vector<bool> m_evicted; ///< By index in m_placed: the pass stops this task.
 };
 
@@ -62,6 +74,9 @@
     bool m_partial; ///< Fewer tasks than wanted are acceptable.
 };
 
+/// The task in the words of orders and logs.
+TaskReference referenceTo(const FloorPlan &plan, const PlacedTask &task);
+
 /// Finds places for up to @p wanted tasks of the candidate's step. Empty if none was found.
 std::optional<StepPlacement> placeTasks(const FloorPlan &plan, const Candidate &candidate, int wanted, const PlacementScope &scope);
 
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -6,6 +6,9 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
+#include <string_view>
+#include <utility>
 
 namespace PrimroseBridge {
 
@@ -50,18 +53,23 @@
     return needed;
 }
 
-double urgentNeed(const PlacementInput &input)
+static double urgentNeedOf(const PlacementInput &input, const std::vector<const QueueSettings *> &queues)
 {
     double needed = 0.0;
-    for (const auto &job : input.m_jobs) {
-        const auto *queue = queueNamed(*input.m_configuration, job->m_spec->m_queue);
-        if (queue && queue->m_priority == 0 && job->m_outcome == JobOutcome::Active) {
-            needed += activeAccelerators(*job);
+    for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
+        const auto &job = *input.m_jobs[index];
+        if (queues[index] && queues[index]->m_priority == 0 && job.m_outcome == JobOutcome::Active) {
+            needed += activeAccelerators(job);
         }
     }
     return needed;
 }
 
+double urgentNeed(const PlacementInput &input)
+{
+    return urgentNeedOf(input, queuesOfJobs(input));
+}
+
 std::string_view stopReasonName(StopReason reason)
 {
     switch (reason) {
@@ -107,7 +115,10 @@
 
 struct Pass {
     const PlacementInput &m_input;
+    const std::vector<const QueueSettings *> m_queues; // By job.
     FloorPlan m_plan;
+    // Workers of a pool with a label, by pool and label.
+    std::map<std::pair<std::string_view, std::string_view>, std::vector<std::size_t>> m_eligible = {};
     std::vector<StartDecision> m_starts;
     std::vector<StopDecision> m_stops;
     int m_waiting = 0;
@@ -141,24 +152,42 @@
     return step.m_requiredLabel.empty() || std::find(report.m_labels.begin(), report.m_labels.end(), step.m_requiredLabel) != report.m_labels.end();
 }
 
-static bool hasFailedOn(const StepState &state, const std::string &worker)
+// Workers on which a run of the step failed.
+static std::set<std::string_view> failedOn(const StepState &state)
 {
-    return std::any_of(state.m_tasks.begin(), state.m_tasks.end(), [&](const auto &task) {
-        return std::find(task->m_failedOn.begin(), task->m_failedOn.end(), worker) != task->m_failedOn.end();
-    });
+    std::set<std::string_view> workers;
+    for (const auto &task : state.m_tasks) {
+        workers.insert(task->m_failedOn.begin(), task->m_failedOn.end());
+    }
+    return workers;
+}
+
+static const std::vector<std::size_t> &workersOf(Pass &pass, const std::string &pool, const JobStep &step)
+{
+    const auto [entry, added] = pass.m_eligible.try_emplace({pool, step.m_requiredLabel});
+    if (added) {
+        for (std::size_t index = 0; index < pass.m_input.m_workers.size(); ++index) {
+            if (isEligible(pass.m_input.m_workers[index], step, pool)) {
+                entry->second.push_back(index);
+            }
+        }
+    }
+    return entry->second;
 }
 
 // Workers that may run the step. Isolated ones, and those on which a run of the step failed, count only if @p lenient.
-static std::vector<std::size_t> eligibleWorkers(const Pass &pass, const Candidate &candidate, bool lenient)
+static std::vector<std::size_t> eligibleWorkers(Pass &pass, const Candidate &candidate, bool lenient)
 {
-    const auto &job = *pass.m_input.m_jobs[candidate.m_job];
-    const auto *queue = queueNamed(*pass.m_input.m_configuration, job.m_spec->m_queue);
-    const auto &step = stepOf(pass, candidate);
-    const auto &state = stateOf(pass, candidate);
+    const auto &all = workersOf(pass, pass.m_queues[candidate.m_job]->m_service, stepOf(pass, candidate));
+    if (lenient) {
+        return all;
+    }
+    const auto failed = failedOn(stateOf(pass, candidate));
     std::vector<std::size_t> workers;
-    for (std::size_t index = 0; index < pass.m_input.m_workers.size(); ++index) {
+    workers.reserve(all.size());
+    for (const auto index : all) {
         const auto &worker = pass.m_input.m_workers[index];
-        if (isEligible(worker, step, queue->m_service) && (lenient || (!worker.m_isolated && !hasFailedOn(state, worker.m_life->m_worker)))) {
+        if (!worker.m_isolated && (failed.empty() || !failed.contains(worker.m_life->m_worker))) {
             workers.push_back(index);
         }
     }
@@ -179,11 +208,12 @@
     return false;
 }
 
-static std::map<std::string, std::vector<std::size_t>> byRack(const Pass &pass, const std::vector<std::size_t> &workers)
+// By rack; empty for racks without any of the workers.
+static std::vector<std::vector<std::size_t>> byRack(const Pass &pass, const std::vector<std::size_t> &workers)
 {
-    std::map<std::string, std::vector<std::size_t>> racks;
+    std::vector<std::vector<std::size_t>> racks(pass.m_plan.m_rackCount);
     for (const auto worker : workers) {
-        racks[pass.m_input.m_workers[worker].m_report->m_rack].push_back(worker);
+        racks[pass.m_plan.m_rackOf[worker]].push_back(worker);
     }
     return racks;
 }
@@ -209,11 +239,14 @@
         return {Scope{.m_workers = workers, .m_remote = false}};
     }
     std::vector<Scope> scopes;
-    for (const auto &[rack, members] : byRack(pass, workers)) {
-        const bool hasData = step.m_dataRack.empty() || step.m_dataRack == rack;
+    for (auto &members : byRack(pass, workers)) {
+        if (members.empty()) {
+            continue;
+        }
+        const bool hasData = step.m_dataRack.empty() || step.m_dataRack == pass.m_input.m_workers[members.front()].m_report->m_rack;
         const bool wholeStep = !(step.m_gang && step.m_sameRack) || fitsWhenEmpty(pass, members, step, tasks);
         if (hasData && wholeStep) {
-            scopes.push_back(Scope{.m_workers = members, .m_remote = false});
+            scopes.push_back(Scope{.m_workers = std::move(members), .m_remote = false});
         }
     }
     if (scopes.empty() || freeShare(pass, workers) >= spreadFreeShare) {
@@ -359,14 +392,11 @@
             continue;
         }
         pass.m_plan.m_evicted[victim] = true;
-        for (std::size_t worker = 0; worker < pass.m_plan.m_tasksOn.size(); ++worker) {
-            const auto &here = pass.m_plan.m_tasksOn[worker];
-            if (std::find(here.begin(), here.end(), victim) != here.end()) {
-                addTo(pass.m_plan.m_soonFree[worker], *placed.m_step, 1);
-            }
-        }
-        pass.m_stops.push_back(
-            StopDecision{.m_task = placed.m_task, .m_place = *placed.m_state->m_place, .m_run = placed.m_state->m_run, .m_reason = StopReason::Preempted});
+        addTo(pass.m_plan.m_soonFree[placed.m_worker], *placed.m_step, 1);
+        pass.m_stops.push_back(StopDecision{.m_task = referenceTo(pass.m_plan, placed),
+                                            .m_place = *placed.m_state->m_place,
+                                            .m_run = placed.m_state->m_run,
+                                            .m_reason = StopReason::Preempted});
     }
 }
 
@@ -430,10 +460,13 @@
 
 PlacementDecisions decidePlacement(const PlacementInput &input)
 {
-    const auto ranks = rankJobs(input);
-    Pass pass{.m_input = input, .m_plan = makeFloorPlan(input, ranks), .m_starts = {}, .m_stops = {}};
-    pass.m_keptFree = std::clamp(input.m_urgentPeak - urgentNeed(input), 0.0, maxKeptShare * usableAccelerators(input));
-    for (auto &candidate : findCandidates(input, ranks)) {
+    auto queues = queuesOfJobs(input);
+    const auto ranks = rankJobs(input, queues);
+    auto candidates = findCandidates(input, queues, ranks);
+    const auto urgent = urgentNeedOf(input, queues);
+    Pass pass{.m_input = input, .m_queues = std::move(queues), .m_plan = makeFloorPlan(input, ranks), .m_starts = {}, .m_stops = {}};
+    pass.m_keptFree = std::clamp(input.m_urgentPeak - urgent, 0.0, maxKeptShare * usableAccelerators(input));
+    for (auto &candidate : candidates) {
         placeCandidate(pass, std::move(candidate));
     }
     return PlacementDecisions{.m_starts = std::move(pass.m_starts), .m_stops = std::move(pass.m_stops), .m_waitingSteps = pass.m_waiting};
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -5,6 +5,7 @@
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Pipeline/bootclock.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace PrimroseBridge {
@@ -15,6 +16,8 @@
 static constexpr std::size_t maxBatch = 256;
 // Upper bound of the wait for an event, so that time-outs are noticed while nothing happens.
 static constexpr Duration longestWait(50);
+// Between passes, so that a stream of single events does not cause a pass each; less than a network round trip between zones.
+static constexpr Duration shortestPlacementGap(8);
 // Occurrences fall due and isolated workers return without an event.
 static constexpr Duration longestPlacementGap(200);
 
@@ -36,7 +39,8 @@
     Instant reviewedAt;
     Instant placedAt;
     while (!m_state.m_events->closed()) {
-        const auto events = m_state.m_events->popBatchFor(maxBatch, longestWait);
+        const auto untilPlacement = std::max(Duration(1), shortestPlacementGap - (bootNow() - placedAt));
+        const auto events = m_state.m_events->popBatchFor(maxBatch, m_state.m_mustPlace && m_state.m_decides ? untilPlacement : longestWait);
         const auto now = bootNow();
         // Before anything is sent: the VM may have been suspended since the last round. Workers that a successor cannot reach
         // still obey this VM. Without the lease it starts nothing, because a job that it knows as waiting may have been run by
@@ -56,7 +60,8 @@
         if (!m_state.m_decides) {
             continue;
         }
-        if (m_state.m_mustPlace || now - placedAt >= longestPlacementGap) {
+        const auto sincePlacement = now - placedAt;
+        if ((m_state.m_mustPlace && sincePlacement >= shortestPlacementGap) || sincePlacement >= longestPlacementGap) {
             m_state.m_mustPlace = false;
             placedAt = now;
             placeWork(m_state, now);
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -317,11 +317,9 @@
 }
 
 // A stop without an answer is repeated.
-static void reviewStops(OwnerState &state, const TaskReference &reference, const TaskState &task, Instant now)
+static bool mustRepeatStop(const TaskState &task, Instant now)
 {
-    if (task.m_phase == TaskPhase::Stopping && task.m_unconfirmed && now - task.m_phaseSince >= stopRepeatDelay) {
-        orderStop(state, *task.m_place, reference, task.m_run, StopReason::Superseded, now);
-    }
+    return task.m_phase == TaskPhase::Stopping && task.m_unconfirmed && now - task.m_phaseSince >= stopRepeatDelay;
 }
 
 // A gang of which only some members run would end alone; its members are stopped and it is placed again.
@@ -417,12 +415,12 @@
         for (std::size_t step = 0; step < occurrence->m_steps.size(); ++step) {
             const auto &tasks = occurrence->m_steps[step]->m_tasks;
             for (std::size_t index = 0; index < tasks.size(); ++index) {
-                reviewStops(
-                    state,
-                    TaskReference{
-                        .m_job = job->m_spec->m_id, .m_occurrence = occurrence->m_number, .m_step = static_cast<int>(step), .m_index = static_cast<int>(index)},
-                    *tasks[index],
-                    now);
+                if (!mustRepeatStop(*tasks[index], now)) {
+                    continue;
+                }
+                const TaskReference reference{
+                    .m_job = job->m_spec->m_id, .m_occurrence = occurrence->m_number, .m_step = static_cast<int>(step), .m_index = static_cast<int>(index)};
+                orderStop(state, *tasks[index]->m_place, reference, tasks[index]->m_run, StopReason::Superseded, now);
             }
             if (locked || job->m_outcome != JobOutcome::Active) {
                 continue;
