Add a fault soak of the fleet's real programs; keep open starts over a worker's restart

Starts that no list of the earlier life has named stay until the new life's lists tell, or their leases lapse. A worker that lists unknown runs, or left a start unanswered, gets no starts for a while. Three new tests of the owner fail without the change.

--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -111,13 +111,15 @@
 class Process:
     """One running process with its log file."""
 
-    def __init__(self, name, arguments, folder):
+    def __init__(self, name, arguments, folder, environment=None):
         self.name = name
         self.arguments = arguments
         self.log_path = Path(folder) / f"{name}.log"
         with open(self.log_path, "ab") as log:
             # A group of its own keeps Ctrl-C at the terminal from reaching it before the harness has stopped its load.
-            self._child = subprocess.Popen(arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+            self._child = subprocess.Popen(
+                arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True, env={**os.environ, **(environment or {})}
+            )
 
     @property
     def pid(self):
@@ -185,11 +187,11 @@
         elif kind is not None:
             print(f"logs: {self.folder}", file=sys.stderr)
 
-    def start(self, name, arguments):
+    def start(self, name, arguments, environment=None):
         with self._lock:
             if self._ended:
                 raise HarnessError(f"{name} is not started, because the run is ending")
-            process = Process(name, [str(argument) for argument in arguments], self.folder)
+            process = Process(name, [str(argument) for argument in arguments], self.folder, environment)
             self._all.append(process)
         return process
 
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -111,22 +111,37 @@
     });
 }
 
-void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now)
+static bool isListed(const TrackedWorker &worker, const TaskReference &reference, std::int64_t run)
+{
+    const auto found = worker.m_listedRuns.find(reference);
+    return found != worker.m_listedRuns.end() && found->second == run;
+}
+
+void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now, bool listedOnly)
 {
     const auto tasks = worker.m_tasks;
+    std::size_t released = 0;
     for (const auto &reference : tasks) {
         const auto job = state.m_jobs.find(reference.m_job);
         const auto task = job ? findTask(*job, reference) : nullptr;
-        if (task && task->m_place && *task->m_place == *worker.m_life) {
+        const bool here = task && task->m_place && *task->m_place == *worker.m_life;
+        if (here && listedOnly && !isListed(worker, reference, task->m_run)) {
+            continue;
+        }
+        ++released;
+        worker.m_tasks.erase(reference);
+        if (here) {
             setTask(state, reference, taskWaiting(*task, now));
         }
     }
-    if (!tasks.empty()) {
+    if (released > 0) {
         logEvent(LogLevel::Info,
                  "worker_tasks_released",
-                 {{"worker", worker.m_life->m_worker}, {"tasks", std::to_string(tasks.size())}, {"reason", std::string(reason)}});
+                 {{"worker", worker.m_life->m_worker},
+                  {"tasks", std::to_string(released)},
+                  {"kept", std::to_string(worker.m_tasks.size())},
+                  {"reason", std::string(reason)}});
     }
-    worker.m_tasks.clear();
     state.m_mustPlace = true;
 }
 
@@ -151,7 +166,8 @@
 bool isUsable(const OwnerState &state, const TrackedWorker &worker, Instant now)
 {
     const bool recorded = worker.m_rosterVersion > 0 && worker.m_rosterVersion <= state.m_recordedRoster;
-    return recorded && worker.m_entryPresent && worker.m_fenced && worker.m_missed == 0 && !worker.m_report->m_draining && worker.m_noStartsUntil <= now;
+    const bool answers = worker.m_entryPresent && worker.m_fenced && worker.m_missed == 0;
+    return recorded && answers && !worker.m_report->m_draining && worker.m_unwantedRuns == 0 && worker.m_noStartsUntil <= now;
 }
 
 static TrackedWorker newEntry(const WorkerReportPointer &report, Instant now)
@@ -164,9 +180,23 @@
     return entry;
 }
 
+namespace {
+
+// Starts that a life of a worker may have left to the next one under its identifier.
+struct OpenStarts {
+    std::set<TaskReference> m_tasks;
+    Instant m_leaseBound;
+};
+
+} // namespace
+
 // A new worker on the same machine, or at the same identifier with another start time, ends the life before it.
-static void endEarlierLives(OwnerState &state, const WorkerReport &report, Instant now)
+//
+// Orders name the identifier alone, and the store's entry of the new life comes later than the life itself. A start that no list
+// of the earlier life has named may therefore have been carried out by the new one; its lists tell, see adoptOpenStarts().
+static OpenStarts endEarlierLives(OwnerState &state, const WorkerReport &report, Instant now)
 {
+    OpenStarts open;
     for (auto entry = state.m_workers.begin(); entry != state.m_workers.end();) {
         auto &worker = entry->second;
         const bool sameMachine = !report.m_machine.empty() && worker.m_report->m_machine == report.m_machine;
@@ -174,7 +204,10 @@
         const bool newerLife = report.m_life.m_bornAt > worker.m_life->m_bornAt;
         if ((sameMachine || sameName) && *worker.m_life != report.m_life && newerLife) {
             logEvent(LogLevel::Info, "worker_life_over", {{"worker", entry->first}, {"successor", report.m_life.m_worker}});
-            releaseTasks(state, worker, "worker_restarted", now);
+            releaseTasks(state, worker, "worker_restarted", now, sameName);
+            if (sameName) {
+                open = OpenStarts{.m_tasks = worker.m_tasks, .m_leaseBound = worker.m_leaseBound};
+            }
             state.m_awaitedWorkers.erase(entry->first);
             state.m_rosterChanged = true;
             entry = state.m_workers.erase(entry);
@@ -182,11 +215,25 @@
             ++entry;
         }
     }
+    return open;
+}
+
+static void adoptOpenStarts(OwnerState &state, TrackedWorker &worker, const OpenStarts &open, Instant now)
+{
+    worker.m_leaseBound = std::max(worker.m_leaseBound, open.m_leaseBound);
+    for (const auto &reference : open.m_tasks) {
+        const auto job = state.m_jobs.find(reference.m_job);
+        const auto task = job ? findTask(*job, reference) : nullptr;
+        if (task && task->m_place && task->m_place->m_worker == worker.m_life->m_worker) {
+            const auto starting = taskStarting(*task, worker.m_life, task->m_run, now);
+            setTask(state, reference, taskInPhase(*starting, TaskPhase::Starting, true, now));
+        }
+    }
 }
 
 static void applyWorkerReport(OwnerState &state, const WorkerReportPointer &report, Instant now)
 {
-    endEarlierLives(state, *report, now);
+    const auto open = endEarlierLives(state, *report, now);
     const auto [entry, added] = state.m_workers.try_emplace(report->m_life.m_worker, newEntry(report, now));
     auto &worker = entry->second;
     if (*worker.m_life != report->m_life) {
@@ -202,6 +249,7 @@
     worker.m_entryPresent = true;
     worker.m_leftInOrder = false;
     if (added) {
+        adoptOpenStarts(state, worker, open, now);
         state.m_rosterChanged = true;
         logEvent(LogLevel::Info, "worker_known", {{"worker", entry->first}, {"zone", report->m_zone}, {"rack", report->m_rack}});
         requestLists(state, worker, false, now);
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -14,13 +14,11 @@
 static constexpr Duration idleReportWait(2000);
 // Beyond the wait, for the way there and back and a worker that answers slowly.
 static constexpr Duration reportSlack(700);
-// A worker that has refused for want of room, or work in general, gets no starts for this long.
+// A worker that has refused for want of room, or that has refused or not answered in general, gets no starts for this long.
 static constexpr Duration refusalPause(300);
 static constexpr Duration unhealthyPause(1500);
 static constexpr double leaseStretch = 1.03; // Clocks of workers may be 2% slow.
 static constexpr Duration leaseSlack(300);
-// Unanswered requests after which leases are no longer renewed, so that the time by which they have lapsed stands still.
-static constexpr int missedBeforeLookOnly = 2;
 
 static std::int64_t leaseEndFor(const OwnerState &state, const TrackedWorker &worker, Instant now)
 {
@@ -142,6 +140,7 @@
     case StartAnswer::Unhealthy:
     case StartAnswer::Malformed:
     case StartAnswer::OtherLife:
+    case StartAnswer::Unanswered:
         worker.m_noStartsUntil = std::max(worker.m_noStartsUntil, now + unhealthyPause);
         return;
     case StartAnswer::NoRoom:
@@ -181,13 +180,13 @@
         setTask(state, event.m_task, taskInPhase(*task, TaskPhase::Running, false, now));
         return;
     }
+    noteRefusal(*worker, answer, now);
     if (answer == StartAnswer::Unanswered) {
         // The run may have begun. The worker's lists tell; see applyReport().
         setTask(state, event.m_task, taskInPhase(*task, TaskPhase::Starting, true, now));
         requestLists(state, *worker, true, now);
         return;
     }
-    noteRefusal(*worker, answer, now);
     setTask(state, event.m_task, taskWaiting(*task, now));
     state.m_mustPlace = true;
 }
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -81,6 +81,7 @@
 static void applyOneEnd(OwnerState &state, TrackedWorker &worker, const RunEnd &end, Instant now)
 {
     worker.m_endsHandled = end.m_number;
+    worker.m_listedRuns.erase(end.m_task);
     const auto job = state.m_jobs.find(end.m_task.m_job);
     logEvent(LogLevel::Info,
              "run_ended",
@@ -148,6 +149,7 @@
     const auto job = state.m_jobs.find(row.m_task.m_job);
     const auto task = job ? findTask(*job, row.m_task) : nullptr;
     const bool here = task && task->m_place && *task->m_place == *worker.m_life && task->m_run == row.m_run;
+    worker.m_listedRuns.insert_or_assign(row.m_task, row.m_run);
     if (here && task->m_phase == TaskPhase::Stopping) {
         confirmRun(state, worker, row, *task, sentAt, now);
         return;
@@ -255,16 +257,22 @@
     }
     const auto &lists = *event.m_reply.m_lists;
     if (lists.m_bornAt != 0 && lists.m_bornAt != event.m_life.m_bornAt) {
-        // The store's entry of the new life follows; until then nothing is started there.
-        releaseTasks(state, *worker, "worker_restarted", now);
-        worker->m_noStartsUntil = now + requestPause;
+        // The store's entry of the new life follows; until then nothing is started there and no lease is renewed. Starts that
+        // the new life may have carried out stay until that entry comes, or until their leases have lapsed.
+        releaseTasks(state, *worker, "worker_restarted", now, true);
+        worker->m_missed += worker->m_missed == 0 ? missedBeforeLookOnly : 1;
         worker->m_nextRequestAt = now + requestPause;
         return;
     }
     noteAnswer(state, *worker, lists, now);
     applyEnds(state, *worker, lists, now);
+    worker->m_unwantedRuns = 0;
     for (const auto &row : lists.m_running) {
         applyRunning(state, *worker, row, event.m_sentAt, now);
+        const auto job = state.m_jobs.find(row.m_task.m_job);
+        const auto task = job ? findTask(*job, row.m_task) : nullptr;
+        const bool known = task && task->m_place && *task->m_place == *worker->m_life && task->m_run == row.m_run;
+        worker->m_unwantedRuns += known ? 0 : 1;
     }
     applyAbsences(state, *worker, lists, event.m_sentAt, now);
     if (event.m_quick) {
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -15,6 +15,9 @@
 
 namespace PrimroseBridge {
 
+/// Unanswered requests after which leases are no longer renewed, so that the time by which they have lapsed stands still.
+constexpr int missedBeforeLookOnly = 2;
+
 using JobShards = ShardedMap<std::string, JobState>;
 
 /// An end that the worker may not forget before a job's progress is in the store.
@@ -39,6 +42,7 @@
     int m_failureStreak = 0; ///< Failed runs of different jobs since the last success.
     Instant m_isolatedUntil;
     Instant m_noStartsUntil;
+    int m_unwantedRuns = 0; ///< In the newest list; they take up room that no known task accounts for until they are stopped.
     Instant m_slowUntil; ///< Tasks there were lately behind those of their steps elsewhere.
     Instant m_leavesAt; ///< Boot clock; a draining worker is there until then at least.
     std::int64_t m_endsHandled = 0;
@@ -49,6 +53,7 @@
     Instant m_nextRequestAt;
     std::int64_t m_rosterVersion = 0; ///< First version of the roster that names this life; 0 if none does yet.
     std::set<TaskReference> m_tasks; ///< Believed to be there.
+    std::map<TaskReference, std::int64_t> m_listedRuns; ///< Newest run of each task that a list of this life has named.
 };
 
 /// The state of the owner's stage. Only the job shards and the fence are used by other threads.
@@ -91,8 +96,8 @@
 void setTask(OwnerState &state, const TaskReference &reference, const TaskPointer &task);
 /// Replaces a job and keeps the workers' lists of tasks in step.
 void setJob(OwnerState &state, const JobPointer &job);
-/// The tasks of a life of a worker that is over wait again.
-void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now);
+/// The tasks of a life of a worker that is over wait again, those without @p listedOnly also if no list has named their runs.
+void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now, bool listedOnly = false);
 /// Sends a stop order; the task's place stays taken until the worker lists the end.
 void orderStop(OwnerState &state, const WorkerLife &life, const TaskReference &task, std::int64_t run, StopReason reason, Instant now);
 void orderStart(OwnerState &state, const StartDecision &decision, const PlacementWorker &worker, const JobPointer &job, Instant now);
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -53,10 +53,10 @@
     });
 }
 
-static JobSpecPointer specOf(int tasks, bool gang)
+static JobSpecPointer specOf(int tasks, bool gang, const std::string &name = std::string(jobName))
 {
     return std::make_shared<const JobSpec>(JobSpec{
-        .m_id = std::string(jobName),
+        .m_id = name,
         .m_queue = "queue",
         .m_organisation = {},
         .m_acceptedAt = TimerService::now(),
@@ -280,6 +280,66 @@
     CHECK(rig.waitFor([&] { return rig.isComplete(); }, 1500));
 }
 
+// Guards against a task that runs twice because the store names a restarted worker's new life later than orders reach it: found by
+// the soak, seed 302.
+TEST_CASE("a start that a worker's new life has carried out is found there")
+{
+    StandinWorker first("w1", "r1", Duration(600));
+    StandinWorker second("w2", "r1", Duration(600));
+    Rig rig;
+    rig.own({}, {reportOf(first), reportOf(second)});
+    REQUIRE(rig.waitFor([&] { return first.leaseEnd() > 0 && second.leaseEnd() > 0; }));
+    first.restart();
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return first.runs().size() == 1; }));
+    first.setFaults([](WorkerCall call) { return call == WorkerCall::Report ? WorkerFault::Unreachable : WorkerFault::None; });
+    rig.m_owner->post(WorkerReported{.m_report = reportOf(first)});
+    std::this_thread::sleep_for(Duration(300));
+    CHECK(second.runs().empty());
+    first.setFaults([](WorkerCall) { return WorkerFault::None; });
+    CHECK(rig.waitFor([&] { return rig.isComplete(); }));
+    CHECK(first.runs().size() == 1);
+    CHECK(second.runs().empty());
+}
+
+// Guards against an overfull worker: runs of settled jobs take up room until they have stopped. Found by the soak, seed 401.
+TEST_CASE("nothing starts on a worker that still runs what nobody knows")
+{
+    StandinWorker worker("w1", "r1", Duration(60'000));
+    {
+        Rig former;
+        former.own({}, {reportOf(worker)});
+        former.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+        REQUIRE(former.waitFor([&] { return worker.running().size() == 1; }));
+    }
+    worker.setFaults([](WorkerCall call) { return call == WorkerCall::Stop ? WorkerFault::Unreachable : WorkerFault::None; });
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false, "0000000000000001")});
+    std::this_thread::sleep_for(Duration(600));
+    CHECK(worker.runs().size() == 1);
+    worker.setFaults([](WorkerCall) { return WorkerFault::None; });
+    CHECK(rig.waitFor([&] { return worker.runs().size() == 2; }));
+}
+
+// Guards against a task that is never run again because its worker restarted before the start reached it.
+TEST_CASE("a start that a worker's new life has not seen is given to another worker")
+{
+    StandinWorker first("w1", "r1", Duration(100));
+    StandinWorker second("w2", "r1", Duration(100));
+    Rig rig;
+    rig.own({}, {reportOf(first)});
+    REQUIRE(rig.waitFor([&] { return first.leaseEnd() > 0; }));
+    first.setFaults([](WorkerCall call) { return call == WorkerCall::Start ? WorkerFault::Unreachable : WorkerFault::None; });
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    std::this_thread::sleep_for(Duration(100));
+    first.restart();
+    rig.m_owner->post(WorkerReported{.m_report = reportOf(second)});
+    rig.m_owner->post(WorkerReported{.m_report = reportOf(first)});
+    CHECK(rig.waitFor([&] { return rig.isComplete(); }));
+    CHECK(first.runs().size() + second.runs().size() == 1);
+}
+
 // Guards against two runs of one task: a worker whose entry was removed for silence may still run it.
 TEST_CASE("tasks of a silent worker wait until its leases have lapsed")
 {
--- a/standins/include/primrosebridge/Fleetstandin/standinworker.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinworker.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,10 @@
     const std::string m_task;
     const std::int64_t m_run;
     const std::chrono::steady_clock::time_point m_startedAt;
+    const std::int64_t m_life; ///< Start time of the worker on which it ran, as the worker names it.
+    const std::chrono::steady_clock::time_point m_endedAt; ///< Only if m_how is not empty.
+    const std::string m_how; ///< Empty while it runs; done, failed, stopped, lapsed, or lost with a life of the worker.
+    const bool m_taken; ///< A caller has named the end as seen, so that the worker forgot it.
 };
 
 /// A stand-in for a worker, over HTTP on the loopback address. Every task runs for the same time. For tests and demos only.
@@ -38,8 +43,11 @@
 class StandinWorker
 {
 public:
-    /// @p runTime of each task.
-    StandinWorker(std::string identifier, std::string rack, std::chrono::milliseconds runTime);
+    /// @p runTime of each task. A lease is at most @p longestLease long; without one, nothing lapses.
+    StandinWorker(std::string identifier,
+                  std::string rack,
+                  std::chrono::milliseconds runTime,
+                  std::optional<std::chrono::milliseconds> longestLease = std::nullopt);
     ~StandinWorker();
     StandinWorker(const StandinWorker &) = delete;
     StandinWorker &operator=(const StandinWorker &) = delete;
@@ -47,6 +55,8 @@
     [[nodiscard]] const std::string &identifier() const;
     /// The entry that the worker keeps in the store, with room for eight accelerators.
     [[nodiscard]] std::string entry(const std::string &state) const;
+    /// Ends this life of the worker: nothing runs any more and nothing is remembered of it but runs().
+    void restart();
     /// Decides the fault of each call.
     void setFaults(std::function<WorkerFault(WorkerCall)> faults);
     /// The next runs of a task whose name begins with @p prefix end as failed.
--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -22,6 +23,18 @@
     std::int64_t m_number = 0;
     Clock::time_point m_endsAt;
     bool m_fails = false;
+    std::size_t m_entry = 0; // Index in the history.
+};
+
+// A run in the history; how is empty while it runs.
+struct HistoryEntry {
+    std::string m_task;
+    std::int64_t m_run = 0;
+    std::int64_t m_life = 0;
+    Clock::time_point m_startedAt;
+    Clock::time_point m_endedAt;
+    std::string m_how;
+    bool m_taken = false;
 };
 
 struct End {
@@ -29,6 +42,7 @@
     std::string m_task;
     std::int64_t m_run = 0;
     std::string m_how;
+    std::size_t m_entry = 0; // Index in the history.
 };
 
 } // namespace
@@ -43,7 +57,9 @@
     std::map<std::string, Run> m_running;
     std::map<std::string, std::int64_t> m_highest; // Highest run that was stopped or ended here, by task.
     std::vector<End> m_ends;
-    std::vector<StandinRun> m_history;
+    std::vector<HistoryEntry> m_history;
+    std::optional<std::chrono::milliseconds> m_longestLease;
+    std::int64_t m_born = 1;
     std::int64_t m_nextEnd = 1;
     std::int64_t m_leaseEnd = 0;
     std::string m_failing;
@@ -60,31 +76,40 @@
     StandinAnswer hold();
     StandinAnswer reply(int status, Json body) const;
     void advance();
-    void end(const std::string &task, std::int64_t run, const std::string &how);
+    void end(const std::string &task, const Run &run, const std::string &how);
+    [[nodiscard]] std::int64_t clock() const;
 };
 
+std::int64_t StandinWorker::Private::clock() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt).count();
+}
+
 StandinAnswer StandinWorker::Private::reply(int status, Json body) const
 {
-    body["clockMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt).count();
-    body["born"] = 1;
+    body["clockMs"] = clock();
+    body["born"] = m_born;
     return StandinAnswer{.m_status = status, .m_body = body.dump()};
 }
 
-void StandinWorker::Private::end(const std::string &task, std::int64_t run, const std::string &how)
+void StandinWorker::Private::end(const std::string &task, const Run &run, const std::string &how)
 {
-    m_highest[task] = std::max(m_highest[task], run);
-    m_ends.push_back(End{.m_number = m_nextEnd++, .m_task = task, .m_run = run, .m_how = how});
+    m_highest[task] = std::max(m_highest[task], run.m_number);
+    m_ends.push_back(End{.m_number = m_nextEnd++, .m_task = task, .m_run = run.m_number, .m_how = how, .m_entry = run.m_entry});
+    m_history[run.m_entry].m_endedAt = Clock::now();
+    m_history[run.m_entry].m_how = how;
     m_changed.notify_all();
 }
 
 void StandinWorker::Private::advance()
 {
     for (auto run = m_running.begin(); run != m_running.end();) {
-        if (run->second.m_endsAt > Clock::now()) {
+        const bool lapsed = m_longestLease && clock() > m_leaseEnd;
+        if (!lapsed && run->second.m_endsAt > Clock::now()) {
             ++run;
             continue;
         }
-        end(run->first, run->second.m_number, run->second.m_fails ? "failed" : "done");
+        end(run->first, run->second, lapsed ? "lapsed" : (run->second.m_fails ? "failed" : "done"));
         run = m_running.erase(run);
     }
 }
@@ -100,9 +125,13 @@
     if (present != m_running.end() || number <= m_highest[task]) {
         return reply(409, Json{{"reason", "old"}});
     }
+    if (m_longestLease && body.value("deadlineMs", std::int64_t(0)) <= clock()) {
+        return reply(409, Json{{"reason", "late"}});
+    }
     const bool fails = !m_failing.empty() && task.starts_with(m_failing);
-    m_running[task] = Run{.m_number = number, .m_endsAt = Clock::now() + m_runTime, .m_fails = fails};
-    m_history.push_back(StandinRun{.m_task = task, .m_run = number, .m_startedAt = Clock::now()});
+    m_running[task] = Run{.m_number = number, .m_endsAt = Clock::now() + m_runTime, .m_fails = fails, .m_entry = m_history.size()};
+    m_history.push_back(
+        HistoryEntry{.m_task = task, .m_run = number, .m_life = m_born, .m_startedAt = Clock::now(), .m_endedAt = {}, .m_how = {}, .m_taken = false});
     return reply(200, Json::object());
 }
 
@@ -113,7 +142,7 @@
     const auto present = m_running.find(task);
     m_highest[task] = std::max(m_highest[task], number);
     if (present != m_running.end() && present->second.m_number <= number) {
-        end(task, present->second.m_number, "stopped");
+        end(task, present->second, "stopped");
         m_running.erase(present);
     }
     return reply(200, Json::object());
@@ -142,8 +171,10 @@
         return reply(409, Json{{"reason", "fence"}});
     }
     m_fence = fence;
-    m_leaseEnd = std::max(m_leaseEnd, body.value("deadlineMs", std::int64_t(0)));
+    const auto limit = m_longestLease ? clock() + m_longestLease->count() : std::numeric_limits<std::int64_t>::max();
+    // What has lapsed by now is not saved by a lease that arrives late.
     advance();
+    m_leaseEnd = std::max(m_leaseEnd, std::min(limit, body.value("deadlineMs", std::int64_t(0))));
     if (call.m_path == "/run-start") {
         return start(body);
     }
@@ -151,7 +182,11 @@
         return stop(body);
     }
     const auto seen = body.value("lastSeen", std::int64_t(0));
-    std::erase_if(m_ends, [seen](const End &entry) { return entry.m_number <= seen; });
+    std::erase_if(m_ends, [&](const End &entry) {
+        const bool taken = entry.m_number <= seen;
+        m_history[entry.m_entry].m_taken = m_history[entry.m_entry].m_taken || taken;
+        return taken;
+    });
     const auto hasNews = [&] { return std::any_of(m_ends.begin(), m_ends.end(), [&](const End &entry) { return entry.m_number > seen; }); };
     while (!hasNews() && Clock::now() < until && !m_stopping) {
         m_changed.wait_until(lock, std::min(until, Clock::now() + std::chrono::milliseconds(10)));
@@ -183,8 +218,11 @@
         return StandinAnswer{.m_status = 0, .m_body = {}};
     case WorkerFault::CarriedOutLate: {
         const std::lock_guard lock(m_mutex);
-        m_late.emplace_back([this, call] {
+        m_late.emplace_back([this, call, life = m_born] {
             std::this_thread::sleep_for(lateBy);
+            if (const std::lock_guard check(m_mutex); m_born != life) {
+                return; // The call went to a process that is gone.
+            }
             perform(call);
         });
         return StandinAnswer{.m_status = 0, .m_body = {}};
@@ -195,12 +233,13 @@
     return perform(call);
 }
 
-StandinWorker::StandinWorker(std::string identifier, std::string rack, std::chrono::milliseconds runTime)
+StandinWorker::StandinWorker(std::string identifier, std::string rack, std::chrono::milliseconds runTime, std::optional<std::chrono::milliseconds> longestLease)
     : m_private(std::make_unique<Private>())
 {
     m_private->m_identifier = std::move(identifier);
     m_private->m_rack = std::move(rack);
     m_private->m_runTime = runTime;
+    m_private->m_longestLease = longestLease;
     m_private->m_host = std::make_unique<HttpHost>([this](const StandinCall &call) { return m_private->answer(call); });
 }
 
@@ -224,6 +263,10 @@
 
 std::string StandinWorker::entry(const std::string &state) const
 {
+    const auto born = [this] {
+        const std::lock_guard lock(m_private->m_mutex);
+        return m_private->m_born;
+    }();
     return Json{
         {"service", "pool"},
         {"addr", m_private->m_host->address()},
@@ -232,12 +275,31 @@
         {"machine", "m-" + m_private->m_identifier},
         {"capacity", Json{{"cpu", 32000}, {"memMb", 131072}, {"gpu", accelerators}}},
         {"labels", Json::array({"a", m_private->m_rack})},
-        {"born", 1},
+        {"born", born},
         {"seq", 1},
     }
         .dump();
 }
 
+void StandinWorker::restart()
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->advance();
+    for (const auto &[task, run] : m_private->m_running) {
+        m_private->m_history[run.m_entry].m_endedAt = Clock::now();
+        m_private->m_history[run.m_entry].m_how = "lost";
+    }
+    m_private->m_running.clear();
+    m_private->m_highest.clear();
+    m_private->m_ends.clear();
+    m_private->m_nextEnd = 1;
+    m_private->m_fence = 0;
+    m_private->m_leaseEnd = 0;
+    m_private->m_startedAt = Clock::now();
+    ++m_private->m_born;
+    m_private->m_changed.notify_all();
+}
+
 void StandinWorker::setFaults(std::function<WorkerFault(WorkerCall)> faults)
 {
     const std::lock_guard lock(m_private->m_mutex);
@@ -253,7 +315,18 @@
 std::vector<StandinRun> StandinWorker::runs() const
 {
     const std::lock_guard lock(m_private->m_mutex);
-    return m_private->m_history;
+    m_private->advance();
+    std::vector<StandinRun> all;
+    for (const auto &entry : m_private->m_history) {
+        all.push_back(StandinRun{.m_task = entry.m_task,
+                                 .m_run = entry.m_run,
+                                 .m_startedAt = entry.m_startedAt,
+                                 .m_life = entry.m_life,
+                                 .m_endedAt = entry.m_endedAt,
+                                 .m_how = entry.m_how,
+                                 .m_taken = entry.m_taken});
+    }
+    return all;
 }
 
 std::vector<std::string> StandinWorker::running() const
--- /dev/null
+++ b/standins/tools/primrosebridge-fleet-standin/main.cpp
@@ -0,0 +1,209 @@
+#include "primrosebridge/Fleetstandin/standinstore.h"
+#include "primrosebridge/Fleetstandin/standinworker.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <vector>
+
+ABSL_FLAG(int, workers, 12, "Number of workers, four to a rack.");
+ABSL_FLAG(int, run_ms, 1500, "Run time of each task, in milliseconds.");
+ABSL_FLAG(int, lease_ms, 6000, "Longest lease that a worker grants, in milliseconds.");
+ABSL_FLAG(unsigned, seed, 1, "Seed of the faults.");
+
+namespace PrimroseBridge {
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+static constexpr int workersPerRack = 4;
+
+namespace {
+
+// Draws the faults of calls: each has a share of all calls.
+template<class Fault>
+class FaultSource
+{
+public:
+    explicit FaultSource(unsigned seed)
+        : m_random(seed)
+    {
+    }
+
+    void set(Fault fault, double share)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_fault = fault;
+        m_share = share;
+    }
+
+    Fault draw()
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < m_share ? m_fault : Fault::None;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::mt19937 m_random;
+    Fault m_fault = Fault::None;
+    double m_share = 0.0;
+};
+
+struct WorkerSlot {
+    std::unique_ptr<FaultSource<WorkerFault>> m_faults;
+    std::unique_ptr<StandinWorker> m_worker;
+};
+
+// A store and a fleet of workers with a control interface for the soak.
+class FleetHost
+{
+public:
+    FleetHost()
+        : m_storeFaults(absl::GetFlag(FLAGS_seed))
+    {
+        m_store.setFaults([this](StoreCall call) {
+            const auto fault = m_storeFaults.draw();
+            return fault == StoreFault::HistoryLost && call != StoreCall::Watch ? StoreFault::None : fault;
+        });
+        for (int index = 0; index < absl::GetFlag(FLAGS_workers); ++index) {
+            WorkerSlot slot;
+            slot.m_faults = std::make_unique<FaultSource<WorkerFault>>(absl::GetFlag(FLAGS_seed) + 1 + static_cast<unsigned>(index));
+            slot.m_worker = std::make_unique<StandinWorker>("w" + std::to_string(index),
+                                                            "r" + std::to_string(index / workersPerRack),
+                                                            std::chrono::milliseconds(absl::GetFlag(FLAGS_run_ms)),
+                                                            std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms)));
+            slot.m_worker->setFaults([faults = slot.m_faults.get()](WorkerCall) { return faults->draw(); });
+            m_slots.push_back(std::move(slot));
+        }
+        m_control = std::make_unique<HttpHost>([this](const StandinCall &call) { return answer(call); });
+    }
+
+    [[nodiscard]] Json description() const
+    {
+        Json workers = Json::array();
+        for (const auto &slot : m_slots) {
+            workers.push_back(Json::parse(slot.m_worker->entry("ready")).at("addr"));
+        }
+        return Json{{"store", m_store.address()}, {"control", m_control->address()}, {"workers", workers}};
+    }
+
+private:
+    StandinAnswer answer(const StandinCall &call)
+    {
+        try {
+            return StandinAnswer{.m_status = 200, .m_body = perform(call.m_path, call.m_body.empty() ? Json::object() : Json::parse(call.m_body)).dump()};
+        } catch (const std::exception &error) {
+            return StandinAnswer{.m_status = 400, .m_body = Json{{"error", error.what()}}.dump()};
+        }
+    }
+
+    Json perform(const std::string &path, const Json &body)
+    {
+        if (path == "/books") {
+            return books();
+        }
+        if (path == "/put") {
+            m_store.put(body.at("key").get<std::string>(), body.at("value").get<std::string>());
+        } else if (path == "/remove") {
+            m_store.remove(body.at("key").get<std::string>());
+        } else if (path == "/store-faults") {
+            m_storeFaults.set(storeFaultOf(body.at("fault").get<std::string>()), body.value("share", 1.0));
+        } else if (path == "/worker-faults") {
+            slotOf(body).m_faults->set(workerFaultOf(body.at("fault").get<std::string>()), body.value("share", 1.0));
+        } else if (path == "/restart-worker") {
+            slotOf(body).m_worker->restart();
+        } else if (path == "/entry") {
+            return Json::parse(slotOf(body).m_worker->entry(body.value("state", "ready")));
+        } else {
+            throw std::invalid_argument("there is no call " + path);
+        }
+        return Json::object();
+    }
+
+    WorkerSlot &slotOf(const Json &body)
+    {
+        return m_slots.at(body.at("worker").get<std::size_t>());
+    }
+
+    static StoreFault storeFaultOf(const std::string &name)
+    {
+        static const std::map<std::string, StoreFault> faults = {{"none", StoreFault::None},
+                                                                 {"refused", StoreFault::Refused},
+                                                                 {"answer_lost", StoreFault::AnswerLost},
+                                                                 {"late", StoreFault::CarriedOutLate},
+                                                                 {"history_lost", StoreFault::HistoryLost}};
+        return faults.at(name);
+    }
+
+    static WorkerFault workerFaultOf(const std::string &name)
+    {
+        static const std::map<std::string, WorkerFault> faults = {{"none", WorkerFault::None},
+                                                                  {"answer_lost", WorkerFault::AnswerLost},
+                                                                  {"late", WorkerFault::CarriedOutLate},
+                                                                  {"unreachable", WorkerFault::Unreachable}};
+        return faults.at(name);
+    }
+
+    // Times in milliseconds since this program started.
+    [[nodiscard]] Json books() const
+    {
+        const auto milliseconds = [this](Clock::time_point at) { return std::chrono::duration_cast<std::chrono::milliseconds>(at - m_startedAt).count(); };
+        Json runs = Json::array();
+        for (const auto &slot : m_slots) {
+            for (const auto &run : slot.m_worker->runs()) {
+                runs.push_back(Json{{"task", run.m_task},
+                                    {"run", run.m_run},
+                                    {"worker", slot.m_worker->identifier()},
+                                    {"life", run.m_life},
+                                    {"started", milliseconds(run.m_startedAt)},
+                                    {"ended", run.m_how.empty() ? Json() : Json(milliseconds(run.m_endedAt))},
+                                    {"how", run.m_how},
+                                    {"taken", run.m_taken}});
+            }
+        }
+        return Json{{"now", milliseconds(Clock::now())}, {"runs", std::move(runs)}};
+    }
+
+    const Clock::time_point m_startedAt = Clock::now();
+    FaultSource<StoreFault> m_storeFaults;
+    StandinStore m_store;
+    std::vector<WorkerSlot> m_slots;
+    std::unique_ptr<HttpHost> m_control;
+};
+
+} // namespace
+
+static void waitForStop()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    int signal = 0;
+    sigwait(&signals, &signal);
+}
+
+} // namespace PrimroseBridge
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("A store and workers of the platform for the soak. Prints their addresses as one line of JSON.");
+    absl::ParseCommandLine(argc, argv);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr); // For every thread; waitForStop() takes them.
+    const PrimroseBridge::FleetHost host;
+    std::cout << host.description().dump() << std::endl;
+    PrimroseBridge::waitForStop();
+    return 0;
+}
