Refuse truly when a peer could not be asked to record

A VM without the store asks peers to write; a peer that could not be connected to, or had no thread left, counted as an unknown outcome, although nothing had been sent. Callers do not repeat these submissions after 504. Change: the call waits up to 300 ms for a connection first; without one, or if the peer has no thread, the outcome is that nothing was recorded, which is answered with 503 and Retry-After. Each peer that was asked is logged with outcome and time. The new test fails without the change by its expectation (the former code returned an unknown outcome for every failed call; not run again).

--- a/service/include/primrosebridge/Fleetservice/inbox.h
+++ b/service/include/primrosebridge/Fleetservice/inbox.h
@@ -5,6 +5,7 @@
 #include "primrosebridge/Work/job.h"
 
 #include <string>
+#include <string_view>
 
 namespace PrimroseBridge {
 
@@ -16,6 +17,9 @@
     NoSuchJob, ///< The cancellation is of a job that was never accepted.
 };
 
+/// The outcome's name in lower_snake_case, for logs. Thread-safe.
+std::string_view inboxOutcomeName(InboxOutcome outcome);
+
 /// Writes a submission unless the job exists already. Blocks for at most two store calls. Thread-safe.
 InboxOutcome recordSubmission(PlatformStore &store, const std::string &job, const std::string &submission);
 
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -518,7 +518,14 @@
     addresses.erase(addresses.begin() + static_cast<std::ptrdiff_t>(std::min(addresses.size(), maxRecordPeers)), addresses.end());
     bool uncertain = false;
     for (const auto &address : addresses) {
+        const auto askedAt = bootNow();
         const auto outcome = m_peers.record(address, job, submission, recordTimeout);
+        logEvent(LogLevel::Info,
+                 "record_asked",
+                 {{"request", job},
+                  {"peer", address},
+                  {"outcome", std::string(inboxOutcomeName(outcome))},
+                  {"after_ms", std::to_string((bootNow() - askedAt).count())}});
         if (outcome == InboxOutcome::Recorded || outcome == InboxOutcome::NoSuchJob) {
             return outcome;
         }
--- a/service/lib/Fleetservice/inbox.cpp
+++ b/service/lib/Fleetservice/inbox.cpp
@@ -8,6 +8,21 @@
 // A store that has not answered any call for this long would not answer the read-back in time either.
 static constexpr Duration readBackSilence(900);
 
+std::string_view inboxOutcomeName(InboxOutcome outcome)
+{
+    switch (outcome) {
+    case InboxOutcome::Recorded:
+        return "recorded";
+    case InboxOutcome::NotRecorded:
+        return "not_recorded";
+    case InboxOutcome::Unknown:
+        return "unknown";
+    case InboxOutcome::NoSuchJob:
+        return "no_such_job";
+    }
+    return "unknown";
+}
+
 static bool nothingDone(const Error &error)
 {
     return error.kind() != ErrorKind::DeadlineExceeded;
--- a/service/lib/Fleetservice/peercalls.cpp
+++ b/service/lib/Fleetservice/peercalls.cpp
@@ -7,6 +7,7 @@
 #include <grpcpp/server.h>
 #include <grpcpp/server_builder.h>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 
@@ -20,21 +21,31 @@
 static constexpr int serverThreads = 8;
 static constexpr int maxMessageBytes = 1024 * 1024;
 
-using Stub = wire::FleetPeer::Stub;
+// A connection between zones takes about 30 ms; a caller waits for this one, and asks another peer without it.
+static constexpr Duration connectTimeout(300);
+
+namespace {
+
+struct Peer {
+    std::shared_ptr<grpc::Channel> m_channel;
+    std::unique_ptr<wire::FleetPeer::Stub> m_stub;
+};
+
+} // namespace
 
 struct PeerCalls::Private {
     std::mutex m_mutex;
-    std::map<std::string, std::shared_ptr<Stub>> m_stubs;
+    std::map<std::string, std::shared_ptr<const Peer>> m_peers;
 
-    std::shared_ptr<Stub> stubFor(const std::string &address);
+    std::shared_ptr<const Peer> peerAt(const std::string &address);
     void drop(const std::string &address);
 };
 
-std::shared_ptr<Stub> PeerCalls::Private::stubFor(const std::string &address)
+std::shared_ptr<const Peer> PeerCalls::Private::peerAt(const std::string &address)
 {
     const std::lock_guard lock(m_mutex);
-    auto &stub = m_stubs[address];
-    if (!stub) {
+    auto &peer = m_peers[address];
+    if (!peer) {
         grpc::ChannelArguments arguments;
         arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnectBackoffMs);
         arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnectBackoffMs);
@@ -42,15 +53,17 @@
         // A channel that has gone silent is replaced by a new connection, not by one that other channels share.
         arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
         arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-        stub = wire::FleetPeer::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+        auto channel = grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+        auto stub = wire::FleetPeer::NewStub(channel);
+        peer = std::make_shared<const Peer>(Peer{.m_channel = std::move(channel), .m_stub = std::move(stub)});
     }
-    return stub;
+    return peer;
 }
 
 void PeerCalls::Private::drop(const std::string &address)
 {
     const std::lock_guard lock(m_mutex);
-    m_stubs.erase(address);
+    m_peers.erase(address);
 }
 
 static void setDeadline(grpc::ClientContext &context, Duration timeout)
@@ -81,7 +94,7 @@
     wire::JobReply reply;
     grpc::ClientContext context;
     setDeadline(context, timeout);
-    const auto status = m_private->stubFor(address)->GetJob(&context, request, &reply);
+    const auto status = m_private->peerAt(address)->m_stub->GetJob(&context, request, &reply);
     if (!status.ok()) {
         m_private->drop(address);
         return errorOf(status);
@@ -96,7 +109,7 @@
     wire::WaitingReply reply;
     grpc::ClientContext context;
     setDeadline(context, timeout);
-    const auto status = m_private->stubFor(address)->CountWaiting(&context, request, &reply);
+    const auto status = m_private->peerAt(address)->m_stub->CountWaiting(&context, request, &reply);
     if (!status.ok()) {
         m_private->drop(address);
         return errorOf(status);
@@ -112,11 +125,19 @@
     request.set_submission(submission);
     wire::RecordReply reply;
     grpc::ClientContext context;
+    const auto peer = m_private->peerAt(address);
+    // Without a connection nothing has been sent, which the status of a failed call would not tell.
+    if (!peer->m_channel->WaitForConnected(std::chrono::system_clock::now() + std::min(timeout, connectTimeout))) {
+        m_private->drop(address);
+        return InboxOutcome::NotRecorded;
+    }
     setDeadline(context, timeout);
-    const auto status = m_private->stubFor(address)->Record(&context, request, &reply);
+    const auto status = peer->m_stub->Record(&context, request, &reply);
+    if (status.error_code() == grpc::StatusCode::RESOURCE_EXHAUSTED) {
+        return InboxOutcome::NotRecorded; // The peer has no thread left for the call and has not begun it.
+    }
     if (!status.ok()) {
         m_private->drop(address);
-        // UNAVAILABLE is also the status of a connection that broke during the call.
         return InboxOutcome::Unknown;
     }
     switch (reply.outcome()) {
--- a/service/unittests/Fleetservice/records.cpp
+++ b/service/unittests/Fleetservice/records.cpp
@@ -1,5 +1,6 @@
 #include "primrosebridge/Fleetservice/inbox.h"
 #include "primrosebridge/Fleetservice/keys.h"
+#include "primrosebridge/Fleetservice/peercalls.h"
 #include "primrosebridge/Fleetservice/progresswriter.h"
 #include "primrosebridge/Fleetservice/roster.h"
 #include "primrosebridge/Fleetstandin/standinstore.h"
@@ -113,6 +114,16 @@
     CHECK_FALSE(store.value(submissionKey("c")));
 }
 
+// Guards against callers that do not come back because they are told that nothing is known: pattern of a zone that is cut off while
+// the store is away. Nothing was sent to a peer that cannot be connected to.
+TEST_CASE("a peer without a connection has certainly not recorded anything")
+{
+    PeerCalls peers;
+    const auto startedAt = std::chrono::steady_clock::now();
+    CHECK(peers.record("127.0.0.1:1", "a", "one", Duration(1500)) == InboxOutcome::NotRecorded);
+    CHECK(std::chrono::steady_clock::now() - startedAt < std::chrono::milliseconds(1000));
+}
+
 // Guards against a cancellation of a job that nobody submitted, and one that is acknowledged but not stored.
 TEST_CASE("cancellations are recorded for known jobs only")
 {
