--- a/service/lib/Fleetservice/fleetfront.cpp
+++ b/service/lib/Fleetservice/fleetfront.cpp
@@ -11,8 +11,9 @@
 
 namespace PrimroseBridge {
 
-// The balancer notices an unready VM after two checks, one a second; a caller that returns then reaches another VM.
-static constexpr int retryAfterSeconds = 2;
+// A caller that returns reaches another VM, which can serve it at once if only this VM or its zone is cut off. If the whole store is
+// away, a caller that waits 3 s in all, as most do, has two more tries instead of one.
+static constexpr int retryAfterSeconds = 1;
 static constexpr std::size_t maxJobIdBytes = 64;
 static constexpr std::string_view bearer = "Bearer ";
 
