--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -21,6 +21,10 @@
 static constexpr Duration shortestPause(50);
 // The owner's key is looked for again this often while no owner is known, in case the watch missed its removal.
 static constexpr Duration electionPeriod(250);
+// The list of VMs is complete by then, and a VM that takes over after a failure has found out what runs.
+static constexpr Duration shortestOwnership(2000);
+// A VM that has handed over and became the owner again keeps the fleet for this long: the larger one may be unable to take it.
+static constexpr Duration handOverPause(30000);
 
 struct Session::Private {
     Private(PeerVm self, Duration leaseTime, std::shared_ptr<PlatformStore> store, SessionCallbacks callbacks)
@@ -41,6 +45,8 @@
     bool m_ownerKnown = true;
     std::int64_t m_lease = 0;
     std::int64_t m_fence = 0; // 0 while this VM is not the owner.
+    Instant m_ownerSince; // Boot clock, like the next.
+    Instant m_nextHandOver;
     std::string m_supersededReason; // Not empty if the ownership has to be given up.
     std::atomic<std::int64_t> m_validUntil = 0; // Boot clock in milliseconds.
     std::thread m_renewer;
@@ -52,6 +58,7 @@
     void keepLease(std::int64_t lease);
     void tryAcquire();
     void lose(const std::string &reason);
+    void preferLargerOwner();
     void yieldOwnership();
     bool waitFor(Duration time);
 };
@@ -110,6 +117,24 @@
     openLease();
 }
 
+// A small VM may have become the owner while the larger ones were starting or away. A handover takes well under a second.
+void Session::Private::preferLargerOwner()
+{
+    const auto now = bootNow();
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_fence == 0 || now - m_ownerSince < shortestOwnership || now < m_nextHandOver) {
+            return;
+        }
+    }
+    if (m_callbacks.m_electionDelay() == Duration(0)) {
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    m_nextHandOver = now + handOverPause;
+    m_supersededReason = "a VM with more processor can own the fleet";
+}
+
 // If the key is still this VM's, nobody else could take it; ending the lease removes it.
 void Session::Private::yieldOwnership()
 {
@@ -141,6 +166,7 @@
     Duration pause(0);
     while (waitFor(pause)) {
         const auto startedAt = bootNow();
+        preferLargerOwner();
         yieldOwnership();
         std::int64_t lease = 0;
         Duration period(0);
@@ -194,6 +220,7 @@
             return;
         }
         m_fence = *fence;
+        m_ownerSince = bootNow();
     }
     logEvent(LogLevel::Info, "ownership_acquired", {{"fence", std::to_string(*fence)}});
     m_callbacks.m_gained(*fence);
--- a/service/unittests/Fleetservice/node.cpp
+++ b/service/unittests/Fleetservice/node.cpp
@@ -18,7 +18,7 @@
     return socket.address().toString();
 }
 
-static FleetSettings settingsOf(const std::string &vm, const StandinStore &store)
+static FleetSettings settingsOf(const std::string &vm, const StandinStore &store, double processor = 1.0)
 {
     return FleetSettings{.m_vm = VmId::create(vm).value(),
                          .m_zone = ZoneId::create("zone-a").value(),
@@ -30,7 +30,7 @@
                          .m_taskLease = Duration(3000),
                          .m_shortestStoreLease = Duration(1000),
                          .m_shutdownBound = Duration(6000),
-                         .m_processor = 1.0,
+                         .m_processor = processor,
                          .m_remoteFactor = 3.0,
                          .m_logLevel = "info"};
 }
@@ -100,6 +100,24 @@
     CHECK(worker.runs().size() == 2);
 }
 
+// Guards against a fleet that a small VM owns for the rest of the day because it started first: every decision is then late.
+TEST_CASE("a small owner hands over to a larger VM")
+{
+    StandinStore store;
+    StandinWorker worker("w1", "r1", Duration(100));
+    store.put("op/config", configurationText(1, R"("k1")"));
+    store.put("servers/w1", worker.entry("ready"));
+    const auto ownerIs = [&](const std::string &vm) { return store.value(std::string(StoreKeys::owner)).value_or("").find(vm) != std::string::npos; };
+    const auto small = FleetNode::create(settingsOf("vm-small", store, 0.1)).take();
+    REQUIRE(waitFor([&] { return ownerIs("vm-small"); }));
+    const auto large = FleetNode::create(settingsOf("vm-large", store, 0.5)).take();
+    CHECK(waitFor([&] { return ownerIs("vm-large"); }));
+    REQUIRE(waitFor([&] { return small->ready(); }));
+    CHECK(answerFleetCall(*small, callOf("POST", "/q/job", oneTask)).m_status == 200);
+    CHECK(waitFor([&] { return isComplete(*small, "/q/job"); }));
+    CHECK(ownerIs("vm-large"));
+}
+
 // Guards against a configuration that does not come into force, or that goes back.
 TEST_CASE("a new configuration is in force within two seconds and never reverts")
 {
