Take up an owner's key that the store wrote late

Change: a VM that the store names as the owner takes the key up, if the key hangs on its present lease; a key of an earlier lease of the process does not count. Figures: the new test stays without an owner before (job not complete within 6 s) and passes after.

--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -43,6 +43,7 @@
     std::condition_variable m_changed;
     bool m_closed = false;
     bool m_ownerKnown = true;
+    bool m_namedAsOwner = false; // The store names this process as the owner.
     std::int64_t m_lease = 0;
     std::int64_t m_fence = 0; // 0 while this VM is not the owner.
     Instant m_ownerSince; // Boot clock, like the next.
@@ -61,6 +62,12 @@
     void preferLargerOwner();
     void yieldOwnership();
     bool waitFor(Duration time);
+    // A write of the key that was carried out late makes this VM the owner without its knowledge; it then has to take the key up,
+    // because the key stays as long as the session does. The caller holds the lock.
+    [[nodiscard]] bool mustElect() const
+    {
+        return !m_ownerKnown || (m_namedAsOwner && m_fence == 0);
+    }
 };
 
 void Session::Private::lose(const std::string &reason)
@@ -185,10 +192,11 @@
     }
 }
 
-// The revision at which the owner's key was written by this process, if it was.
-static std::optional<std::int64_t> ownRevision(const std::optional<StoreItem> &item, const PeerVm &self)
+// The revision at which the owner's key was written by this process under @p lease, if it was. Under an earlier lease of the process
+// the key goes when that lease ends, and says nothing about the present one.
+static std::optional<std::int64_t> ownRevision(const std::optional<StoreItem> &item, const PeerVm &self, std::int64_t lease)
 {
-    const auto holder = item ? decodePeer(item->m_value) : std::nullopt;
+    const auto holder = item && item->m_lease == lease ? decodePeer(item->m_value) : std::nullopt;
     return holder && *holder == self ? std::optional(item->m_revision) : std::nullopt;
 }
 
@@ -210,9 +218,9 @@
         fence = result.value().m_revision;
     } else if (!result.ok() && result.error().kind() == ErrorKind::DeadlineExceeded) {
         const auto item = m_store->get(key); // The answer may be lost after the write was made.
-        fence = item.ok() ? ownRevision(item.value(), m_self) : std::nullopt;
+        fence = item.ok() ? ownRevision(item.value(), m_self, lease) : std::nullopt;
     } else if (result.ok() && !result.value().m_current.empty()) {
-        fence = ownRevision(result.value().m_current.front(), m_self);
+        fence = ownRevision(result.value().m_current.front(), m_self, lease);
     }
     {
         const std::lock_guard lock(m_mutex);
@@ -231,13 +239,15 @@
     while (true) {
         {
             std::unique_lock lock(m_mutex);
-            m_changed.wait(lock, [&] { return m_closed || (!m_ownerKnown && m_fence == 0 && m_lease != 0); });
+            m_changed.wait(lock, [&] { return m_closed || (mustElect() && m_fence == 0 && m_lease != 0); });
             // An owner that appears meanwhile ends the wait.
-            m_changed.wait_for(lock, m_callbacks.m_electionDelay(), [&] { return m_closed || m_ownerKnown; });
+            if (!m_namedAsOwner) {
+                m_changed.wait_for(lock, m_callbacks.m_electionDelay(), [&] { return m_closed || m_ownerKnown; });
+            }
             if (m_closed) {
                 return;
             }
-            if (m_ownerKnown) {
+            if (!mustElect()) {
                 continue;
             }
         }
@@ -245,7 +255,7 @@
             tryAcquire();
         }
         std::unique_lock lock(m_mutex);
-        if (!m_ownerKnown) {
+        if (mustElect()) {
             m_changed.wait_for(lock, electionPeriod, [&] { return m_closed; });
         }
     }
@@ -271,6 +281,7 @@
     {
         const std::lock_guard lock(m_private->m_mutex);
         m_private->m_ownerKnown = owner.has_value();
+        m_private->m_namedAsOwner = owner && owner->m_vm == m_private->m_self;
         replaced = m_private->m_fence != 0 && owner && owner->m_fence > m_private->m_fence;
     }
     if (replaced) {
--- a/service/unittests/Fleetservice/node.cpp
+++ b/service/unittests/Fleetservice/node.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <thread>
 
 namespace PrimroseBridge {
@@ -100,6 +101,28 @@
     CHECK(worker.runs().size() == 2);
 }
 
+// Guards against a fleet that nobody owns for good: pattern of a store whose answers are lost and that carries the write of the
+// owner's key out after the VM has read back that it was not there.
+TEST_CASE("an owner's key that is written late is taken up")
+{
+    StandinStore store;
+    StandinWorker worker("w1", "r1", Duration(100));
+    store.put("op/config", configurationText(1, R"("k1")"));
+    store.put("servers/w1", worker.entry("ready"));
+    std::atomic<int> commits = 0;
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(900);
+    store.setFaults([&](StoreCall call) {
+        const bool late = call == StoreCall::Commit && commits++ > 0 && std::chrono::steady_clock::now() < until;
+        return late ? StoreFault::CarriedOutLate : StoreFault::None;
+    });
+    const auto node = FleetNode::create(settingsOf("vm-1", store)).take();
+    REQUIRE(waitFor([&] { return store.value(std::string(StoreKeys::owner)).has_value() && node->ready(); }));
+    std::this_thread::sleep_for(Duration(1000));
+    CHECK(answerFleetCall(*node, callOf("POST", "/q/job", oneTask)).m_status == 200);
+    CHECK(waitFor([&] { return isComplete(*node, "/q/job"); }));
+    CHECK(commits > 2);
+}
+
 // Guards against a fleet that a small VM owns for the rest of the day because it started first: every decision is then late.
 TEST_CASE("a small owner hands over to a larger VM")
 {
