--- a/scripts/fleetsoak/__main__.py
+++ b/scripts/fleetsoak/__main__.py
@@ -15,6 +15,7 @@
 # Seeds that once showed a violation, each with its cause.
 REGRESSIONS = (
     302,  # A start that a worker's new life carried out before the store named that life was given to another worker, too.
+    200009,  # The stand-in worker counted an end as taken after its lease had lapsed, and noted lapses late.
     401,  # A new owner started work beside runs that it was still stopping.
 )
 # After the last fault: a takeover, the longest task lease, and the work that waits.
--- a/scripts/fleetsoak/checks.py
+++ b/scripts/fleetsoak/checks.py
@@ -39,7 +39,8 @@
     for before, after in zip(runs, runs[1:]):
         if before["ended"] is None or before["ended"] > after["started"]:
             found.append(f"{task} runs twice at a time: {_describe(before)}; {_describe(after)}")
-        # A worker that is restarted before the end was taken has forgotten it, so the task has to run again.
+        # A worker that is restarted before the end was taken has forgotten it, and one whose lease lapsed before that may have been
+        # given up by a new owner; in both cases the task has to run again.
         if before["how"] == "done" and before["taken"]:
             found.append(f"{task} runs again after it was done: {_describe(before)}; {_describe(after)}")
     if job.cancel_acknowledged_at:
--- a/scripts/fleetsoak/proxy.py
+++ b/scripts/fleetsoak/proxy.py
@@ -15,6 +15,7 @@
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
+        self.servers = []
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
 
     def __enter__(self):
@@ -22,21 +23,22 @@
         return self
 
     def __exit__(self, *_):
-        self.call(_cancel_others())
+        self.call(self._end())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join(5)
 
+    async def _end(self):
+        for server in self.servers:
+            server.close()
+        others = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
     def call(self, coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
 
 
-async def _cancel_others():
-    others = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
-    for task in others:
-        task.cancel()
-    await asyncio.gather(*others, return_exceptions=True)
-
-
 class Proxy:
     """Passes connections to one address on to another. Thread-safe."""
 
@@ -55,7 +57,7 @@
 
     async def _listen(self, port):
         self._changed = asyncio.Condition()
-        await asyncio.start_server(self._serve, harness.HOST, port)
+        self._proxy_loop.servers.append(await asyncio.start_server(self._serve, harness.HOST, port))
 
     async def _set(self, mode):
         async with self._changed:
--- a/standins/include/primrosebridge/Fleetstandin/standinworker.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinworker.h
@@ -35,7 +35,7 @@
     const std::int64_t m_life; ///< Start time of the worker on which it ran, as the worker names it.
     const std::chrono::steady_clock::time_point m_endedAt; ///< Only if m_how is not empty.
     const std::string m_how; ///< Empty while it runs; done, failed, stopped, lapsed, or lost with a life of the worker.
-    const bool m_taken; ///< A caller has named the end as seen, so that the worker forgot it.
+    const bool m_taken; ///< A caller has named the end as seen, and the lease had not lapsed since the end.
 };
 
 /// A stand-in for a worker, over HTTP on the loopback address. Every task runs for the same time. For tests and demos only.
