Do not compete for the owner's key while handing it over

Read from the code: right after the handover the small VM's view still names it as the owner, so that the path which takes up a key written late skipped the delay for larger VMs and wrote the key again, and the next handover is allowed only 30 s later. Change: that path only reads the key, and becomes the owner if the key is there under the VM's present lease. The failure itself was not reproduced before the change.

--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -58,6 +58,8 @@
     void openLease();
     void keepLease(std::int64_t lease);
     void tryAcquire();
+    void takeUpKey();
+    void become(std::int64_t fence);
     void lose(const std::string &reason);
     void preferLargerOwner();
     void yieldOwnership();
@@ -222,21 +224,44 @@
     } else if (result.ok() && !result.value().m_current.empty()) {
         fence = ownRevision(result.value().m_current.front(), m_self, lease);
     }
+    if (fence) {
+        become(*fence);
+    }
+}
+
+// Writes nothing: after a handover the store's key may be free for a larger VM before this VM's watch tells so.
+void Session::Private::takeUpKey()
+{
+    std::int64_t lease = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        lease = m_lease;
+    }
+    const auto item = m_store->get(std::string(StoreKeys::owner));
+    const auto fence = item.ok() && lease != 0 ? ownRevision(item.value(), m_self, lease) : std::nullopt;
+    if (fence) {
+        become(*fence);
+    }
+}
+
+void Session::Private::become(std::int64_t fence)
+{
     {
         const std::lock_guard lock(m_mutex);
-        if (!fence || m_closed) {
+        if (m_closed) {
             return;
         }
-        m_fence = *fence;
+        m_fence = fence;
         m_ownerSince = bootNow();
     }
-    logEvent(LogLevel::Info, "ownership_acquired", {{"fence", std::to_string(*fence)}});
-    m_callbacks.m_gained(*fence);
+    logEvent(LogLevel::Info, "ownership_acquired", {{"fence", std::to_string(fence)}});
+    m_callbacks.m_gained(fence);
 }
 
 void Session::Private::elect()
 {
     while (true) {
+        bool named = false;
         {
             std::unique_lock lock(m_mutex);
             m_changed.wait(lock, [&] { return m_closed || (mustElect() && m_fence == 0 && m_lease != 0); });
@@ -250,8 +275,11 @@
             if (!mustElect()) {
                 continue;
             }
+            named = m_namedAsOwner;
         }
-        if (m_callbacks.m_mayOwn()) {
+        if (named) {
+            takeUpKey();
+        } else if (m_callbacks.m_mayOwn()) {
             tryAcquire();
         }
         std::unique_lock lock(m_mutex);
