Go on with known work for a while after the owner's lease may have lapsed

Change: for half of the longest task lease the owner goes on with the jobs that it knew while it held its lease. No task lease is given beyond the one that the last renewal allows, so that whatever it starts at a worker that a successor does not reach has lapsed when the successor unlocks the job. Jobs learnt of later are left alone. List requests wait at the workers also when they renew nothing. The log lines are lease_lapsing and lease_renewed now. Ruled out: going on for the whole task lease; what starts last would lapse at once.

--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -452,7 +452,7 @@
                                      .m_workers = HttpClient::create().take(),
                                      .m_configuration = m_configuration,
                                      .m_record = [this](const DurableRecord &record) { m_writer->record(record); },
-                                     .m_leaseHolds = [this] { return m_session && m_session->leaseHolds(); },
+                                     .m_leaseEnd = [this] { return m_session ? m_session->leaseEnd() : Instant(); },
                                      .m_superseded = [this](std::int64_t fence, const std::string &reason) { m_session->noteSuperseded(fence, reason); },
                                  })
                   .take();
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -40,12 +40,11 @@
     Instant placedAt;
     while (!m_state.m_events->closed()) {
         const auto untilPlacement = std::max(Duration(1), shortestPlacementGap - (bootNow() - placedAt));
-        const auto events = m_state.m_events->popBatchFor(maxBatch, m_state.m_mustPlace && m_state.m_decides ? untilPlacement : longestWait);
+        const auto events = m_state.m_events->popBatchFor(maxBatch, m_state.m_mustPlace && mayDecide(m_state, bootNow()) ? untilPlacement : longestWait);
         const auto now = bootNow();
         // Before anything is sent: the VM may have been suspended since the last round. Workers that a successor cannot reach
-        // still obey this VM. Without the lease it starts nothing, because a job that it knows as waiting may have been run by
-        // the successor, and renews nothing, because the successor counts on the leases that it cannot renew to lapse.
-        noteAuthority(m_state, m_state.m_context.m_leaseHolds());
+        // still obey this VM. Without the lease it renews nothing, because the successor counts on those leases to lapse.
+        noteAuthority(m_state, m_state.m_context.m_leaseEnd(), now);
         for (const auto &event : events) {
             applyEvent(m_state, event, now);
         }
@@ -57,7 +56,7 @@
             reviewFleet(m_state, now);
             reviewedAt = now;
         }
-        if (!m_state.m_decides) {
+        if (!mayDecide(m_state, now)) {
             continue;
         }
         const auto sincePlacement = now - placedAt;
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -171,6 +171,7 @@
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now)
 {
     auto locked = state.m_lockedJobs;
+    locked.insert(state.m_lateJobs.begin(), state.m_lateJobs.end());
     for (const auto &[name, worker] : state.m_workers) {
         if (worker.m_onlyJobs && !worker.m_fenced && now < worker.m_leaseBound) {
             locked.insert(worker.m_onlyJobs->begin(), worker.m_onlyJobs->end());
@@ -310,6 +311,9 @@
     logEvent(LogLevel::Info,
              "job_queued",
              {{"request", spec->m_id}, {"queue", spec->m_queue}, {"organisation", spec->m_organisation}, {"age_ms", std::to_string(age.count())}});
+    if (!state.m_decides) {
+        state.m_lateJobs.insert(spec->m_id);
+    }
     addJob(state, newJob(spec, attemptsOf(state, spec->m_queue), now));
 }
 
@@ -336,6 +340,7 @@
     state.m_order.clear();
     state.m_lockedJobs.clear();
     state.m_awaitedWorkers.clear();
+    state.m_lateJobs.clear();
     auto jobs = snapshot.m_jobs;
     std::stable_sort(jobs.begin(), jobs.end(), [](const auto &left, const auto &right) { return left->m_spec->m_acceptedAt < right->m_spec->m_acceptedAt; });
     for (const auto &job : jobs) {
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -20,9 +20,11 @@
 static constexpr double leaseStretch = 1.03; // Clocks of workers may be 2% slow.
 static constexpr Duration leaseSlack(300);
 
+// On the worker's clock. Without the own lease no task lease goes beyond what the last renewal allows, see noteAuthority().
 static std::int64_t leaseEndFor(const OwnerState &state, const TrackedWorker &worker, Instant now)
 {
-    return worker.m_clockAtAnswer + (now - worker.m_answeredAt).count() + state.m_context.m_settings.m_taskLease.count();
+    const auto from = std::min(now, state.m_decidesUntil);
+    return worker.m_clockAtAnswer + (from - worker.m_answeredAt).count() + state.m_context.m_settings.m_taskLease.count();
 }
 
 static void noteLease(const OwnerState &state, TrackedWorker &worker, Instant now)
@@ -38,8 +40,9 @@
         return;
     }
     open = true;
-    const bool renew = state.m_decides && worker.m_fenced && worker.m_missed < missedBeforeLookOnly;
-    const bool waits = !quick && renew && worker.m_pendingEnds.empty();
+    const bool answers = worker.m_fenced && worker.m_missed < missedBeforeLookOnly;
+    const bool renew = state.m_decides && answers;
+    const bool waits = !quick && answers && worker.m_pendingEnds.empty();
     const auto wait = waits ? (worker.m_tasks.empty() ? idleReportWait : busyReportWait) : Duration(0);
     if (renew) {
         noteLease(state, worker, now);
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -19,6 +19,9 @@
 static constexpr Duration speedReviewPeriod(300);
 // After the last sign that a worker is slow; its tasks may have ended since.
 static constexpr Duration slowTime(3000);
+// Share of a task lease during which work is started after the own lease may have lapsed. What starts last still runs for the rest
+// of it, which most outages of the store do not outlast.
+static constexpr double leaselessShare = 0.5;
 // Between requests to a worker that does not answer, or whose ends wait to be recorded.
 static constexpr Duration requestPause(250);
 
@@ -468,16 +471,30 @@
     }
 }
 
-void noteAuthority(OwnerState &state, bool decides)
+// Without the lease another VM may own the fleet. It has every job locked that this VM knew while it had the lease, until each worker
+// has refused this VM's fence or the longest task lease has passed since. So the jobs known then may still be started, if no task
+// lease is given beyond one that the last renewal allows: whatever this VM starts at a worker that the successor does not reach has
+// lapsed when the successor unlocks the job. Later jobs are not locked there and are left alone.
+void noteAuthority(OwnerState &state, Instant leaseEnd, Instant now)
 {
+    const bool decides = now < leaseEnd;
+    state.m_decidesUntil = leaseEnd;
     if (state.m_decides == decides || state.m_fence == 0) {
         return;
     }
     state.m_decides = decides;
     state.m_mustPlace = true;
+    if (decides) {
+        state.m_lateJobs.clear();
+    }
     logEvent(decides ? LogLevel::Info : LogLevel::Warn,
-             decides ? "decisions_resumed" : "decisions_suspended",
-             {{"fence", std::to_string(state.m_fence.load())}, {"reason", decides ? "the lease was renewed" : "the lease may have lapsed"}});
+             decides ? "lease_renewed" : "lease_lapsing",
+             {{"fence", std::to_string(state.m_fence.load())}, {"late_ms", std::to_string((now - leaseEnd).count())}});
+}
+
+bool mayDecide(const OwnerState &state, Instant now)
+{
+    return now < state.m_decidesUntil + std::chrono::duration_cast<Duration>(state.m_context.m_settings.m_taskLease * leaselessShare);
 }
 
 // Work goes to slow workers only if nothing else will do.
@@ -508,7 +525,7 @@
 void reviewFleet(OwnerState &state, Instant now)
 {
     reviewWorkers(state, now);
-    if (!state.m_decides) {
+    if (!mayDecide(state, now)) {
         return;
     }
     reviewLocks(state, now);
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -101,6 +101,8 @@
     double m_urgentPeak = 0.0; ///< See UrgentDemand.
     Instant m_urgentPeakAt;
     bool m_decides = true; ///< The store's lease holds, so that no other VM can be the owner.
+    Instant m_decidesUntil; ///< Boot clock; end of the store's lease as far as it has been renewed.
+    std::set<std::string> m_lateJobs; ///< Learnt of without the lease, so that a successor may run them already.
 };
 
 /// Free functions over the state, called on the owner's thread alone.
@@ -108,8 +110,11 @@
 void applyReport(OwnerState &state, const ReportArrived &event, Instant now);
 void applyStartAnswer(OwnerState &state, const StartAnswered &event, Instant now);
 void applyStopAnswer(OwnerState &state, const StopAnswered &event, Instant now);
-/// Notes whether this VM's lease at the store holds; logs a change.
-void noteAuthority(OwnerState &state, bool decides);
+/// Notes until when this VM's lease at the store holds; logs a change.
+void noteAuthority(OwnerState &state, Instant leaseEnd, Instant now);
+/// True while work may be started and stopped: the lease holds, or lapsed so lately that what is started ends before a successor
+/// counts on it, see noteAuthority().
+bool mayDecide(const OwnerState &state, Instant now);
 void reviewFleet(OwnerState &state, Instant now);
 void placeWork(OwnerState &state, Instant now);
 
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -318,9 +318,9 @@
     m_private->m_changed.notify_all();
 }
 
-bool Session::leaseHolds() const
+Instant Session::leaseEnd() const
 {
-    return toMilliseconds(bootNow()) < m_private->m_validUntil;
+    return fromMilliseconds(m_private->m_validUntil);
 }
 
 void Session::noteSuperseded(std::int64_t fence, const std::string &reason)
--- a/service/lib/Fleetservice/session.h
+++ b/service/lib/Fleetservice/session.h
@@ -33,10 +33,10 @@
     void noteOwner(const std::optional<FleetOwnerRecord> &owner);
     /// The ownership under @p fence has ended according to someone else. Never blocks: the session's thread gives it up.
     void noteSuperseded(std::int64_t fence, const std::string &reason);
-    /// False once the lease may have lapsed, so that another VM may have become the owner.
+    /// Boot clock from which on the lease may have lapsed, so that another VM may have become the owner.
     ///
-    /// Judged by the boot clock from before the last successful renewal was sent, which is never later than the store's count.
-    [[nodiscard]] bool leaseHolds() const;
+    /// Counted from before the last successful renewal was sent, which is never later than the store's count.
+    [[nodiscard]] Instant leaseEnd() const;
     /// Ends the lease, so that the keys go at once, and takes part in no election any more.
     void close();
 
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -14,6 +14,7 @@
 namespace PrimroseBridge {
 
 static constexpr std::int64_t fence = 10;
+static constexpr std::int64_t heldLease = 1'000'000'000'000;
 static constexpr std::string_view jobName = "5c0e7a21d94b36f8";
 
 static FleetSettings settingsOf()
@@ -108,7 +109,7 @@
                                          .m_workers = HttpClient::create().take(),
                                          .m_configuration = m_configuration,
                                          .m_record = [this](const DurableRecord &record) { acknowledge(record); },
-                                         .m_leaseHolds = [this] { return m_leaseHolds.load(); },
+                                         .m_leaseEnd = [this] { return fromMilliseconds(m_leaseEnd); },
                                          .m_superseded = [this](std::int64_t, const std::string &) { m_superseded = true; },
                                      })
                       .take();
@@ -171,7 +172,8 @@
     }
 
     ConfigurationCell m_configuration;
-    std::atomic<bool> m_leaseHolds = true;
+    // Boot clock in milliseconds. A lease that has been over for long is at 0.
+    std::atomic<std::int64_t> m_leaseEnd = heldLease;
     std::atomic<bool> m_superseded = false;
     std::atomic<bool> m_holdBack = false;
     std::atomic<bool> m_holdBackRoster = false;
@@ -229,15 +231,45 @@
 {
     StandinWorker worker("w1", "r1", Duration(100));
     Rig rig;
-    rig.m_leaseHolds = false;
+    rig.m_leaseEnd = 0;
     rig.own({}, {reportOf(worker)});
     rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
     std::this_thread::sleep_for(Duration(700));
     CHECK(worker.runs().empty());
-    rig.m_leaseHolds = true;
+    rig.m_leaseEnd = heldLease;
     CHECK(rig.waitFor([&] { return rig.isComplete(); }));
 }
 
+// Guards against accepted work that stands still while the store is away, and against two runs of one task: what is started then must
+// have lapsed before a successor may run it, and a job that a successor may already run is left alone.
+TEST_CASE("known work starts for a while after the own lease may have lapsed, with task leases that end in time")
+{
+    StandinWorker worker("w1", "r1", Duration(700));
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    const std::string known = "0000000000000001";
+    const std::string late = "0000000000000002";
+    const std::string second = "0000000000000003";
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return worker.running().size() == 1; }));
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false, known)});
+    std::this_thread::sleep_for(Duration(100));
+    const auto lapsed = toMilliseconds(bootNow());
+    const auto clock = worker.clock();
+    rig.m_leaseEnd = lapsed;
+    std::this_thread::sleep_for(Duration(100));
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false, late)});
+    REQUIRE(rig.waitFor([&] { return worker.runs().size() == 2; }, 1200));
+    // 50 ms for the two clocks that are read one after the other.
+    CHECK(worker.leaseEnd() <= clock + settingsOf().m_taskLease.count() + 50);
+    REQUIRE(rig.waitFor([&] { return rig.m_owner->status("queue", known).m_status == JobStatus::Complete; }, 1500));
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false, second)});
+    std::this_thread::sleep_for(Duration(500));
+    CHECK(worker.runs().size() == 2);
+    rig.m_leaseEnd = heldLease;
+    CHECK(rig.waitFor([&] { return worker.runs().size() == 4; }));
+}
+
 // Guards against two runs of one task: a former owner that is cut off with its zone renews the leases there, and the run outlives
 // the time after which the successor starts it elsewhere.
 TEST_CASE("no lease is renewed while the own lease may have lapsed")
@@ -247,13 +279,13 @@
     rig.own({}, {reportOf(worker)});
     rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
     REQUIRE(rig.waitFor([&] { return worker.running().size() == 1; }));
-    rig.m_leaseHolds = false;
+    rig.m_leaseEnd = 0;
     std::this_thread::sleep_for(Duration(200));
     const auto leaseEnd = worker.leaseEnd();
     CHECK(leaseEnd > 0);
     std::this_thread::sleep_for(Duration(2500));
     CHECK(worker.leaseEnd() == leaseEnd);
-    rig.m_leaseHolds = true;
+    rig.m_leaseEnd = heldLease;
     CHECK(rig.waitFor([&] { return worker.leaseEnd() > leaseEnd; }));
 }
 
--- a/standins/include/primrosebridge/Fleetstandin/standinworker.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinworker.h
@@ -65,6 +65,8 @@
     [[nodiscard]] std::vector<StandinRun> runs() const;
     /// Names of the tasks that run now.
     [[nodiscard]] std::vector<std::string> running() const;
+    /// The worker's clock in milliseconds.
+    [[nodiscard]] std::int64_t clock() const;
     /// The latest lease end that any call has named, on the worker's clock in milliseconds.
     [[nodiscard]] std::int64_t leaseEnd() const;
     /// Ends that the worker still lists because nobody has taken them.
--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -348,6 +348,12 @@
     return names;
 }
 
+std::int64_t StandinWorker::clock() const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    return m_private->clock();
+}
+
 std::int64_t StandinWorker::leaseEnd() const
 {
     const std::lock_guard lock(m_private->m_mutex);
