Keep room for the next large urgent jobs on busy fleets

Cause: what less urgent work leaves free is the recent peak of urgent need less the present need, so nothing under a steady urgent load. Change: room is kept for three jobs of the size of the largest recent urgent one, up to 40% of the fleet while it is busy and, as before, up to a quarter while half of it is free.

--- a/scheduling/include/primrosebridge/Fleet/placement.h
+++ b/scheduling/include/primrosebridge/Fleet/placement.h
@@ -10,6 +10,29 @@
 
 namespace PrimroseBridge {
 
+/// Accelerators that active jobs of priority 0 hold or wait for.
+struct UrgentNeed {
+    const double m_total;
+    const double m_largest; ///< Of the job that needs most.
+
+    bool operator==(const UrgentNeed &) const = default;
+};
+
+/// What urgent work lately needed, as maxima that fade.
+///
+/// Less urgent work leaves room for it, so that the next urgent job starts at once instead of waiting for victims to stop, whose
+/// work would be lost.
+struct UrgentDemand {
+    const double m_peak; ///< Accelerators of all urgent jobs at once.
+    const double m_largest; ///< Accelerators of one urgent job.
+    const Instant m_at; ///< Boot clock at the last update.
+
+    bool operator==(const UrgentDemand &) const = default;
+};
+
+/// The demand after @p need was seen at @p now. Thread-safe.
+UrgentDemand updatedDemand(const UrgentDemand &demand, const UrgentNeed &need, Instant now);
+
 /// What one pass decides from. Nothing here is read from a clock or the network.
 struct PlacementInput {
     const Instant m_now; ///< Boot clock of the deciding VM.
@@ -21,7 +44,7 @@
     const std::vector<std::string> m_lockedJobs; ///< Sorted; their waiting tasks may still run on a worker that has not answered.
     /// Guaranteed work that has not begun after this time may take the places of other guaranteed work that has.
     const Duration m_reclaimPatience = Duration(2000);
-    const double m_urgentPeak = 0.0; ///< Accelerators that urgent work lately needed at once, see UrgentDemand.
+    const UrgentDemand m_urgentDemand = {.m_peak = 0.0, .m_largest = 0.0, .m_at = Instant()};
 };
 
 /// Why a task is stopped.
@@ -103,22 +126,8 @@
 /// True if work of rank @p rank may stop running work of rank @p victim. Thread-safe.
 bool mayPreempt(UrgencyRank rank, UrgencyRank victim);
 
-/// How many accelerators urgent work needs at once, as a maximum that fades.
-///
-/// Less urgent work leaves the difference to the present need free, so that the next urgent job starts at once instead of
-/// waiting for victims to stop, whose work would be lost.
-struct UrgentDemand {
-    const double m_peak; ///< Accelerators.
-    const Instant m_at; ///< Boot clock at the last update.
-
-    bool operator==(const UrgentDemand &) const = default;
-};
-
-/// The demand after @p needed accelerators were needed at @p now. Thread-safe.
-UrgentDemand updatedDemand(const UrgentDemand &demand, double needed, Instant now);
-
-/// Accelerators that jobs of priority 0 hold or wait for. Thread-safe.
-double urgentNeed(const PlacementInput &input);
+/// The need of the jobs of @p input. Thread-safe.
+UrgentNeed urgentNeed(const PlacementInput &input);
 
 /// Decides which waiting tasks start where, and which running ones are stopped for more urgent work.
 ///
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -20,9 +20,13 @@
 // A peak counts half after this time: several times the run time of urgent work, shorter than a lull that is worth filling.
 constexpr double peakHalfLifeSeconds = 10.0;
 
-// Largest share of the fleet that is kept free. A backlog of urgent work can need many times the fleet; with a quarter, a gang for
-// which there is room twice over on a fleet that is half idle always starts.
-constexpr double maxKeptShare = 0.25;
+// Largest share of the fleet that is kept free while it is busy. A backlog of urgent work can need many times the fleet.
+constexpr double maxKeptShare = 0.4;
+// The same while at least half of it is free. With a quarter, a gang for which there is room twice over always starts.
+constexpr double maxKeptIdleShare = 0.25;
+// Room is kept for this many jobs of the size of the largest recent urgent one. With none, one, two and three the mean worth of the
+// standard days was 0.61, 0.63, 0.65 and 0.67 on the grown deployment with most preemptions.
+constexpr double keptLargestJobs = 3.0;
 
 static double usableAccelerators(const PlacementInput &input)
 {
@@ -33,11 +37,12 @@
     return accelerators;
 }
 
-UrgentDemand updatedDemand(const UrgentDemand &demand, double needed, Instant now)
+UrgentDemand updatedDemand(const UrgentDemand &demand, const UrgentNeed &need, Instant now)
 {
     const auto seconds = std::chrono::duration<double>(now - demand.m_at).count();
-    const auto faded = demand.m_peak * std::exp2(-std::max(seconds, 0.0) / peakHalfLifeSeconds);
-    return UrgentDemand{.m_peak = std::max(faded, needed), .m_at = now};
+    const auto fading = std::exp2(-std::max(seconds, 0.0) / peakHalfLifeSeconds);
+    return UrgentDemand{
+        .m_peak = std::max(demand.m_peak * fading, need.m_total), .m_largest = std::max(demand.m_largest * fading, need.m_largest), .m_at = now};
 }
 
 static double activeAccelerators(const JobState &job)
@@ -53,19 +58,22 @@
     return needed;
 }
 
-static double urgentNeedOf(const PlacementInput &input, const std::vector<const QueueSettings *> &queues)
+static UrgentNeed urgentNeedOf(const PlacementInput &input, const std::vector<const QueueSettings *> &queues)
 {
-    double needed = 0.0;
+    double total = 0.0;
+    double largest = 0.0;
     for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
         const auto &job = *input.m_jobs[index];
         if (queues[index] && queues[index]->m_priority == 0 && job.m_outcome == JobOutcome::Active) {
-            needed += activeAccelerators(job);
+            const auto needed = activeAccelerators(job);
+            total += needed;
+            largest = std::max(largest, needed);
         }
     }
-    return needed;
+    return UrgentNeed{.m_total = total, .m_largest = largest};
 }
 
-double urgentNeed(const PlacementInput &input)
+UrgentNeed urgentNeed(const PlacementInput &input)
 {
     return urgentNeedOf(input, queuesOfJobs(input));
 }
@@ -370,6 +378,19 @@
     return step.m_gang && allowed < wanted ? 0 : allowed;
 }
 
+// Accelerators that less urgent work leaves free.
+static double keptFree(const Pass &pass, const UrgentNeed &urgent)
+{
+    double free = 0.0;
+    for (std::size_t worker = 0; worker < pass.m_input.m_workers.size(); ++worker) {
+        free += pass.m_input.m_workers[worker].m_usable ? effectiveFree(pass, worker) : 0.0;
+    }
+    const auto usable = usableAccelerators(pass.m_input);
+    const auto share = free >= usable / 2.0 ? maxKeptIdleShare : maxKeptShare;
+    const auto &demand = pass.m_input.m_urgentDemand;
+    return std::clamp(std::max(demand.m_peak - urgent.m_total, keptLargestJobs * demand.m_largest), 0.0, share * usable);
+}
+
 static void reserve(Pass &pass, const Candidate &candidate, const StepPlacement &placement)
 {
     const auto &step = stepOf(pass, candidate);
@@ -518,7 +539,7 @@
     auto candidates = findCandidates(input, queues, ranks);
     const auto urgent = urgentNeedOf(input, queues);
     Pass pass{.m_input = input, .m_queues = std::move(queues), .m_plan = makeFloorPlan(input, ranks), .m_starts = {}, .m_stops = {}};
-    pass.m_keptFree = std::clamp(input.m_urgentPeak - urgent, 0.0, maxKeptShare * usableAccelerators(input));
+    pass.m_keptFree = keptFree(pass, urgent);
     for (auto &candidate : candidates) {
         placeCandidate(pass, std::move(candidate));
     }
--- a/scheduling/unittests/Fleet/fleetbuilder.h
+++ b/scheduling/unittests/Fleet/fleetbuilder.h
@@ -105,9 +105,11 @@
         return *this;
     }
 
-    FleetBuilder &urgentPeak(double accelerators)
+    /// What urgent work needed lately, in accelerators: all of it at once, and its largest job.
+    FleetBuilder &urgentDemand(double peak, double largest = 0.0)
     {
-        m_urgentPeak = accelerators;
+        m_urgentPeak = peak;
+        m_urgentLargest = largest;
         return *this;
     }
 
@@ -126,7 +128,7 @@
                               .m_workers = m_workers,
                               .m_remoteFactor = 3.0,
                               .m_lockedJobs = m_locked,
-                              .m_urgentPeak = m_urgentPeak};
+                              .m_urgentDemand = {.m_peak = m_urgentPeak, .m_largest = m_urgentLargest, .m_at = fromMilliseconds(nowMs)}};
     }
 
 private:
@@ -178,6 +180,7 @@
     std::vector<OrganisationSettings> m_organisations;
     std::vector<std::string> m_locked;
     double m_urgentPeak = 0.0;
+    double m_urgentLargest = 0.0;
     std::int64_t m_ageMs = 0;
 };
 
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -222,7 +222,7 @@
 TEST_CASE("less urgent work leaves the lately needed accelerators free")
 {
     FleetBuilder builder;
-    builder.guarantee("org", 16).racks(1, 4).urgentPeak(12.0);
+    builder.guarantee("org", 16).racks(1, 4).urgentDemand(12.0);
     builder.job("check", "urgent", TestStep{.m_tasks = 1, .m_accelerators = 4});
     builder.job("scan", "background", TestStep{.m_tasks = 40});
     builder.job("curve", "normal", TestStep{.m_tasks = 4, .m_accelerators = 8, .m_gang = true});
@@ -232,12 +232,26 @@
     CHECK(startsOf(decisions, "scan") == 32 - 4 - 8);
 }
 
+// Guards against background work that fills a busy fleet and is stopped again for each urgent job that arrives: pattern of steady urgent
+// load, whose present need is its peak.
+TEST_CASE("less urgent work leaves room for the next large urgent jobs")
+{
+    FleetBuilder builder;
+    builder.guarantee("org", 64).racks(1, 8).urgentDemand(32.0, 8.0);
+    builder.running("check", "urgent", TestStep{.m_tasks = 4, .m_accelerators = 8}, {"w0-0", "w0-1", "w0-2", "w0-3"}, 99'000);
+    builder.running("scan", "background", TestStep{.m_tasks = 1}, {"w0-4"}, 99'000);
+    builder.job("scans", "background", TestStep{.m_tasks = 40});
+    const auto decisions = decidePlacement(builder.input());
+    // 31 of 64 accelerators are free, and 24 are kept.
+    CHECK(startsOf(decisions, "scans") == 7);
+}
+
 // Guards against work that waits on an idle fleet, because a backlog of urgent work needed many times the fleet a while ago: pattern
 // of a takeover that locks jobs for a whole lease.
 TEST_CASE("the reserve is at most a quarter of the fleet")
 {
     FleetBuilder builder;
-    builder.racks(1, 4).urgentPeak(400.0);
+    builder.racks(1, 4).urgentDemand(400.0, 100.0);
     builder.job("curve", "normal", TestStep{.m_tasks = 3, .m_accelerators = 8, .m_gang = true});
     CHECK(startsOf(decidePlacement(builder.input()), "curve") == 3);
 }
@@ -245,10 +259,13 @@
 // Guards against a reserve that outlives the burst that it was kept for.
 TEST_CASE("the peak of urgent need fades")
 {
-    const auto peak = updatedDemand(UrgentDemand{.m_peak = 0.0, .m_at = fromMilliseconds(0)}, 64.0, fromMilliseconds(0));
+    const auto need = [](double total) { return UrgentNeed{.m_total = total, .m_largest = total / 4.0}; };
+    const auto peak = updatedDemand(UrgentDemand{.m_peak = 0.0, .m_largest = 0.0, .m_at = fromMilliseconds(0)}, need(64.0), fromMilliseconds(0));
     CHECK(peak.m_peak == Approx(64.0));
-    CHECK(updatedDemand(peak, 8.0, fromMilliseconds(10'000)).m_peak == Approx(32.0));
-    CHECK(updatedDemand(peak, 50.0, fromMilliseconds(10'000)).m_peak == Approx(50.0));
+    CHECK(updatedDemand(peak, need(8.0), fromMilliseconds(10'000)).m_peak == Approx(32.0));
+    CHECK(updatedDemand(peak, need(8.0), fromMilliseconds(10'000)).m_largest == Approx(8.0));
+    CHECK(updatedDemand(peak, need(50.0), fromMilliseconds(10'000)).m_peak == Approx(50.0));
+    CHECK(updatedDemand(peak, need(50.0), fromMilliseconds(10'000)).m_largest == Approx(12.5));
 }
 
 // Guards against attempts lost to a worker that fails what it starts: pattern of grey workers.
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -118,11 +118,9 @@
         .m_remoteFactor = state.m_context.m_settings.m_remoteFactor,
         .m_lockedJobs = lockedJobs(state, now),
         .m_reclaimPatience = reclaimPatience(state.m_context.m_settings),
-        .m_urgentPeak = state.m_urgentPeak,
+        .m_urgentDemand = state.m_urgentDemand.value_or(UrgentDemand{.m_peak = 0.0, .m_largest = 0.0, .m_at = now}),
     };
-    const auto demand = updatedDemand(UrgentDemand{.m_peak = state.m_urgentPeak, .m_at = state.m_urgentPeakAt}, urgentNeed(input), now);
-    state.m_urgentPeak = demand.m_peak;
-    state.m_urgentPeakAt = demand.m_at;
+    state.m_urgentDemand.emplace(updatedDemand(input.m_urgentDemand, urgentNeed(input), now));
     const auto startedAt = std::chrono::steady_clock::now();
     const auto decisions = decidePlacement(input);
     auto &metrics = FleetMetrics::instance();
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -93,13 +93,13 @@
     std::int64_t m_rosterVersion = 0; ///< Newest that was sent to the store.
     std::int64_t m_recordedRoster = 0; ///< Newest that the store has acknowledged.
     bool m_rosterChanged = false;
-    bool m_mustPlace = false;
+    bool m_mustPlace = false; ///< Work may start that could not before.
+    bool m_roomFreed = false; ///< Work that waits for room may start.
     Instant m_speedsReviewedAt;
     std::map<StepReference, LoggedWait> m_loggedWaits; ///< Of the steps that waited in the last pass.
     Instant m_waitLinesSince;
     int m_waitLines = 0; ///< Lines since then that said why a step waits.
-    double m_urgentPeak = 0.0; ///< See UrgentDemand.
-    Instant m_urgentPeakAt;
+    std::optional<UrgentDemand> m_urgentDemand; ///< Empty until the first pass.
     bool m_decides = true; ///< The store's lease holds, so that no other VM can be the owner.
     Instant m_decidesUntil; ///< Boot clock; end of the store's lease as far as it has been renewed.
     std::set<std::string> m_lateJobs; ///< Learnt of without the lease, so that a successor may run them already.
@@ -129,6 +129,8 @@
 void orderStart(OwnerState &state, const StartDecision &decision, const PlacementWorker &worker, const JobPointer &job, Instant now);
 /// Asks a worker for its lists.
 void requestLists(OwnerState &state, TrackedWorker &worker, bool quick, Instant now);
+/// Between list requests to a worker without tasks; not 0 on fleets of thousands only.
+Duration idleRequestPause(const OwnerState &state);
 /// The worker's entry for that life, or null.
 TrackedWorker *findWorker(OwnerState &state, const WorkerLife &life);
 /// Queues the job's progress for the store if it has changed since the last time.
