Take a worker for gone only if it left as announced

The owner took the entry's end for an orderly leave, because the last answer was recent, and released the tasks when one more request got no answer. Change: a worker has left only if it announced that it drains, the announced time is up, and it answered all the time for longer than the silence after which entries go.

--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -47,7 +47,7 @@
         const auto startedAt = bootNow();
         const auto gap = m_state.m_mustPlace ? shortestPlacementGap : (m_state.m_roomFreed ? roomPlacementGap : longestPlacementGap);
         const auto placeAt = placedAt + std::max(gap, passPause);
-        const bool decides = m_state.m_fence != 0 && mayDecide(m_state, startedAt);
+        const bool decides = m_state.m_fence != 0 && mayDecide(authorityOf(m_state), startedAt);
         const auto wait = decides ? std::clamp(placeAt - startedAt, Duration(1), longestWait) : longestWait;
         const auto events = m_state.m_events->popBatchFor(maxBatch, wait);
         const auto now = bootNow();
@@ -65,7 +65,7 @@
             reviewFleet(m_state, now);
             nextReview = now + std::max(longestWait, (bootNow() - now) * pauseFactor);
         }
-        if (!mayDecide(m_state, now)) {
+        if (!mayDecide(authorityOf(m_state), now)) {
             continue;
         }
         const auto sincePlacement = now - placedAt;
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -4,16 +4,16 @@
 #include "primrosebridge/Fleetservice/keys.h"
 #include "primrosebridge/Fleetservice/roster.h"
 #include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Ownership/authority.h"
 #include "primrosebridge/Pipeline/timerservice.h"
 
 #include <algorithm>
 
 namespace PrimroseBridge {
 
-// Clocks of workers may be 2% slow; the rest covers the way of the last renewal.
-static constexpr double leaseStretch = 1.03;
-static constexpr Duration leaseSlack(300);
-// An entry is removed for silence after three heartbeats (4.5 s). A worker that has answered more lately than this was not silent.
+// An entry is removed for silence after three heartbeats of 1.5 s each, and the news of that may arrive after the silence has ended.
+// A worker that has answered all the time for longer was not silent. Its newest answer is at most one list request old.
+static constexpr Duration silenceOfRemoval(5000);
 static constexpr Duration recentAnswer(2500);
 // A worker that drains without saying how long serves at least this long; the platform's bound on its smallest deployments.
 static constexpr Duration shortestDrain(2000);
@@ -319,7 +319,9 @@
     }
     auto &worker = found->second;
     worker.m_entryPresent = false;
-    worker.m_leftInOrder = worker.m_fenced && now - worker.m_answeredAt <= recentAnswer;
+    const bool announced = worker.m_report->m_draining && now >= worker.m_leavesAt;
+    const bool heard = worker.m_fenced && now - worker.m_answeredAt <= recentAnswer && now - worker.m_answersSince >= silenceOfRemoval;
+    worker.m_leftInOrder = announced && heard;
     requestLists(state, worker, true, now);
     logEvent(LogLevel::Info, "worker_entry_removed", {{"worker", name}, {"tasks", std::to_string(found->second.m_tasks.size())}});
 }
@@ -387,7 +389,7 @@
         }
     }
     state.m_fence = snapshot.m_fence;
-    state.m_lockedUntil = now + std::chrono::duration_cast<Duration>(state.m_context.m_settings.m_taskLease * leaseStretch) + leaseSlack;
+    state.m_lockedUntil = leasesLapsedBy(now, state.m_context.m_settings.m_taskLease);
     for (const auto &entry : snapshot.m_roster) {
         applyWorkerReport(state, entry.m_worker, now);
         auto *worker = findWorker(state, entry.m_worker->m_life);
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -19,20 +19,16 @@
 // A worker that has refused for want of room, or that has refused or not answered in general, gets no starts for this long.
 static constexpr Duration refusalPause(300);
 static constexpr Duration unhealthyPause(1500);
-static constexpr double leaseStretch = 1.03; // Clocks of workers may be 2% slow.
-static constexpr Duration leaseSlack(300);
 
-// On the worker's clock. Without the own lease no task lease goes beyond what the last renewal allows, see noteAuthority().
+// On the worker's clock.
 static std::int64_t leaseEndFor(const OwnerState &state, const TrackedWorker &worker, Instant now)
 {
-    const auto from = std::min(now, state.m_decidesUntil);
-    return worker.m_clockAtAnswer + (from - worker.m_answeredAt).count() + state.m_context.m_settings.m_taskLease.count();
+    return worker.m_clockAtAnswer + (taskLeaseEnd(authorityOf(state), now) - worker.m_answeredAt).count();
 }
 
 static void noteLease(const OwnerState &state, TrackedWorker &worker, Instant now)
 {
-    const auto longest = std::chrono::duration_cast<Duration>(state.m_context.m_settings.m_taskLease * leaseStretch) + leaseSlack;
-    worker.m_leaseBound = std::max(worker.m_leaseBound, now + longest);
+    worker.m_leaseBound = std::max(worker.m_leaseBound, leasesLapsedBy(now, state.m_context.m_settings.m_taskLease));
 }
 
 // The time in which each worker is asked once if the budget is spent evenly.
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -19,9 +19,6 @@
 static constexpr Duration speedReviewPeriod(300);
 // After the last sign that a worker is slow; its tasks may have ended since.
 static constexpr Duration slowTime(3000);
-// Share of a task lease during which work is started after the own lease may have lapsed. What starts last still runs for the rest
-// of it, which most outages of the store do not outlast.
-static constexpr double leaselessShare = 0.5;
 // Between requests to a worker that does not answer, or whose ends wait to be recorded.
 static constexpr Duration requestPause(250);
 
@@ -225,6 +222,7 @@
     if (!worker.m_fenced || worker.m_missed > 0) {
         logEvent(LogLevel::Info, "worker_answers", {{"worker", worker.m_life->m_worker}, {"missed", std::to_string(worker.m_missed)}});
         state.m_mustPlace = true;
+        worker.m_answersSince = now;
     }
     worker.m_fenced = true;
     worker.m_missed = 0;
@@ -475,14 +473,10 @@
     }
 }
 
-// Without the lease another VM may own the fleet. It has every job locked that this VM knew while it had the lease, until each worker
-// has refused this VM's fence or the longest task lease has passed since. So the jobs known then may still be started, if no task
-// lease is given beyond one that the last renewal allows: whatever this VM starts at a worker that the successor does not reach has
-// lapsed when the successor unlocks the job. Later jobs are not locked there and are left alone.
 void noteAuthority(OwnerState &state, Instant leaseEnd, Instant now)
 {
-    const bool decides = now < leaseEnd;
-    state.m_decidesUntil = leaseEnd;
+    state.m_leaseEnd = leaseEnd;
+    const bool decides = isSoleOwner(authorityOf(state), now);
     if (state.m_decides == decides || state.m_fence == 0) {
         return;
     }
@@ -496,9 +490,9 @@
              {{"fence", std::to_string(state.m_fence.load())}, {"late_ms", std::to_string((now - leaseEnd).count())}});
 }
 
-bool mayDecide(const OwnerState &state, Instant now)
+OwnerAuthority authorityOf(const OwnerState &state)
 {
-    return now < state.m_decidesUntil + std::chrono::duration_cast<Duration>(state.m_context.m_settings.m_taskLease * leaselessShare);
+    return OwnerAuthority{.m_leaseEnd = state.m_leaseEnd, .m_taskLease = state.m_context.m_settings.m_taskLease};
 }
 
 // Work goes to slow workers only if nothing else will do.
@@ -529,7 +523,7 @@
 void reviewFleet(OwnerState &state, Instant now)
 {
     reviewWorkers(state, now);
-    if (!mayDecide(state, now)) {
+    if (!mayDecide(authorityOf(state), now)) {
         return;
     }
     reviewLocks(state, now);
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -2,6 +2,7 @@
 
 #include "primrosebridge/Fleet/placement.h"
 #include "primrosebridge/Fleetservice/fleetowner.h"
+#include "primrosebridge/Ownership/authority.h"
 #include "primrosebridge/Pipeline/boundedqueue.h"
 #include "primrosebridge/Pipeline/shardedmap.h"
 
@@ -33,9 +34,10 @@
     WorkerReportPointer m_report;
     std::shared_ptr<const WorkerLife> m_life;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
-    bool m_leftInOrder = false; ///< The entry went while the worker still answered, so it was not removed for silence.
+    bool m_leftInOrder = false; ///< The entry went as announced, so that nothing runs there once the worker answers no more.
     bool m_fenced = false; ///< It has answered under the present fence.
     Instant m_answeredAt;
+    Instant m_answersSince; ///< It has left no request unanswered from then until m_answeredAt.
     std::int64_t m_clockAtAnswer = 0; ///< Worker's clock in milliseconds.
     Instant m_leaseBound; ///< Boot clock; whatever ran there has lapsed by then unless the lease is renewed.
     int m_missed = 0; ///< Requests in a row without an answer.
@@ -101,7 +103,7 @@
     int m_waitLines = 0; ///< Lines since then that said why a step waits.
     std::optional<UrgentDemand> m_urgentDemand; ///< Empty until the first pass.
     bool m_decides = true; ///< The store's lease holds, so that no other VM can be the owner.
-    Instant m_decidesUntil; ///< Boot clock; end of the store's lease as far as it has been renewed.
+    Instant m_leaseEnd; ///< Boot clock; end of the store's lease as far as it has been renewed.
     std::set<std::string> m_lateJobs; ///< Learnt of without the lease, so that a successor may run them already.
 };
 
@@ -112,9 +114,8 @@
 void applyStopAnswer(OwnerState &state, const StopAnswered &event, Instant now);
 /// Notes until when this VM's lease at the store holds; logs a change.
 void noteAuthority(OwnerState &state, Instant leaseEnd, Instant now);
-/// True while work may be started and stopped: the lease holds, or lapsed so lately that what is started ends before a successor
-/// counts on it, see noteAuthority().
-bool mayDecide(const OwnerState &state, Instant now);
+/// What this VM may do by the state of its lease.
+OwnerAuthority authorityOf(const OwnerState &state);
 void reviewFleet(OwnerState &state, Instant now);
 void placeWork(OwnerState &state, Instant now);
 
