Cut connections between VMs in the soak

Change: the setting peerListenAddress says where a VM listens if a proxy stands before its peerAddress; the default is the same address. A series of faults of its own delays, resets, silences or cuts the connections of one VM's peers one way.

--- a/core/include/primrosebridge/Config/fleetsettings.h
+++ b/core/include/primrosebridge/Config/fleetsettings.h
@@ -16,7 +16,8 @@
     const ZoneId m_zone;
     const std::string m_frontAddress; ///< IP number and port for callers.
     const std::string m_readinessAddress; ///< IP number and port for the balancer's check.
-    const std::string m_peerAddress; ///< IP number and port for other entry VMs.
+    const std::string m_peerAddress; ///< IP number and port at which other entry VMs reach this one.
+    const std::string m_peerListenAddress; ///< Where this VM listens for them; differs if a proxy stands in between.
     const std::string m_metricsAddress; ///< IP number and port of the metrics page.
     const std::string m_storeAddress; ///< IP number and port of the platform's store.
     const Duration m_taskLease; ///< Longest lease that a worker grants to what runs on it.
--- a/core/lib/Config/fleetsettings.cpp
+++ b/core/lib/Config/fleetsettings.cpp
@@ -44,13 +44,15 @@
         return faults.all();
     }
     Fields fields(*root, "", faults);
+    const auto peerAddress = readSocketAddress(fields, "peerAddress");
     // The defaults are the bounds that the platform states for its smallest deployments.
     FleetSettings settings{
         .m_vm = fields.identifier<VmTag>("vm"),
         .m_zone = fields.identifier<ZoneTag>("zone"),
         .m_frontAddress = readSocketAddress(fields, "frontAddress"),
         .m_readinessAddress = readSocketAddress(fields, "readinessAddress"),
-        .m_peerAddress = readSocketAddress(fields, "peerAddress"),
+        .m_peerAddress = peerAddress,
+        .m_peerListenAddress = fields.has("peerListenAddress") ? readSocketAddress(fields, "peerListenAddress") : peerAddress,
         .m_metricsAddress = readSocketAddress(fields, "metricsAddress"),
         .m_storeAddress = readSocketAddress(fields, "storeAddress"),
         .m_taskLease = readDuration(fields, "taskLeaseMs", 6000),
--- a/core/unittests/Config/settings.cpp
+++ b/core/unittests/Config/settings.cpp
@@ -45,6 +45,7 @@
         "peerAddress": "127.0.0.1:3", "metricsAddress": "127.0.0.1:4", "storeAddress": "127.0.0.1:5")";
     const auto defaults = readFleetSettings("{" + required + " /* the rest has defaults */}");
     REQUIRE(std::holds_alternative<FleetSettings>(defaults));
+    CHECK(std::get<FleetSettings>(defaults).m_peerListenAddress == "127.0.0.1:3");
     CHECK(std::get<FleetSettings>(defaults).m_reclaimBound == Duration(3400));
     CHECK(std::get<FleetSettings>(defaults).m_stopBound == Duration(900));
     CHECK(std::get<FleetSettings>(defaults).m_taskLease == Duration(6000));
--- a/scripts/fleetsoak/faults.py
+++ b/scripts/fleetsoak/faults.py
@@ -18,7 +18,12 @@
         self._busy = set()
         self.log = []  # (time, text)
         self.violations = []
-        self._threads = [threading.Thread(target=self._run, args=(f"{rng.random()}",), daemon=True) for _ in range(series)]
+        kinds = (self._kill, self._terminate, self._pause, self._cut_store, self._harm_store, self._harm_worker, self._cut_worker, self._restart_worker)
+        kinds += (self._drain_worker, self._reload, self._configure)
+        # Cuts between VMs are a series of their own without a draw from rng, so that the seeds of REGRESSIONS do what they did.
+        plans = [(f"{rng.random()}", kinds) for _ in range(series)]
+        plans.append((f"{plans[0][0]}-peers", (self._cut_peers,)))
+        self._threads = [threading.Thread(target=self._run, args=plan, daemon=True) for plan in plans]
 
     def __enter__(self):
         for thread in self._threads:
@@ -38,13 +43,12 @@
             self._fleet.control("/worker-faults", worker=index, fault="none")
         for vm in self._fleet.vms:
             vm.store.set(proxy.PASS)
+            vm.peers.set(proxy.PASS)
             if not vm.process.running():
                 self.violations.append(f"{vm.name} ended by itself; see its log")
 
-    def _run(self, seed):
+    def _run(self, seed, kinds):
         rng = type(self._rng)(seed)
-        kinds = (self._kill, self._terminate, self._pause, self._cut_store, self._harm_store, self._harm_worker, self._cut_worker, self._restart_worker)
-        kinds += (self._drain_worker, self._reload, self._configure)
         while not self._stop.wait(rng.uniform(0.1, 1.2)):
             rng.choice(kinds)(rng)
 
@@ -114,17 +118,23 @@
 
         self._with_vm(rng, action)
 
-    def _cut_store(self, rng):
+    def _cut(self, rng, choose, name):
         def action(vm):
             mode = rng.choice((proxy.DELAY, proxy.RESET, proxy.SILENT, proxy.ONE_WAY))
-            self._note(f"{vm.name} store {mode}")
-            vm.store.set(mode)
+            self._note(f"{vm.name} {name} {mode}")
+            choose(vm).set(mode)
             self._wait(rng.uniform(0.5, 4.0))
-            vm.store.set(proxy.PASS)
-            self._note(f"{vm.name} store mended")
+            choose(vm).set(proxy.PASS)
+            self._note(f"{vm.name} {name} mended")
 
         self._with_vm(rng, action)
 
+    def _cut_store(self, rng):
+        self._cut(rng, lambda vm: vm.store, "store")
+
+    def _cut_peers(self, rng):
+        self._cut(rng, lambda vm: vm.peers, "peers")
+
     def _harm_store(self, rng):
         fault = rng.choice(("refused", "answer_lost", "late", "history_lost"))
         share = 1.0 if fault in ("refused", "history_lost") else 0.3
--- a/scripts/fleetsoak/fleet.py
+++ b/scripts/fleetsoak/fleet.py
@@ -1,4 +1,4 @@
-"""The processes of a soak: the fleet's stand-in and entry VMs, each with a proxy of its own before the store."""
+"""The processes of a soak: the fleet's stand-in and entry VMs, each with a proxy before the store and one before its own port for peers."""
 
 import json
 import random
@@ -31,6 +31,7 @@
         self.name = f"vm-{number}"
         self.front_port, self.ready_port, self.metrics_port, self.peer_port = (ports.take() for _ in range(4))
         self.store = Proxy(fleet.proxy_loop, ports.take(), fleet.addresses["store"])
+        self.peers = Proxy(fleet.proxy_loop, ports.take(), f"{harness.HOST}:{self.peer_port}")
         self.process = None
         self.starts = 0
         self._fleet = fleet
@@ -43,7 +44,8 @@
                 "zone": "zone-a",
                 "frontAddress": f"{harness.HOST}:{self.front_port}",
                 "readinessAddress": f"{harness.HOST}:{self.ready_port}",
-                "peerAddress": f"{harness.HOST}:{self.peer_port}",
+                "peerAddress": self.peers.address,
+                "peerListenAddress": f"{harness.HOST}:{self.peer_port}",
                 "metricsAddress": f"{harness.HOST}:{self.metrics_port}",
                 "storeAddress": self.store.address,
                 "taskLeaseMs": LEASE_MS,
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -465,7 +465,7 @@
                                               .m_gained = [this](std::int64_t fence) { gain(fence); },
                                               .m_lost = [this](std::int64_t fence, const std::string &reason) { lose(fence, reason); },
                                           });
-    auto desk = PeerDesk::create(m_settings.m_peerAddress, *m_owner, m_store, storeSilence);
+    auto desk = PeerDesk::create(m_settings.m_peerListenAddress, *m_owner, m_store, storeSilence);
     if (!desk.ok()) {
         return desk.error();
     }
--- a/service/unittests/Fleetservice/node.cpp
+++ b/service/unittests/Fleetservice/node.cpp
@@ -21,11 +21,13 @@
 
 static FleetSettings settingsOf(const std::string &vm, const StandinStore &store, double processor = 1.0)
 {
+    const auto peerAddress = freeAddress();
     return FleetSettings{.m_vm = VmId::create(vm).value(),
                          .m_zone = ZoneId::create("zone-a").value(),
                          .m_frontAddress = {},
                          .m_readinessAddress = {},
-                         .m_peerAddress = freeAddress(),
+                         .m_peerAddress = peerAddress,
+                         .m_peerListenAddress = peerAddress,
                          .m_metricsAddress = {},
                          .m_storeAddress = store.address(),
                          .m_taskLease = Duration(3000),
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -26,6 +26,7 @@
                          .m_frontAddress = {},
                          .m_readinessAddress = {},
                          .m_peerAddress = {},
+                         .m_peerListenAddress = {},
                          .m_metricsAddress = {},
                          .m_storeAddress = {},
                          .m_taskLease = Duration(3000),
