Share the input of a second pass between two placement tests

Cause: two tests wrote the same input with other states of its jobs, found by the check for duplicates. Change: withJobs() in the test file; no check, bound or seed changes.

--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -33,6 +33,18 @@
     return jobs;
 }
 
+// The same fleet at the same time with other states of its jobs.
+static PlacementInput withJobs(const PlacementInput &input, const std::vector<JobPointer> &jobs)
+{
+    return PlacementInput{.m_now = input.m_now,
+                          .m_wallNow = input.m_wallNow,
+                          .m_configuration = input.m_configuration,
+                          .m_jobs = jobs,
+                          .m_workers = input.m_workers,
+                          .m_remoteFactor = input.m_remoteFactor,
+                          .m_lockedJobs = {}};
+}
+
 // Guards against members that wait for others which do not fit: pattern of wide gangs on a small fleet.
 TEST_CASE("a gang starts whole or not at all")
 {
@@ -94,13 +106,7 @@
             }
         }
     }
-    const auto second = decidePlacement(PlacementInput{.m_now = input.m_now,
-                                                       .m_wallNow = input.m_wallNow,
-                                                       .m_configuration = input.m_configuration,
-                                                       .m_jobs = jobs,
-                                                       .m_workers = input.m_workers,
-                                                       .m_remoteFactor = input.m_remoteFactor,
-                                                       .m_lockedJobs = {}});
+    const auto second = decidePlacement(withJobs(input, jobs));
     CHECK(second.m_stops.empty());
     CHECK(second.m_starts.empty());
 }
@@ -165,13 +171,7 @@
     auto jobs = input.m_jobs;
     const TaskReference task{.m_job = "stopped", .m_occurrence = 0, .m_step = 0, .m_index = 0};
     jobs[1] = withTask(*jobs[1], task, taskWaiting(*findTask(*jobs[1], task), input.m_now));
-    const auto decisions = decidePlacement(PlacementInput{.m_now = input.m_now,
-                                                          .m_wallNow = input.m_wallNow,
-                                                          .m_configuration = input.m_configuration,
-                                                          .m_jobs = jobs,
-                                                          .m_workers = input.m_workers,
-                                                          .m_remoteFactor = input.m_remoteFactor,
-                                                          .m_lockedJobs = {}});
+    const auto decisions = decidePlacement(withJobs(input, jobs));
     CHECK(decisions.m_stops.empty());
     CHECK(decisions.m_starts.empty());
 }
