Log how long steps wait, why, and what was free and kept meanwhile

A reservation could not be told from a shortage. Change: step_waits carries age, waiting time and the pass's amounts and is repeated every 5 s; step_wait_over sums a wait up by reason; jobs that a takeover locks wait with the reason locked; metrics count waiting time by rank and reason, the longest wait, free and kept accelerators and locked jobs. Lines stay bounded at 40 a second. No decision changes.

--- a/scheduling/include/primrosebridge/Fleet/placement.h
+++ b/scheduling/include/primrosebridge/Fleet/placement.h
@@ -99,6 +99,7 @@
     NoRoom,
     NoRoomInRack, ///< There may be room outside the racks that have the step's data or hold its gang.
     BeingFreed, ///< Work that holds its places is being stopped.
+    Locked, ///< The job's tasks may still run on a worker that has not answered this owner.
 };
 
 /// The reason's name in lower_snake_case, for logs. Thread-safe.
@@ -112,15 +113,27 @@
     const int m_tasks; ///< Tasks without a place.
     const UrgencyRank m_rank;
     const WaitReason m_reason;
+    const Duration m_age; ///< Wall-clock time since the occurrence was due.
 
     bool operator==(const WaitingStep &) const = default;
 };
 
+/// The amounts that a pass decided from, in accelerators of usable workers. They explain its WaitingSteps.
+struct PassFigures {
+    const double m_usable;
+    const double m_free; ///< Before the pass; the scarcest resource of each worker counts.
+    const double m_kept; ///< Of m_free, what only urgent work may take.
+    const UrgentNeed m_urgent;
+
+    bool operator==(const PassFigures &) const = default;
+};
+
 /// What a pass decided.
 struct PlacementDecisions {
     const std::vector<StartDecision> m_starts; ///< The members of a gang are adjacent.
     const std::vector<StopDecision> m_stops;
     const std::vector<WaitingStep> m_waiting;
+    const PassFigures m_figures;
 };
 
 /// True if work of rank @p rank may stop running work of rank @p victim. Thread-safe.
--- a/scheduling/lib/Fleet/candidates.cpp
+++ b/scheduling/lib/Fleet/candidates.cpp
@@ -120,6 +120,7 @@
                      std::vector<Candidate> &candidates)
 {
     const auto &spec = *input.m_jobs[index]->m_spec;
+    const bool locked = std::binary_search(input.m_lockedJobs.begin(), input.m_lockedJobs.end(), spec.m_id);
     // Workers refuse starts without a ticket of the advising service, which is not asked yet; such jobs stay queued.
     if (!queue || queue->m_needsPlacementAdvice) {
         return;
@@ -146,6 +147,8 @@
             .m_hopeless = end > due + std::chrono::duration_cast<Duration>(objective * latestUsefulObjectives),
             .m_late = end > due + objective,
             .m_overdue = rank == UrgencyRank::Guaranteed && !hasRun(state) && input.m_wallNow - due >= input.m_reclaimPatience,
+            .m_locked = locked,
+            .m_age = input.m_wallNow - due,
             .m_waiting = std::move(waiting),
         });
     }
@@ -156,7 +159,7 @@
     std::vector<Candidate> candidates;
     for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
         const auto &job = *input.m_jobs[index];
-        if (job.m_outcome != JobOutcome::Active || std::binary_search(input.m_lockedJobs.begin(), input.m_lockedJobs.end(), job.m_spec->m_id)) {
+        if (job.m_outcome != JobOutcome::Active) {
             continue;
         }
         for (const auto &occurrence : job.m_occurrences) {
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -127,6 +127,8 @@
         return "no_room_in_rack";
     case WaitReason::BeingFreed:
         return "being_freed";
+    case WaitReason::Locked:
+        return "locked";
     }
     return "unknown";
 }
@@ -378,8 +380,8 @@
     return step.m_gang && allowed < wanted ? 0 : allowed;
 }
 
-// Accelerators that less urgent work leaves free.
-static double keptFree(const Pass &pass, const UrgentNeed &urgent)
+// What the pass starts from, with the accelerators that less urgent work leaves free.
+static PassFigures figuresOf(const Pass &pass, const UrgentNeed &urgent)
 {
     double free = 0.0;
     for (std::size_t worker = 0; worker < pass.m_input.m_workers.size(); ++worker) {
@@ -388,7 +390,8 @@
     const auto usable = usableAccelerators(pass.m_input);
     const auto share = free >= usable / 2.0 ? maxKeptIdleShare : maxKeptShare;
     const auto &demand = pass.m_input.m_urgentDemand;
-    return std::clamp(std::max(demand.m_peak - urgent.m_total, keptLargestJobs * demand.m_largest), 0.0, share * usable);
+    const auto kept = std::clamp(std::max(demand.m_peak - urgent.m_total, keptLargestJobs * demand.m_largest), 0.0, share * usable);
+    return PassFigures{.m_usable = usable, .m_free = free, .m_kept = kept, .m_urgent = urgent};
 }
 
 static void reserve(Pass &pass, const Candidate &candidate, const StepPlacement &placement)
@@ -491,11 +494,16 @@
                                          .m_step = candidate.m_step,
                                          .m_tasks = static_cast<int>(tasks),
                                          .m_rank = candidate.m_rank,
-                                         .m_reason = reason});
+                                         .m_reason = reason,
+                                         .m_age = candidate.m_age});
 }
 
 static void placeCandidate(Pass &pass, Candidate candidate)
 {
+    if (candidate.m_locked) {
+        noteWaiting(pass, candidate, candidate.m_waiting.size(), WaitReason::Locked);
+        return;
+    }
     for (const bool lenient : {false, true}) {
         const auto workers = eligibleWorkers(pass, candidate, lenient);
         if (workers.empty()) {
@@ -539,11 +547,13 @@
     auto candidates = findCandidates(input, queues, ranks);
     const auto urgent = urgentNeedOf(input, queues);
     Pass pass{.m_input = input, .m_queues = std::move(queues), .m_plan = makeFloorPlan(input, ranks), .m_starts = {}, .m_stops = {}};
-    pass.m_keptFree = keptFree(pass, urgent);
+    const auto figures = figuresOf(pass, urgent);
+    pass.m_keptFree = figures.m_kept;
     for (auto &candidate : candidates) {
         placeCandidate(pass, std::move(candidate));
     }
-    return PlacementDecisions{.m_starts = std::move(pass.m_starts), .m_stops = std::move(pass.m_stops), .m_waiting = std::move(pass.m_waiting)};
+    return PlacementDecisions{
+        .m_starts = std::move(pass.m_starts), .m_stops = std::move(pass.m_stops), .m_waiting = std::move(pass.m_waiting), .m_figures = figures};
 }
 
 } // namespace PrimroseBridge
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -215,6 +215,8 @@
     const auto decisions = decidePlacement(builder.input());
     CHECK(startsOf(decisions, "known") == 0);
     CHECK(startsOf(decisions, "new") == 1);
+    REQUIRE(decisions.m_waiting.size() == 1);
+    CHECK(decisions.m_waiting.front().m_reason == WaitReason::Locked);
 }
 
 // Guards against urgent jobs that wait for victims to stop, and against the victims' lost work: pattern of bursts of urgent jobs
@@ -246,6 +248,24 @@
     CHECK(startsOf(decisions, "scans") == 7);
 }
 
+// Guards against a log from which a reservation cannot be told from a shortage: issue 17.
+TEST_CASE("a pass says how much was free and kept when a step waits")
+{
+    FleetBuilder builder;
+    builder.guarantee("org", 64).racks(1, 8).urgentDemand(32.0, 8.0);
+    builder.running("check", "urgent", TestStep{.m_tasks = 4, .m_accelerators = 8}, {"w0-0", "w0-1", "w0-2", "w0-3"}, 99'000);
+    builder.accepted(5000).job("scans", "background", TestStep{.m_tasks = 40});
+    const auto decisions = decidePlacement(builder.input());
+    CHECK(decisions.m_figures.m_usable == Approx(64.0));
+    CHECK(decisions.m_figures.m_free == Approx(32.0));
+    CHECK(decisions.m_figures.m_kept == Approx(16.0));
+    CHECK(decisions.m_figures.m_urgent.m_total == Approx(32.0));
+    REQUIRE(decisions.m_waiting.size() == 1);
+    CHECK(decisions.m_waiting.front().m_reason == WaitReason::KeptFree);
+    CHECK(decisions.m_waiting.front().m_tasks == 24);
+    CHECK(decisions.m_waiting.front().m_age == Duration(5000));
+}
+
 // Guards against work that waits on an idle fleet, because a backlog of urgent work needed many times the fleet a while ago: pattern
 // of a takeover that locks jobs for a whole lease.
 TEST_CASE("the reserve is at most a quarter of the fleet")
--- a/service/include/primrosebridge/Fleetservice/fleetmetrics.h
+++ b/service/include/primrosebridge/Fleetservice/fleetmetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <initializer_list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -15,6 +16,7 @@
     JobsEnded, ///< Label: outcome.
     Takeovers,
     RecordsSkipped, ///< Entries of the store that cannot be read.
+    WaitSeconds, ///< Of steps with tasks without a place. Labels: rank, reason.
 };
 
 /// Durations whose distribution is kept, in seconds.
@@ -32,6 +34,10 @@
     ActiveJobs,
     WaitingSteps,
     Workers,
+    LongestWait, ///< In seconds, of the steps that have tasks without a place.
+    FreeAccelerators, ///< Of usable workers; the scarcest resource of each counts.
+    KeptAccelerators, ///< Of the free ones, what only urgent work may take.
+    LockedJobs, ///< Known before this VM became the owner; they may still run on workers that have not answered.
     ConfigurationVersion,
     StoreReads,
     StoreWrites,
@@ -48,6 +54,8 @@
     static FleetMetrics &instance();
 
     void count(FleetCounter counter, std::string_view label = {});
+    /// Adds @p amount to the counter with one label value for each label that it has.
+    void add(FleetCounter counter, double amount, std::initializer_list<std::string_view> labels);
     void observe(FleetHistogram histogram, double seconds);
     void set(FleetGauge gauge, double value);
     /// Everything in Prometheus's text format.
--- a/service/lib/Fleetservice/fleetmetrics.cpp
+++ b/service/lib/Fleetservice/fleetmetrics.cpp
@@ -18,46 +18,51 @@
     Kind m_kind;
     const char *m_name;
     const char *m_help;
-    const char *m_label; // Empty if there is none.
+    std::array<const char *, 2> m_labels = {}; // Null if there are fewer.
 };
 
 } // namespace
 
-static constexpr std::array<MetricText<FleetCounter>, 7> counterTexts = {{
-    {FleetCounter::CallsAnswered, "primrosebridge_fleet_calls_total", "Calls of callers answered", "status"},
-    {FleetCounter::OrdersAnswered, "primrosebridge_fleet_start_orders_total", "Start orders by the worker's answer", "answer"},
-    {FleetCounter::RunsEnded, "primrosebridge_fleet_runs_ended_total", "Runs by how they ended", "how"},
-    {FleetCounter::StopsOrdered, "primrosebridge_fleet_stops_total", "Stop orders by reason", "reason"},
-    {FleetCounter::JobsEnded, "primrosebridge_fleet_jobs_ended_total", "Jobs by recorded outcome", "outcome"},
-    {FleetCounter::Takeovers, "primrosebridge_fleet_takeovers_total", "Times that this VM became the owner", ""},
-    {FleetCounter::RecordsSkipped, "primrosebridge_fleet_records_skipped_total", "Entries of the store that could not be read", ""},
+static constexpr std::array<MetricText<FleetCounter>, 8> counterTexts = {{
+    {FleetCounter::CallsAnswered, "primrosebridge_fleet_calls_total", "Calls of callers answered", {"status"}},
+    {FleetCounter::OrdersAnswered, "primrosebridge_fleet_start_orders_total", "Start orders by the worker's answer", {"answer"}},
+    {FleetCounter::RunsEnded, "primrosebridge_fleet_runs_ended_total", "Runs by how they ended", {"how"}},
+    {FleetCounter::StopsOrdered, "primrosebridge_fleet_stops_total", "Stop orders by reason", {"reason"}},
+    {FleetCounter::JobsEnded, "primrosebridge_fleet_jobs_ended_total", "Jobs by recorded outcome", {"outcome"}},
+    {FleetCounter::Takeovers, "primrosebridge_fleet_takeovers_total", "Times that this VM became the owner"},
+    {FleetCounter::RecordsSkipped, "primrosebridge_fleet_records_skipped_total", "Entries of the store that could not be read"},
+    {FleetCounter::WaitSeconds, "primrosebridge_fleet_step_wait_seconds_total", "Time that steps had tasks without a place", {"rank", "reason"}},
 }};
 
 static constexpr std::array<MetricText<FleetHistogram>, 5> histogramTexts = {{
-    {FleetHistogram::CallSeconds, "primrosebridge_fleet_call_seconds", "Time to answer a caller's call", ""},
-    {FleetHistogram::QueueSeconds, "primrosebridge_fleet_queue_seconds", "Time from acceptance until the owner knows a job", ""},
-    {FleetHistogram::OrderSeconds, "primrosebridge_fleet_order_seconds", "Time from a start order to its answer", ""},
-    {FleetHistogram::JobSeconds, "primrosebridge_fleet_job_seconds", "Time from acceptance to the recorded outcome", ""},
-    {FleetHistogram::PassSeconds, "primrosebridge_fleet_pass_seconds", "Time of one placement pass", ""},
+    {FleetHistogram::CallSeconds, "primrosebridge_fleet_call_seconds", "Time to answer a caller's call"},
+    {FleetHistogram::QueueSeconds, "primrosebridge_fleet_queue_seconds", "Time from acceptance until the owner knows a job"},
+    {FleetHistogram::OrderSeconds, "primrosebridge_fleet_order_seconds", "Time from a start order to its answer"},
+    {FleetHistogram::JobSeconds, "primrosebridge_fleet_job_seconds", "Time from acceptance to the recorded outcome"},
+    {FleetHistogram::PassSeconds, "primrosebridge_fleet_pass_seconds", "Time of one placement pass"},
 }};
 
-static constexpr std::array<MetricText<FleetGauge>, 11> gaugeTexts = {{
-    {FleetGauge::OwnsFleet, "primrosebridge_fleet_owner", "1 while this VM owns the fleet", ""},
-    {FleetGauge::ActiveJobs, "primrosebridge_fleet_active_jobs", "Jobs that have not ended", ""},
-    {FleetGauge::WaitingSteps, "primrosebridge_fleet_waiting_steps", "Steps that are ready and could not be placed", ""},
-    {FleetGauge::Workers, "primrosebridge_fleet_workers", "Workers that the owner knows", ""},
-    {FleetGauge::ConfigurationVersion, "primrosebridge_fleet_configuration_version", "Version of the configuration in force", ""},
-    {FleetGauge::StoreReads, "primrosebridge_fleet_store_reads", "Read calls to the store since the start", ""},
-    {FleetGauge::StoreWrites, "primrosebridge_fleet_store_writes", "Write calls to the store since the start", ""},
-    {FleetGauge::StoreRenewals, "primrosebridge_fleet_store_renewals", "Lease renewals since the start", ""},
-    {FleetGauge::StoreWatches, "primrosebridge_fleet_store_watches", "Watch calls since the start", ""},
-    {FleetGauge::StoreFailures, "primrosebridge_fleet_store_failures", "Calls to the store without a usable answer since the start", ""},
-    {FleetGauge::LogLinesDropped, "primrosebridge_fleet_log_lines_dropped", "Log lines dropped since the start", ""},
+static constexpr std::array<MetricText<FleetGauge>, 15> gaugeTexts = {{
+    {FleetGauge::OwnsFleet, "primrosebridge_fleet_owner", "1 while this VM owns the fleet"},
+    {FleetGauge::ActiveJobs, "primrosebridge_fleet_active_jobs", "Jobs that have not ended"},
+    {FleetGauge::WaitingSteps, "primrosebridge_fleet_waiting_steps", "Steps that are ready and could not be placed"},
+    {FleetGauge::Workers, "primrosebridge_fleet_workers", "Workers that the owner knows"},
+    {FleetGauge::LongestWait, "primrosebridge_fleet_longest_wait_seconds", "Longest time that a step has had tasks without a place"},
+    {FleetGauge::FreeAccelerators, "primrosebridge_fleet_free_accelerators", "Free accelerators of usable workers"},
+    {FleetGauge::KeptAccelerators, "primrosebridge_fleet_kept_accelerators", "Free accelerators that only urgent work may take"},
+    {FleetGauge::LockedJobs, "primrosebridge_fleet_locked_jobs", "Jobs that start nothing until silent workers have answered"},
+    {FleetGauge::ConfigurationVersion, "primrosebridge_fleet_configuration_version", "Version of the configuration in force"},
+    {FleetGauge::StoreReads, "primrosebridge_fleet_store_reads", "Read calls to the store since the start"},
+    {FleetGauge::StoreWrites, "primrosebridge_fleet_store_writes", "Write calls to the store since the start"},
+    {FleetGauge::StoreRenewals, "primrosebridge_fleet_store_renewals", "Lease renewals since the start"},
+    {FleetGauge::StoreWatches, "primrosebridge_fleet_store_watches", "Watch calls since the start"},
+    {FleetGauge::StoreFailures, "primrosebridge_fleet_store_failures", "Calls to the store without a usable answer since the start"},
+    {FleetGauge::LogLinesDropped, "primrosebridge_fleet_log_lines_dropped", "Log lines dropped since the start"},
 }};
 
 struct FleetMetrics::Private {
     prometheus::Registry m_registry;
-    std::map<FleetCounter, std::pair<prometheus::Family<prometheus::Counter> *, const char *>> m_counters;
+    std::map<FleetCounter, std::pair<prometheus::Family<prometheus::Counter> *, std::array<const char *, 2>>> m_counters;
     std::map<FleetHistogram, prometheus::Histogram *> m_histograms;
     std::map<FleetGauge, prometheus::Gauge *> m_gauges;
 };
@@ -68,7 +73,7 @@
     static const prometheus::Histogram::BucketBoundaries buckets = {0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100};
     auto &registry = m_private->m_registry;
     for (const auto &text : counterTexts) {
-        m_private->m_counters[text.m_kind] = {&prometheus::BuildCounter().Name(text.m_name).Help(text.m_help).Register(registry), text.m_label};
+        m_private->m_counters[text.m_kind] = {&prometheus::BuildCounter().Name(text.m_name).Help(text.m_help).Register(registry), text.m_labels};
     }
     for (const auto &text : histogramTexts) {
         m_private->m_histograms[text.m_kind] = &prometheus::BuildHistogram().Name(text.m_name).Help(text.m_help).Register(registry).Add({}, buckets);
@@ -87,10 +92,20 @@
 
 void FleetMetrics::count(FleetCounter counter, std::string_view label)
 {
-    const auto &[family, name] = m_private->m_counters.at(counter);
-    const std::map<std::string, std::string> labels
-        = *name == '\0' ? std::map<std::string, std::string>() : std::map<std::string, std::string>{{name, std::string(label)}};
-    family->Add(labels).Increment();
+    add(counter, 1.0, {label});
+}
+
+void FleetMetrics::add(FleetCounter counter, double amount, std::initializer_list<std::string_view> labels)
+{
+    const auto &[family, names] = m_private->m_counters.at(counter);
+    std::map<std::string, std::string> values;
+    const auto *name = names.begin();
+    for (const auto label : labels) {
+        if (name != names.end() && *name) {
+            values.emplace(*name++, label);
+        }
+    }
+    family->Add(values).Increment(amount);
 }
 
 void FleetMetrics::observe(FleetHistogram histogram, double seconds)
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -380,6 +380,7 @@
     state.m_lockedJobs.clear();
     state.m_awaitedWorkers.clear();
     state.m_lateJobs.clear();
+    state.m_waits.clear();
     auto jobs = snapshot.m_jobs;
     std::stable_sort(jobs.begin(), jobs.end(), [](const auto &left, const auto &right) { return left->m_spec->m_acceptedAt < right->m_spec->m_acceptedAt; });
     for (const auto &job : jobs) {
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -6,14 +6,9 @@
 
 #include <algorithm>
 #include <chrono>
-#include <map>
 
 namespace PrimroseBridge {
 
-// Lines that say why a step waits: a new reason of the same step after this time, and at most so many lines of all steps in it.
-// A burst of ten times the usual traffic brings about thirty jobs a second.
-static constexpr Duration waitLinePeriod(1000);
-static constexpr int maxWaitLines = 40;
 // Of the bound within which guaranteed work has to begin: for a pass, the stop and start orders, and one late answer (500 ms).
 static constexpr Duration reclaimSlack(600);
 
@@ -65,39 +60,6 @@
     return workers;
 }
 
-// One line for each step and reason, so that the log tells why a request waits without a line for each pass.
-static void logWaiting(OwnerState &state, const PlacementInput &input, const std::vector<WaitingStep> &waiting, Instant now)
-{
-    if (now >= state.m_waitLinesSince + waitLinePeriod) {
-        state.m_waitLinesSince = now;
-        state.m_waitLines = 0;
-    }
-    std::map<StepReference, LoggedWait> logged;
-    for (const auto &step : waiting) {
-        const auto &name = input.m_jobs[step.m_job]->m_spec->m_id;
-        const StepReference reference{.m_job = name, .m_occurrence = step.m_occurrence, .m_step = step.m_step};
-        const auto before = state.m_loggedWaits.find(reference);
-        const bool known = before != state.m_loggedWaits.end();
-        const bool changed = !known || (before->second.m_reason != step.m_reason && now >= before->second.m_at + waitLinePeriod);
-        if (!changed || state.m_waitLines >= maxWaitLines) {
-            if (known) {
-                logged.insert(*before);
-            }
-            continue;
-        }
-        ++state.m_waitLines;
-        logged.emplace(reference, LoggedWait{.m_reason = step.m_reason, .m_at = now});
-        logEvent(LogLevel::Info,
-                 "step_waits",
-                 {{"request", name},
-                  {"step", std::to_string(step.m_occurrence) + "." + std::to_string(step.m_step)},
-                  {"tasks", std::to_string(step.m_tasks)},
-                  {"rank", std::string(rankName(step.m_rank))},
-                  {"reason", std::string(waitReasonName(step.m_reason))}});
-    }
-    state.m_loggedWaits = std::move(logged);
-}
-
 static Duration reclaimPatience(const FleetSettings &settings)
 {
     return std::max(settings.m_reclaimBound - settings.m_stopBound - reclaimSlack, Duration(0));
@@ -125,10 +87,10 @@
     const auto decisions = decidePlacement(input);
     auto &metrics = FleetMetrics::instance();
     metrics.observe(FleetHistogram::PassSeconds, std::chrono::duration<double>(std::chrono::steady_clock::now() - startedAt).count());
-    metrics.set(FleetGauge::WaitingSteps, static_cast<double>(decisions.m_waiting.size()));
     metrics.set(FleetGauge::ActiveJobs, static_cast<double>(input.m_jobs.size()));
+    metrics.set(FleetGauge::LockedJobs, static_cast<double>(input.m_lockedJobs.size()));
     metrics.set(FleetGauge::Workers, static_cast<double>(input.m_workers.size()));
-    logWaiting(state, input, decisions.m_waiting, now);
+    noteWaits(state, input, decisions, now);
     for (const auto &stop : decisions.m_stops) {
         orderStop(state, stop.m_place, stop.m_task, stop.m_run, stop.m_reason, now);
     }
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -70,10 +70,13 @@
     auto operator<=>(const StepReference &) const = default; // NOLINT(modernize-use-nullptr): false alarm on the generated comparison with zero.
 };
 
-/// The last line that said why a step waits.
-struct LoggedWait {
-    const WaitReason m_reason;
-    const Instant m_at;
+/// How long a step has had tasks without a place, and why.
+struct StepWait {
+    UrgencyRank m_rank;
+    WaitReason m_reason; ///< In the last pass.
+    Instant m_since; ///< Boot clock at the first pass that left tasks without a place.
+    std::optional<Instant> m_loggedAt; ///< Boot clock at the last line about it.
+    std::map<WaitReason, Duration> m_byReason; ///< The time since m_since by its reason.
 };
 
 /// The state of the owner's stage. Only the job shards and the fence are used by other threads.
@@ -98,9 +101,10 @@
     bool m_mustPlace = false; ///< Work may start that could not before.
     bool m_roomFreed = false; ///< Work that waits for room may start.
     Instant m_speedsReviewedAt;
-    std::map<StepReference, LoggedWait> m_loggedWaits; ///< Of the steps that waited in the last pass.
+    std::map<StepReference, StepWait> m_waits; ///< Of the steps that waited in the last pass.
+    Instant m_waitsNotedAt; ///< Boot clock at that pass.
     Instant m_waitLinesSince;
-    int m_waitLines = 0; ///< Lines since then that said why a step waits.
+    int m_waitLines = 0; ///< Lines about waits since then.
     std::optional<UrgentDemand> m_urgentDemand; ///< Empty until the first pass.
     bool m_decides = true; ///< The store's lease holds, so that no other VM can be the owner.
     Instant m_leaseEnd; ///< Boot clock; end of the store's lease as far as it has been renewed.
@@ -118,6 +122,8 @@
 OwnerAuthority authorityOf(const OwnerState &state);
 void reviewFleet(OwnerState &state, Instant now);
 void placeWork(OwnerState &state, Instant now);
+/// Logs and counts how long steps wait for places, and why.
+void noteWaits(OwnerState &state, const PlacementInput &input, const PlacementDecisions &decisions, Instant now);
 
 /// Replaces a task and keeps the workers' lists of tasks in step.
 void setTask(OwnerState &state, const TaskReference &reference, const TaskPointer &task);
--- /dev/null
+++ b/service/lib/Fleetservice/ownerwaits.cpp
@@ -0,0 +1,123 @@
+#include "ownerstate.h"
+
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
+#include "primrosebridge/Observe/log.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace PrimroseBridge {
+
+// Lines about waits of all steps in this time. A burst of ten times the usual traffic brings about thirty jobs a second.
+static constexpr Duration waitLinePeriod(1000);
+static constexpr int maxWaitLines = 40;
+// A wait that goes on for the same reason is logged again after this time, so that its length shows while it lasts.
+static constexpr Duration waitRepeatPeriod(5000);
+// Longest time between two passes that counts as waiting; a longer one means that this VM was suspended or could not decide.
+static constexpr Duration longestCountedGap(1000);
+
+static std::string rounded(double value)
+{
+    return std::to_string(std::llround(value));
+}
+
+static std::string stepName(const StepReference &step)
+{
+    return std::to_string(step.m_occurrence) + "." + std::to_string(step.m_step);
+}
+
+static bool takeLine(OwnerState &state, Instant now)
+{
+    if (now >= state.m_waitLinesSince + waitLinePeriod) {
+        state.m_waitLinesSince = now;
+        state.m_waitLines = 0;
+    }
+    if (state.m_waitLines >= maxWaitLines) {
+        return false;
+    }
+    ++state.m_waitLines;
+    return true;
+}
+
+static void logWait(const StepReference &reference, const WaitingStep &step, const StepWait &wait, const PassFigures &figures, Instant now)
+{
+    logEvent(LogLevel::Info,
+             "step_waits",
+             {{"request", reference.m_job},
+              {"step", stepName(reference)},
+              {"tasks", std::to_string(step.m_tasks)},
+              {"rank", std::string(rankName(step.m_rank))},
+              {"reason", std::string(waitReasonName(step.m_reason))},
+              {"age_ms", std::to_string(step.m_age.count())},
+              {"waited_ms", std::to_string((now - wait.m_since).count())},
+              {"free", rounded(figures.m_free)},
+              {"kept", rounded(figures.m_kept)},
+              {"usable", rounded(figures.m_usable)},
+              {"urgent_need", rounded(figures.m_urgent.m_total)}});
+}
+
+static void logWaitOver(const OwnerState &state, const StepReference &reference, const StepWait &wait, Instant now)
+{
+    const auto job = state.m_jobs.find(reference.m_job);
+    const bool active = job && job->m_outcome == JobOutcome::Active;
+    std::string reasons;
+    for (const auto &[reason, waited] : wait.m_byReason) {
+        reasons += (reasons.empty() ? "" : ",") + std::string(waitReasonName(reason)) + ":" + std::to_string(waited.count());
+    }
+    logEvent(LogLevel::Info,
+             "step_wait_over",
+             {{"request", reference.m_job},
+              {"step", stepName(reference)},
+              {"rank", std::string(rankName(wait.m_rank))},
+              {"outcome", active ? "placed" : "settled"},
+              {"waited_ms", std::to_string((now - wait.m_since).count())},
+              {"reasons_ms", reasons}});
+}
+
+void noteWaits(OwnerState &state, const PlacementInput &input, const PlacementDecisions &decisions, Instant now)
+{
+    auto &metrics = FleetMetrics::instance();
+    const auto elapsed = std::min(now - state.m_waitsNotedAt, longestCountedGap);
+    state.m_waitsNotedAt = now;
+    std::map<StepReference, StepWait> waits;
+    Duration oldest(0);
+    for (const auto &step : decisions.m_waiting) {
+        const StepReference reference{.m_job = input.m_jobs[step.m_job]->m_spec->m_id, .m_occurrence = step.m_occurrence, .m_step = step.m_step};
+        const auto before = state.m_waits.find(reference);
+        const bool known = before != state.m_waits.end();
+        const auto [entry, added]
+            = known ? waits.insert(*before)
+                    : waits.emplace(reference,
+                                    StepWait{.m_rank = step.m_rank, .m_reason = step.m_reason, .m_since = now, .m_loggedAt = std::nullopt, .m_byReason = {}});
+        if (!added) {
+            continue; // Some tasks of the step wait for another reason; the first one counts.
+        }
+        auto &wait = entry->second;
+        if (known) {
+            wait.m_byReason[wait.m_reason] += elapsed;
+            metrics.add(FleetCounter::WaitSeconds, std::chrono::duration<double>(elapsed).count(), {rankName(wait.m_rank), waitReasonName(wait.m_reason)});
+        }
+        const bool changed = wait.m_reason != step.m_reason;
+        wait.m_rank = step.m_rank;
+        wait.m_reason = step.m_reason;
+        oldest = std::max(oldest, now - wait.m_since);
+        const bool due = !wait.m_loggedAt || now >= *wait.m_loggedAt + (changed ? waitLinePeriod : waitRepeatPeriod);
+        if (due && takeLine(state, now)) {
+            wait.m_loggedAt = now;
+            logWait(reference, step, wait, decisions.m_figures, now);
+        }
+    }
+    for (const auto &[reference, wait] : state.m_waits) {
+        // Waits that end before they were logged are too short to matter.
+        if (!waits.contains(reference) && now >= wait.m_since + waitLinePeriod && takeLine(state, now)) {
+            logWaitOver(state, reference, wait, now);
+        }
+    }
+    state.m_waits = std::move(waits);
+    metrics.set(FleetGauge::WaitingSteps, static_cast<double>(state.m_waits.size()));
+    metrics.set(FleetGauge::LongestWait, std::chrono::duration<double>(oldest).count());
+    metrics.set(FleetGauge::FreeAccelerators, decisions.m_figures.m_free);
+    metrics.set(FleetGauge::KeptAccelerators, decisions.m_figures.m_kept);
+}
+
+} // namespace PrimroseBridge
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -1,3 +1,4 @@
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Fleetservice/fleetowner.h"
 #include "primrosebridge/Fleetstandin/standinworker.h"
 #include "primrosebridge/Pipeline/bootclock.h"
@@ -188,6 +189,22 @@
 
 } // namespace
 
+// Guards against a wait whose cause neither log nor metrics name: issue 17.
+TEST_CASE("the time that a step waits for a place is counted by rank and reason")
+{
+    StandinWorker worker("w1", "r1", Duration(60'000));
+    Rig rig;
+    rig.own({}, {reportOf(worker)});
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false)});
+    REQUIRE(rig.waitFor([&] { return worker.running().size() == 1; }));
+    rig.m_owner->post(JobSubmitted{.m_spec = specOf(1, false, "0000000000000001")});
+    const auto counted = [] {
+        const auto text = FleetMetrics::instance().serialize();
+        return text.find(R"(primrosebridge_fleet_step_wait_seconds_total{rank="urgent",reason="no_room"})") != std::string::npos;
+    };
+    CHECK(rig.waitFor(counted));
+}
+
 // Guards against a thread that spins while there is nothing to decide: 1,000 wake-ups a second, found by the bench's sweep.
 TEST_CASE("the stage sleeps while another VM owns the fleet")
 {
