--- a/scheduling/lib/Fleet/candidates.cpp
+++ b/scheduling/lib/Fleet/candidates.cpp
@@ -148,6 +148,7 @@
             .m_late = end > due + objective,
             .m_overdue = rank == UrgencyRank::Guaranteed && !hasRun(state) && input.m_wallNow - due >= input.m_reclaimPatience,
             .m_locked = locked,
+            .m_objective = objective,
             .m_age = input.m_wallNow - due,
             .m_waiting = std::move(waiting),
         });
--- a/scheduling/lib/Fleet/candidates.h
+++ b/scheduling/lib/Fleet/candidates.h
@@ -16,6 +16,7 @@
     bool m_late; ///< It can no longer meet its latency objective.
     bool m_overdue; ///< Guaranteed, has not begun, and has waited for PlacementInput::m_reclaimPatience.
     bool m_locked; ///< Nothing of the job may start, see PlacementInput::m_lockedJobs.
+    Duration m_objective; ///< Latency objective of the job, counted from the time when the occurrence was due.
     Duration m_age; ///< Wall-clock time since the occurrence was due.
     std::vector<int> m_waiting; ///< Indices of the waiting tasks.
 };
