Count what a checkpointing task really loses when it is stopped

Cause: the loss of a checkpointing task was taken as a fifth of the time that it had run, though a stop saves a checkpoint. One that had run for ten seconds was spared for one without checkpoints that had run for two, whose work was then thrown away. Change: the loss is at most one second, for the restore and the work until the stop. Test: "a task that has run for long is stopped first if it saves a checkpoint" failed before (loses was stopped).

--- a/scheduling/lib/Fleet/floorplan.cpp
+++ b/scheduling/lib/Fleet/floorplan.cpp
@@ -10,8 +10,9 @@
 namespace PrimroseBridge {
 
 constexpr double coresPerAccelerator = 8.0; // The users' price list counts an accelerator as eight cores.
-// A checkpointing task loses what it did since its last checkpoint and the time to restore it.
-constexpr double checkpointingLossShare = 0.2;
+// A stop saves a checkpoint, so that a checkpointing task loses the time to restore it, 0.1 to 0.6 s on the users' deployments, and what
+// it does until the stop.
+constexpr double longestCheckpointingLossSeconds = 1.0;
 // Added for each guaranteed victim, so that any number of others is stopped first; more than the core-seconds of a whole fleet.
 constexpr double guaranteedVictimLoss = 1e7;
 
@@ -46,8 +47,8 @@
 static double lossOf(const PlacementInput &input, const TaskState &task, const JobStep &step)
 {
     const auto cores = static_cast<double>(step.m_needs.m_milliCores) / 1000.0 + coresPerAccelerator * static_cast<double>(step.m_needs.m_accelerators);
-    const auto seconds = std::chrono::duration<double>(input.m_now - task.m_phaseSince).count();
-    return cores * std::max(seconds, 0.0) * (step.m_checkpointing ? checkpointingLossShare : 1.0);
+    const auto seconds = std::max(std::chrono::duration<double>(input.m_now - task.m_phaseSince).count(), 0.0);
+    return cores * (step.m_checkpointing ? std::min(seconds, longestCheckpointingLossSeconds) : seconds);
 }
 
 namespace {
--- a/scheduling/unittests/Fleet/fleetbuilder.h
+++ b/scheduling/unittests/Fleet/fleetbuilder.h
@@ -73,19 +73,20 @@
         return *this;
     }
 
-    /// A job whose tasks run on the given workers since @p sinceMs.
+    /// A job whose tasks run on the given workers since @p sinceMs, as their run number @p run.
     FleetBuilder &running(const std::string &name,
                           const std::string &queue,
                           const TestStep &step,
                           const std::vector<std::string> &places,
                           std::int64_t sinceMs,
-                          const std::string &organisation = "org")
+                          const std::string &organisation = "org",
+                          std::int64_t run = 1)
     {
         auto state = newJob(specOf(name, queue, step, organisation), 3, fromMilliseconds(sinceMs));
         for (std::size_t index = 0; index < places.size(); ++index) {
             const TaskReference task{.m_job = name, .m_occurrence = 0, .m_step = 0, .m_index = static_cast<int>(index)};
             const auto place = std::make_shared<const WorkerLife>(WorkerLife{.m_worker = places[index], .m_bornAt = 1});
-            const auto starting = taskStarting(*findTask(*state, task), place, 1, fromMilliseconds(sinceMs));
+            const auto starting = taskStarting(*findTask(*state, task), place, run, fromMilliseconds(sinceMs));
             state = withTask(*state, task, taskInPhase(*starting, TaskPhase::Running, false, fromMilliseconds(sinceMs)));
         }
         m_jobs.push_back(state);
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -87,6 +87,18 @@
     CHECK(decisions.m_stops.size() == 4);
 }
 
+// Guards against work that is thrown away although that of a task which saves a checkpoint at its stop is not: pattern of long batches
+// with and without checkpoints on a full fleet.
+TEST_CASE("a task that has run for long is stopped first if it saves a checkpoint")
+{
+    FleetBuilder builder;
+    builder.guarantee("org", 8).worker("w", "r").worker("v", "r");
+    builder.running("saves", "background", TestStep{.m_tasks = 1, .m_accelerators = 8, .m_checkpointing = true}, {"w"}, 60'000);
+    builder.running("loses", "background", TestStep{.m_tasks = 1, .m_accelerators = 8}, {"v"}, 98'000);
+    builder.job("check", "urgent", TestStep{.m_tasks = 1, .m_accelerators = 8});
+    CHECK(stoppedJobs(decidePlacement(builder.input())) == std::set<std::string>{"saves"});
+}
+
 // Guards against a second round of victims while the first one is still being stopped.
 TEST_CASE("places that are being freed are not freed twice")
 {
