Stop a task that has been started often only if nothing else will do

Cause: victims are chosen by rank and present loss. A task that has just been started again loses least, so it is the first choice each time, without a bound. Change: a task of less urgent work that has been started more than four times is not stopped for urgent work beyond a guarantee, and for guaranteed work only after everything else.

--- a/scheduling/lib/Fleet/floorplan.cpp
+++ b/scheduling/lib/Fleet/floorplan.cpp
@@ -13,8 +13,13 @@
 // A stop saves a checkpoint, so that a checkpointing task loses the time to restore it, 0.1 to 0.6 s on the users' deployments, and what
 // it does until the stop.
 constexpr double longestCheckpointingLossSeconds = 1.0;
-// Added for each guaranteed victim, so that any number of others is stopped first; more than the core-seconds of a whole fleet.
-constexpr double guaranteedVictimLoss = 1e7;
+// Added for each guaranteed victim, so that any number of others is stopped first; more than any loss below.
+constexpr double guaranteedVictimLoss = 1e14;
+// A task that has been started more often is stopped only for guaranteed work, and only if nothing else will do, so that it is not
+// stopped again and again. Each of these runs may have thrown away a whole run time.
+constexpr std::int64_t startsBeforeProtection = 4;
+// Added for each victim that has been started more often; more than the loss of a whole fleet and the difference between two ranks.
+constexpr double protectedVictimLoss = 1e10;
 
 void addTo(Room &room, const JobStep &step, int tasks)
 {
@@ -258,9 +263,17 @@
     return wanted;
 }
 
+static bool isProtected(const PlacedTask &task)
+{
+    return !isUrgent(task.m_rank) && task.m_state->m_run > startsBeforeProtection;
+}
+
 static bool isEvictable(const Search &search, std::size_t task)
 {
     const auto &placed = search.m_plan.m_placed[task];
+    if (isProtected(placed) && search.m_candidate.m_rank != UrgencyRank::Guaranteed) {
+        return false;
+    }
     // Small guaranteed tasks on most workers would otherwise keep a guaranteed gang of whole workers from ever beginning. Work that
     // has begun once is never overdue, so the two cannot stop each other in turn.
     const bool yields = mayPreempt(search.m_candidate.m_rank, placed.m_rank) || search.m_candidate.m_overdue;
@@ -291,7 +304,8 @@
         if (isEvictable(search, task)) {
             const auto rank = static_cast<double>(search.m_plan.m_placed[task].m_rank);
             // The least urgent work goes first, whatever it loses.
-            order.emplace_back(lossWith(search.m_plan, task) - 1e9 * rank, task);
+            const auto protection = isProtected(search.m_plan.m_placed[task]) ? protectedVictimLoss : 0.0;
+            order.emplace_back(lossWith(search.m_plan, task) + protection - 1e9 * rank, task);
         }
     }
     std::sort(order.begin(), order.end());
@@ -310,6 +324,7 @@
         }
         eviction.m_loss += lossWith(search.m_plan, task);
         eviction.m_loss += search.m_plan.m_placed[task].m_rank == UrgencyRank::Guaranteed ? guaranteedVictimLoss : 0.0;
+        eviction.m_loss += isProtected(search.m_plan.m_placed[task]) ? protectedVictimLoss : 0.0;
     }
     return fittingTasks(room, search.m_step, 1) > 0 ? eviction : Eviction{};
 }
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -99,6 +99,26 @@
     CHECK(stoppedJobs(decidePlacement(builder.input())) == std::set<std::string>{"saves"});
 }
 
+// Guards against a task that is stopped again each time it runs: pattern of bursts of urgent jobs, seen on issue 17 with 24 of a batch's
+// 25 tasks stopped.
+TEST_CASE("a task that has been started often is stopped only if nothing else will do")
+{
+    const auto stoppedFor = [](std::int64_t guarantee, bool alone) {
+        FleetBuilder builder;
+        builder.guarantee("org", guarantee).worker("w", "r");
+        builder.running("often", "background", TestStep{.m_tasks = 1, .m_accelerators = 8}, {"w"}, 99'900, "other", 5);
+        if (!alone) {
+            builder.worker("v", "r").running("once", "normal", TestStep{.m_tasks = 1, .m_accelerators = 8}, {"v"}, 90'000);
+        }
+        builder.job("check", "urgent", TestStep{.m_tasks = 1, .m_accelerators = 8});
+        return stoppedJobs(decidePlacement(builder.input()));
+    };
+    CHECK(stoppedFor(8, false) == std::set<std::string>{"once"});
+    CHECK(stoppedFor(8, true) == std::set<std::string>{"often"});
+    // Urgent work beyond a guarantee waits for its end.
+    CHECK(stoppedFor(0, true).empty());
+}
+
 // Guards against a second round of victims while the first one is still being stopped.
 TEST_CASE("places that are being freed are not freed twice")
 {
--- a/scheduling/unittests/FleetLoad/waits.cpp
+++ b/scheduling/unittests/FleetLoad/waits.cpp
@@ -83,12 +83,16 @@
 }
 
 // Sound load for two thirds to three quarters of a fleet of 48 workers, so that there is room for all of it in time.
-static std::vector<JobResult> soundLoad(unsigned seed, Duration end, double backgroundEstimate)
+static std::vector<SimulatedJob> soundLoadArrivals(unsigned seed, Duration end, double backgroundEstimate)
 {
     auto background = backgroundBatches(0.6);
     background.m_estimate = std::chrono::duration_cast<Duration>(background.m_runTime * backgroundEstimate);
-    const auto jobs = arrivals({urgentGangs("a", 1.5), urgentGangs("b", 1.0), normalGangs(0.7), background}, end, seed);
-    return simulate(guaranteedFleet(), jobs, end);
+    return arrivals({urgentGangs("a", 1.5), urgentGangs("b", 1.0), normalGangs(0.7), background}, end, seed);
+}
+
+static std::vector<JobResult> soundLoad(unsigned seed, Duration end, double backgroundEstimate)
+{
+    return simulate(guaranteedFleet(), soundLoadArrivals(seed, end, backgroundEstimate), end);
 }
 
 static void checkAllServed(const std::vector<JobResult> &results, Duration end)
@@ -111,6 +115,22 @@
     }
 }
 
+// Guards against tasks that are stopped each time they run, so that their work is thrown away again and again: pattern of the same load
+// after an eighth of the fleet is lost.
+TEST_CASE("no task is stopped more than four times")
+{
+    const Duration end(240'000);
+    auto fleet = guaranteedFleet();
+    fleet.m_workersPerRack = 7;
+    for (const unsigned seed : {1U, 2U, 3U}) {
+        const auto results = simulate(fleet, soundLoadArrivals(seed, end, 1.0), end);
+        for (const auto *queue : {"normal", "background"}) {
+            CAPTURE(seed, queue);
+            CHECK(unservedOf(results, queue, end).m_mostPreemptions <= 4);
+        }
+    }
+}
+
 // Guards against late work that is passed by all newer work of its rank: pattern of batches whose submitters state a fifth of the run
 // time, so that they count as late or lost soon after they were accepted.
 TEST_CASE("work with estimates far too low ends while it is useful")
