Let late work that has waited too long go before newer work of its rank

Cause: work that can no longer meet its objective goes behind all other work of its rank. While newer work keeps arriving that is a wait without a bound, and with estimates far too low work counts as late at once. Change: less urgent work that has waited for 1.5 latency objectives, and can still be of use, is in the order of acceptance again. The constant is the one after which kept room is gone. Test: "work that has waited too long goes before newer work of its rank" failed before (new first). The load test with estimates far too low still misses wide gangs and stays listed.

--- a/scheduling/lib/Fleet/candidates.h
+++ b/scheduling/lib/Fleet/candidates.h
@@ -14,6 +14,7 @@
     UrgencyRank m_rank;
     bool m_hopeless; ///< It can no longer end while its result is worth anything to its submitter.
     bool m_late; ///< It can no longer meet its latency objective.
+    bool m_aged; ///< Less urgent, waits for agedObjectives latency objectives, and its result is still worth something.
     bool m_overdue; ///< Guaranteed, has not begun, and has waited for PlacementInput::m_reclaimPatience.
     bool m_locked; ///< Nothing of the job may start, see PlacementInput::m_lockedJobs.
     Duration m_objective; ///< Latency objective of the job, counted from the time when the occurrence was due.
@@ -21,6 +22,10 @@
     std::vector<int> m_waiting; ///< Indices of the waiting tasks.
 };
 
+/// Less urgent work that has waited for this many latency objectives is held back no longer. Half of the time for which a result is
+/// useful to its submitter, so that work which waits can still end in time.
+constexpr double agedObjectives = 1.5;
+
 /// True for work of priority 0.
 constexpr bool isUrgent(UrgencyRank rank)
 {
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -27,9 +27,6 @@
 // Room is kept for this many jobs of the size of the largest recent urgent one. With none, one, two and three the mean worth of the
 // standard days was 0.61, 0.63, 0.65 and 0.67 on the grown deployment with most preemptions.
 constexpr double keptLargestJobs = 3.0;
-// Kept room fades with the age of the work that waits for it, so that a steady urgent load cannot starve other work. It is gone after
-// this many latency objectives, half of the time for which a result is useful to its submitter.
-constexpr double keptObjectives = 1.5;
 
 static double usableAccelerators(const PlacementInput &input)
 {
@@ -369,7 +366,8 @@
 // Part of the kept room that is kept from the candidate as well.
 static double keptShare(const Candidate &candidate)
 {
-    const std::chrono::duration<double> limit = candidate.m_objective * keptObjectives;
+    // Without this a steady urgent load starves other work.
+    const std::chrono::duration<double> limit = candidate.m_objective * agedObjectives;
     return limit.count() > 0.0 ? std::clamp(1.0 - candidate.m_age / limit, 0.0, 1.0) : 0.0;
 }
 
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -119,6 +119,25 @@
     CHECK(stoppedFor(0, true).empty());
 }
 
+// Guards against late work that all newer work of its rank passes: issue 17, where batches that had waited a minute did not start while
+// new ones did.
+TEST_CASE("work that has waited too long goes before newer work of its rank")
+{
+    const auto firstAt = [](std::int64_t ageMs) {
+        FleetBuilder builder;
+        builder.racks(1, 1);
+        builder.accepted(ageMs).job("old", "background", TestStep{.m_tasks = 1, .m_accelerators = 8});
+        builder.accepted(0).job("new", "background", TestStep{.m_tasks = 1, .m_accelerators = 8});
+        return decidePlacement(builder.input()).m_starts.front().m_task.m_job;
+    };
+    CHECK(firstAt(1000) == "old");
+    // Late: it cannot end within its objective of 7.8 s.
+    CHECK(firstAt(7000) == "new");
+    CHECK(firstAt(12'000) == "old");
+    // Its result is of no use any more.
+    CHECK(firstAt(60'000) == "new");
+}
+
 // Guards against a second round of victims while the first one is still being stopped.
 TEST_CASE("places that are being freed are not freed twice")
 {
