Drain workers for gangs that have waited too long

Cause: a gang starts only when enough workers are free at once. Nothing but stopping tasks reserves places, which less urgent gangs may not do, so smaller work takes each place that becomes free, for as long as it arrives. Change: for the first gang that has waited for 1.5 latency objectives, can still be of use and finds no room, the pass chooses the workers whose runs end soonest; until the gang starts only guaranteed work starts there, and only if nothing else is free. Not while half of the pool is free, where others would wait for nothing.

--- a/scheduling/lib/Fleet/floorplan.cpp
+++ b/scheduling/lib/Fleet/floorplan.cpp
@@ -1,5 +1,7 @@
 #include "floorplan.h"
 
+#include "primrosebridge/Fleet/progresswatch.h"
+
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -159,6 +161,7 @@
     plan.m_clearable = plan.m_free;
     plan.m_soonFree.resize(plan.m_free.size());
     plan.m_tasksOn.resize(plan.m_free.size());
+    plan.m_drained.resize(plan.m_free.size(), false);
     numberRacks(plan);
     for (std::size_t job = 0; job < input.m_jobs.size(); ++job) {
         const auto &spec = *input.m_jobs[job]->m_spec;
@@ -200,6 +203,7 @@
     const JobStep &m_step;
     std::vector<Room> m_room; // By worker.
     std::vector<bool> m_isVictim; // By placed task; empty if nothing may be evicted.
+    bool m_drains; // See PlacementScope::m_mayDrain.
     StepPlacement m_placement = {};
 };
 
@@ -245,14 +249,14 @@
     for (const auto worker : workers) {
         rackRoom[rackOf[worker]] += comparedRoom(search, worker);
     }
-    std::vector<std::tuple<std::int64_t, std::int64_t, std::size_t>> order;
+    std::vector<std::tuple<bool, std::int64_t, std::int64_t, std::size_t>> order;
     for (const auto worker : workers) {
         if (fittingTasks(search.m_room[worker], search.m_step, 1) > 0) {
-            order.emplace_back(rackRoom[rackOf[worker]], comparedRoom(search, worker), worker);
+            order.emplace_back(search.m_plan.m_drained[worker], rackRoom[rackOf[worker]], comparedRoom(search, worker), worker);
         }
     }
     std::sort(order.begin(), order.end());
-    for (const auto &[rack, room, worker] : order) {
+    for (const auto &[drained, rack, room, worker] : order) {
         if (wanted == 0) {
             break;
         }
@@ -271,7 +275,10 @@
 static bool isEvictable(const Search &search, std::size_t task)
 {
     const auto &placed = search.m_plan.m_placed[task];
-    if (isProtected(placed) && search.m_candidate.m_rank != UrgencyRank::Guaranteed) {
+    if (search.m_drains) {
+        return !placed.m_stopping && !search.m_plan.m_evicted[task] && !search.m_isVictim[task] && !placed.m_step->m_longRunning;
+    }
+    if (isProtected(placed) && !search.m_candidate.m_overdue) {
         return false;
     }
     // Small guaranteed tasks on most workers would otherwise keep a guaranteed gang of whole workers from ever beginning. Work that
@@ -294,6 +301,15 @@
     return placed.m_gang ? plan.m_gangs[*placed.m_gang].m_loss : placed.m_loss;
 }
 
+// By its progress, or by its estimate while it has reported none.
+static double secondsUntilEnd(const FloorPlan &plan, const PlacedTask &task)
+{
+    const auto now = plan.m_input->m_now;
+    const auto remaining = remainingTime(*task.m_state, *task.m_step, now);
+    const auto elapsed = task.m_state->m_percent > 0 ? Duration(0) : now - task.m_state->m_phaseSince;
+    return std::chrono::duration<double>(std::max(remaining - elapsed, Duration(0))).count();
+}
+
 static Eviction cheapestEviction(const Search &search, std::size_t worker)
 {
     if (perWorkerLimit(search, worker, 1) < 1) {
@@ -301,7 +317,9 @@
     }
     std::vector<std::pair<double, std::size_t>> order;
     for (const auto task : search.m_plan.m_tasksOn[worker]) {
-        if (isEvictable(search, task)) {
+        if (isEvictable(search, task) && search.m_drains) {
+            order.emplace_back(secondsUntilEnd(search.m_plan, search.m_plan.m_placed[task]), task);
+        } else if (isEvictable(search, task)) {
             const auto rank = static_cast<double>(search.m_plan.m_placed[task].m_rank);
             // The least urgent work goes first, whatever it loses.
             const auto protection = isProtected(search.m_plan.m_placed[task]) ? protectedVictimLoss : 0.0;
@@ -322,6 +340,10 @@
         } else {
             eviction.m_tasks.push_back(task);
         }
+        if (search.m_drains) {
+            eviction.m_loss = std::max(eviction.m_loss, secondsUntilEnd(search.m_plan, search.m_plan.m_placed[task]));
+            continue;
+        }
         eviction.m_loss += lossWith(search.m_plan, task);
         eviction.m_loss += search.m_plan.m_placed[task].m_rank == UrgencyRank::Guaranteed ? guaranteedVictimLoss : 0.0;
         eviction.m_loss += isProtected(search.m_plan.m_placed[task]) ? protectedVictimLoss : 0.0;
@@ -403,7 +425,8 @@
                   .m_candidate = candidate,
                   .m_step = step,
                   .m_room = plan.m_free,
-                  .m_isVictim = std::vector<bool>(scope.m_mayEvict ? plan.m_placed.size() : 0, false)};
+                  .m_isVictim = std::vector<bool>(scope.m_mayEvict ? plan.m_placed.size() : 0, false),
+                  .m_drains = scope.m_mayDrain};
     int left = fillFree(search, scope.m_workers, wanted);
     if (left > 0 && scope.m_useSoonFree) {
         for (const auto worker : scope.m_workers) {
--- a/scheduling/lib/Fleet/floorplan.h
+++ b/scheduling/lib/Fleet/floorplan.h
@@ -54,6 +54,7 @@
     std::vector<PlacedTask> m_placed;
     std::vector<PlacedGang> m_gangs;
     std::vector<bool> m_evicted; ///< By index in m_placed: the pass stops this task.
+    std::vector<bool> m_drained; ///< By worker: runs end there to make room for a gang, see PlacementScope::m_mayDrain; only guaranteed work starts.
 };
 
 /// The plan before any decision of the pass.
@@ -64,7 +65,7 @@
     std::vector<std::size_t> m_workers; ///< One entry a task; indices of workers.
     std::vector<std::size_t> m_victims; ///< Indices in FloorPlan::m_placed.
     bool m_mustWait; ///< Some places are free only once tasks that are being stopped have ended.
-    double m_loss; ///< Of all victims.
+    double m_loss; ///< Of all victims; with PlacementScope::m_mayDrain the seconds until they end, summed over workers.
 };
 
 /// What a placement may use.
@@ -73,6 +74,7 @@
     bool m_useSoonFree;
     bool m_mayEvict;
     bool m_partial; ///< Fewer tasks than wanted are acceptable.
+    bool m_mayDrain = false; ///< With m_mayEvict: the victims are runs to wait for, those that end soonest, and none is to be stopped.
 };
 
 /// The task in the words of orders and logs.
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -27,6 +27,9 @@
 // Room is kept for this many jobs of the size of the largest recent urgent one. With none, one, two and three the mean worth of the
 // standard days was 0.61, 0.63, 0.65 and 0.67 on the grown deployment with most preemptions.
 constexpr double keptLargestJobs = 3.0;
+// A gang that has aged has workers drained for it only while less than this share of the accelerators is free: on an emptier fleet it
+// finds room, and others would wait for nothing.
+constexpr double drainFreeShare = 0.5;
 
 static double usableAccelerators(const PlacementInput &input)
 {
@@ -165,6 +168,7 @@
     std::vector<StopDecision> m_stops;
     std::vector<WaitingStep> m_waiting = {};
     int m_reservations = 0;
+    const Candidate *m_drainedFor = nullptr; // The gang for which workers are drained.
     double m_keptFree = 0.0; // Accelerators that only urgent work may take.
 };
 
@@ -217,19 +221,28 @@
     return entry->second;
 }
 
+static bool isSameStep(const Candidate &left, const Candidate &right)
+{
+    return left.m_job == right.m_job && left.m_occurrence == right.m_occurrence && left.m_step == right.m_step;
+}
+
 // Workers that may run the step. Isolated ones, and those on which a run of the step failed, count only if @p lenient.
 static std::vector<std::size_t> eligibleWorkers(Pass &pass, const Candidate &candidate, bool lenient)
 {
     const auto &all = workersOf(pass, pass.m_queues[candidate.m_job]->m_service, stepOf(pass, candidate));
-    if (lenient) {
+    const bool avoidsDrained = pass.m_drainedFor && candidate.m_rank != UrgencyRank::Guaranteed && !isSameStep(candidate, *pass.m_drainedFor);
+    if (lenient && !avoidsDrained) {
         return all;
     }
-    const auto failed = failedOn(stateOf(pass, candidate));
+    const auto failed = lenient ? std::set<std::string_view>() : failedOn(stateOf(pass, candidate));
     std::vector<std::size_t> workers;
     workers.reserve(all.size());
     for (const auto index : all) {
         const auto &worker = pass.m_input.m_workers[index];
-        if (!worker.m_isolated && (failed.empty() || !failed.contains(worker.m_life->m_worker))) {
+        if (avoidsDrained && pass.m_plan.m_drained[index]) {
+            continue;
+        }
+        if ((lenient || !worker.m_isolated) && (failed.empty() || !failed.contains(worker.m_life->m_worker))) {
             workers.push_back(index);
         }
     }
@@ -328,16 +341,18 @@
     return freeAccelerators(pass, leftScope.m_workers) < freeAccelerators(pass, rightScope.m_workers);
 }
 
-static std::optional<StepPlacement> bestPlacement(const Pass &pass, const Candidate &candidate, const std::vector<Scope> &scopes, bool evicting)
+static std::optional<StepPlacement>
+bestPlacement(const Pass &pass, const Candidate &candidate, const std::vector<Scope> &scopes, bool evicting, bool draining = false)
 {
     const auto &step = stepOf(pass, candidate);
     std::optional<StepPlacement> best;
     const Scope *bestScope = nullptr;
     for (const auto &scope : scopes) {
-        auto placement = placeTasks(pass.m_plan,
-                                    candidate,
-                                    static_cast<int>(candidate.m_waiting.size()),
-                                    PlacementScope{.m_workers = scope.m_workers, .m_useSoonFree = evicting, .m_mayEvict = evicting, .m_partial = !step.m_gang});
+        auto placement = placeTasks(
+            pass.m_plan,
+            candidate,
+            static_cast<int>(candidate.m_waiting.size()),
+            PlacementScope{.m_workers = scope.m_workers, .m_useSoonFree = evicting, .m_mayEvict = evicting, .m_partial = !step.m_gang, .m_mayDrain = draining});
         if (placement && (!best || isBetter(pass, *placement, scope, *best, *bestScope))) {
             best = std::move(placement);
             bestScope = &scope;
@@ -548,6 +563,29 @@
     noteWaiting(pass, candidate, candidate.m_waiting.size(), WaitReason::NoEligibleWorker);
 }
 
+// Chooses workers to drain for the first gang that has aged and finds no room: those whose runs end soonest. Without this, wide gangs
+// wait until enough workers happen to be free at once, which smaller work prevents for as long as it arrives.
+static void drainForAgedGang(Pass &pass, const std::vector<Candidate> &candidates)
+{
+    for (const auto &candidate : candidates) {
+        if (!candidate.m_aged || candidate.m_locked || !stepOf(pass, candidate).m_gang) {
+            continue;
+        }
+        const auto workers = eligibleWorkers(pass, candidate, false);
+        const auto scopes = scopesFor(pass, candidate, workers);
+        if (workers.empty() || freeShare(pass, workers) >= drainFreeShare || bestPlacement(pass, candidate, scopes, false)) {
+            continue;
+        }
+        if (const auto placement = bestPlacement(pass, candidate, scopes, true, true)) {
+            for (const auto worker : placement->m_workers) {
+                pass.m_plan.m_drained[worker] = true;
+            }
+            pass.m_drainedFor = &candidate;
+            return;
+        }
+    }
+}
+
 PlacementDecisions decidePlacement(const PlacementInput &input)
 {
     auto queues = queuesOfJobs(input);
@@ -557,8 +595,9 @@
     Pass pass{.m_input = input, .m_queues = std::move(queues), .m_plan = makeFloorPlan(input, ranks), .m_starts = {}, .m_stops = {}};
     const auto figures = figuresOf(pass, urgent);
     pass.m_keptFree = figures.m_kept;
-    for (auto &candidate : candidates) {
-        placeCandidate(pass, std::move(candidate));
+    drainForAgedGang(pass, candidates);
+    for (const auto &candidate : candidates) {
+        placeCandidate(pass, candidate);
     }
     return PlacementDecisions{
         .m_starts = std::move(pass.m_starts), .m_stops = std::move(pass.m_stops), .m_waiting = std::move(pass.m_waiting), .m_figures = figures};
