Name the waits that draining causes, and bound its search

Cause: the log called the wait of a gang for which workers are drained no_room, and that of work without another worker no_eligible_worker, which sends an engineer after the wrong cause; and a backlog of aged gangs that fit nowhere would each have been searched for in every pass. Change: reasons draining and kept_for_gang; at most four gangs are examined in a pass. The order of victims on a worker is a function of its own. Test: "workers are drained for a gang that has waited too long" asks for the reason.

--- a/scheduling/benchmarks/fleetpass/main.cpp
+++ b/scheduling/benchmarks/fleetpass/main.cpp
@@ -60,11 +60,12 @@
     state.SetComplexityN(state.range(0));
 }
 
-// Pattern of a backlog: as many jobs wait as run, and little of it fits.
-static void backlog(benchmark::State &state)
+// Pattern of a backlog: as many jobs wait as run, for @p ageMs, and little of it fits.
+static void backlogOfAge(benchmark::State &state, std::int64_t ageMs)
 {
     const int quarters = static_cast<int>(state.range(0));
     auto fleet = busyFleet(quarters);
+    fleet.accepted(ageMs);
     for (int job = 0; job < targetTasks * quarters / 4 / tasksPerJob; ++job) {
         fleet.job(
             "waiting-" + std::to_string(job), job % 2 == 0 ? "normal" : "background", {.m_tasks = tasksPerJob, .m_accelerators = 8, .m_gang = job % 2 == 0});
@@ -76,8 +77,20 @@
     state.SetComplexityN(state.range(0));
 }
 
+static void backlog(benchmark::State &state)
+{
+    backlogOfAge(state, 0);
+}
+
+// As long as workers are drained for a gang, and not so long that the work is of no use any more.
+static void agedBacklog(benchmark::State &state)
+{
+    backlogOfAge(state, 13'000);
+}
+
 BENCHMARK(onePlacement)->Arg(1)->Arg(4)->Arg(16)->Arg(64)->Unit(benchmark::kMicrosecond)->Complexity();
 BENCHMARK(reclaim)->Arg(1)->Arg(4)->Arg(16)->Unit(benchmark::kMicrosecond)->Complexity();
 BENCHMARK(backlog)->Arg(1)->Arg(4)->Arg(16)->Unit(benchmark::kMicrosecond)->Complexity();
+BENCHMARK(agedBacklog)->Arg(1)->Arg(4)->Arg(16)->Unit(benchmark::kMicrosecond)->Complexity();
 
 BENCHMARK_MAIN();
--- a/scheduling/include/primrosebridge/Fleet/placement.h
+++ b/scheduling/include/primrosebridge/Fleet/placement.h
@@ -99,6 +99,8 @@
     NoRoom,
     NoRoomInRack, ///< There may be room outside the racks that have the step's data or hold its gang.
     BeingFreed, ///< Work that holds its places is being stopped.
+    Draining, ///< Workers are drained for it: runs there end and others do not start.
+    KeptForGang, ///< The workers that may run it are drained for a gang.
     Locked, ///< The job's tasks may still run on a worker that has not answered this owner.
 };
 
--- a/scheduling/lib/Fleet/floorplan.cpp
+++ b/scheduling/lib/Fleet/floorplan.cpp
@@ -310,6 +310,18 @@
     return std::chrono::duration<double>(std::max(remaining - elapsed, Duration(0))).count();
 }
 
+// Runs of a worker with a lower value are chosen first.
+static double evictionOrder(const Search &search, std::size_t task)
+{
+    const auto &placed = search.m_plan.m_placed[task];
+    if (search.m_drains) {
+        return secondsUntilEnd(search.m_plan, placed);
+    }
+    // The least urgent work goes first, whatever it loses.
+    const auto protection = isProtected(placed) ? protectedVictimLoss : 0.0;
+    return lossWith(search.m_plan, task) + protection - 1e9 * static_cast<double>(placed.m_rank);
+}
+
 static Eviction cheapestEviction(const Search &search, std::size_t worker)
 {
     if (perWorkerLimit(search, worker, 1) < 1) {
@@ -317,13 +329,8 @@
     }
     std::vector<std::pair<double, std::size_t>> order;
     for (const auto task : search.m_plan.m_tasksOn[worker]) {
-        if (isEvictable(search, task) && search.m_drains) {
-            order.emplace_back(secondsUntilEnd(search.m_plan, search.m_plan.m_placed[task]), task);
-        } else if (isEvictable(search, task)) {
-            const auto rank = static_cast<double>(search.m_plan.m_placed[task].m_rank);
-            // The least urgent work goes first, whatever it loses.
-            const auto protection = isProtected(search.m_plan.m_placed[task]) ? protectedVictimLoss : 0.0;
-            order.emplace_back(lossWith(search.m_plan, task) + protection - 1e9 * rank, task);
+        if (isEvictable(search, task)) {
+            order.emplace_back(evictionOrder(search, task), task);
         }
     }
     std::sort(order.begin(), order.end());
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -31,6 +31,9 @@
 // finds room, and others would wait for nothing.
 constexpr double drainFreeShare = 0.5;
 
+// Gangs that are examined in a pass to find the one to drain workers for, so that a long backlog costs no more than a short one.
+constexpr int maxDrainCandidates = 4;
+
 static double usableAccelerators(const PlacementInput &input)
 {
     double accelerators = 0.0;
@@ -130,6 +133,10 @@
         return "no_room_in_rack";
     case WaitReason::BeingFreed:
         return "being_freed";
+    case WaitReason::Draining:
+        return "draining";
+    case WaitReason::KeptForGang:
+        return "kept_for_gang";
     case WaitReason::Locked:
         return "locked";
     }
@@ -221,17 +228,25 @@
     return entry->second;
 }
 
-static bool isSameStep(const Candidate &left, const Candidate &right)
+// Workers are drained for the candidate's gang.
+static bool isDrainedFor(const Pass &pass, const Candidate &candidate)
 {
-    return left.m_job == right.m_job && left.m_occurrence == right.m_occurrence && left.m_step == right.m_step;
+    const auto *gang = pass.m_drainedFor;
+    return gang && gang->m_job == candidate.m_job && gang->m_occurrence == candidate.m_occurrence && gang->m_step == candidate.m_step;
+}
+
+// Drained workers are kept from the candidate.
+static bool avoidsDrained(const Pass &pass, const Candidate &candidate)
+{
+    return pass.m_drainedFor && candidate.m_rank != UrgencyRank::Guaranteed && !isDrainedFor(pass, candidate);
 }
 
 // Workers that may run the step. Isolated ones, and those on which a run of the step failed, count only if @p lenient.
 static std::vector<std::size_t> eligibleWorkers(Pass &pass, const Candidate &candidate, bool lenient)
 {
     const auto &all = workersOf(pass, pass.m_queues[candidate.m_job]->m_service, stepOf(pass, candidate));
-    const bool avoidsDrained = pass.m_drainedFor && candidate.m_rank != UrgencyRank::Guaranteed && !isSameStep(candidate, *pass.m_drainedFor);
-    if (lenient && !avoidsDrained) {
+    const bool avoids = avoidsDrained(pass, candidate);
+    if (lenient && !avoids) {
         return all;
     }
     const auto failed = lenient ? std::set<std::string_view>() : failedOn(stateOf(pass, candidate));
@@ -239,7 +254,7 @@
     workers.reserve(all.size());
     for (const auto index : all) {
         const auto &worker = pass.m_input.m_workers[index];
-        if (avoidsDrained && pass.m_plan.m_drained[index]) {
+        if (avoids && pass.m_plan.m_drained[index]) {
             continue;
         }
         if ((lenient || !worker.m_isolated) && (failed.empty() || !failed.contains(worker.m_life->m_worker))) {
@@ -521,6 +536,16 @@
                                          .m_age = candidate.m_age});
 }
 
+static WaitReason reasonWithoutRoom(const Pass &pass, const Candidate &candidate, const std::vector<Scope> &scopes)
+{
+    if (isDrainedFor(pass, candidate)) {
+        return WaitReason::Draining;
+    }
+    const bool racksOnly
+        = isBoundToRacks(stepOf(pass, candidate)) && std::none_of(scopes.begin(), scopes.end(), [](const auto &scope) { return scope.m_remote; });
+    return racksOnly ? WaitReason::NoRoomInRack : WaitReason::NoRoom;
+}
+
 static void placeCandidate(Pass &pass, Candidate candidate)
 {
     if (candidate.m_locked) {
@@ -556,21 +581,25 @@
             pass.m_reservations += urgent ? 0 : 1;
             freed = reservePlaces(pass, candidate, scopes);
         }
-        const bool racksOnly = isBoundToRacks(step) && std::none_of(scopes.begin(), scopes.end(), [](const auto &scope) { return scope.m_remote; });
-        noteWaiting(pass, candidate, left, freed ? WaitReason::BeingFreed : (racksOnly ? WaitReason::NoRoomInRack : WaitReason::NoRoom));
+        noteWaiting(pass, candidate, left, freed ? WaitReason::BeingFreed : reasonWithoutRoom(pass, candidate, scopes));
         return;
     }
-    noteWaiting(pass, candidate, candidate.m_waiting.size(), WaitReason::NoEligibleWorker);
+    const bool kept = avoidsDrained(pass, candidate) && !workersOf(pass, pass.m_queues[candidate.m_job]->m_service, stepOf(pass, candidate)).empty();
+    noteWaiting(pass, candidate, candidate.m_waiting.size(), kept ? WaitReason::KeptForGang : WaitReason::NoEligibleWorker);
 }
 
 // Chooses workers to drain for the first gang that has aged and finds no room: those whose runs end soonest. Without this, wide gangs
 // wait until enough workers happen to be free at once, which smaller work prevents for as long as it arrives.
 static void drainForAgedGang(Pass &pass, const std::vector<Candidate> &candidates)
 {
+    int examined = 0;
     for (const auto &candidate : candidates) {
         if (!candidate.m_aged || candidate.m_locked || !stepOf(pass, candidate).m_gang) {
             continue;
         }
+        if (examined++ == maxDrainCandidates) {
+            return;
+        }
         const auto workers = eligibleWorkers(pass, candidate, false);
         const auto scopes = scopesFor(pass, candidate, workers);
         if (workers.empty() || freeShare(pass, workers) >= drainFreeShare || bestPlacement(pass, candidate, scopes, false)) {
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -126,6 +126,7 @@
 struct StartsBesideGang {
     int m_batch = 0;
     int m_guaranteed = 0;
+    WaitReason m_gangWaits = WaitReason::NoRoom;
 };
 
 } // namespace
@@ -142,9 +143,13 @@
     builder.job("batch", "background", TestStep{.m_tasks = 40});
     builder.job("check", "urgent", TestStep{.m_tasks = 7});
     builder.accepted(gangAgeMs).job("gang", "normal", TestStep{.m_tasks = 2, .m_accelerators = 8, .m_gang = true});
-    const auto decisions = decidePlacement(builder.input());
+    const auto input = builder.input();
+    const auto decisions = decidePlacement(input);
     CHECK(startsOf(decisions, "gang") == 0);
-    return StartsBesideGang{.m_batch = startsOf(decisions, "batch"), .m_guaranteed = startsOf(decisions, "check")};
+    const auto gang
+        = std::find_if(decisions.m_waiting.begin(), decisions.m_waiting.end(), [&](const auto &waiting) { return waiting.m_job == input.m_jobs.size() - 1; });
+    REQUIRE(gang != decisions.m_waiting.end());
+    return StartsBesideGang{.m_batch = startsOf(decisions, "batch"), .m_guaranteed = startsOf(decisions, "check"), .m_gangWaits = gang->m_reason};
 }
 
 // Guards against wide gangs that wait for ever, because smaller work takes each place that becomes free: pattern of gangs of many whole
@@ -158,6 +163,8 @@
     // Guaranteed work takes the last place on a drained worker rather than wait.
     CHECK(aged.m_guaranteed == 7);
     CHECK(aged.m_batch == 0);
+    CHECK(aged.m_gangWaits == WaitReason::Draining);
+    CHECK(young.m_gangWaits == WaitReason::NoRoom);
     const auto hopeless = startsBesideGang(60'000);
     CHECK(hopeless.m_batch == 5);
 }
