--- a/recovery/lib/Progress/jobrecord.cpp
+++ b/recovery/lib/Progress/jobrecord.cpp
@@ -96,7 +96,7 @@
         for (const auto &step : record.at("steps")) {
             steps.push_back(decodeStep(step));
         }
-        return JobSpec{
+        JobSpec spec{
             .m_id = record.at("id").get<std::string>(),
             .m_queue = record.at("queue").get<std::string>(),
             .m_organisation = record.at("organisation").get<std::string>(),
@@ -107,6 +107,9 @@
                                       .m_firstDue = fromMilliseconds(record.at("first_due").get<long long>()),
                                       .m_interval = Duration(record.at("interval").get<std::int64_t>())},
         };
+        // The front end has checked each job, but another program may have written the record.
+        const auto checked = checkJob(spec);
+        return checked.ok() ? Result<JobSpec>(std::move(spec)) : malformedRecordError("submission", checked.error().message());
     } catch (const Json::exception &error) {
         return malformedRecordError("submission", error.what());
     }
@@ -225,12 +228,16 @@
             occurrences.push_back(restoreOccurrence(occurrence, *spec, now));
         }
         const auto version = record.at("version").get<std::int64_t>();
+        const auto nextOccurrence = record.at("next").get<std::int64_t>();
+        if (nextOccurrence < 0 || nextOccurrence > std::max<std::int64_t>(spec->m_schedule.m_count, 1)) {
+            return malformedRecordError("progress", "the next occurrence is " + std::to_string(nextOccurrence));
+        }
         return std::make_shared<const JobState>(JobState{
             .m_spec = std::move(spec),
             .m_maxAttempts = attempts,
             .m_outcome = outcome.value(),
             .m_occurrences = std::move(occurrences),
-            .m_nextOccurrence = record.at("next").get<std::int64_t>(),
+            .m_nextOccurrence = nextOccurrence,
             .m_version = version,
             .m_recordedVersion = version,
             .m_recordedOutcome = outcome.value(),
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -180,6 +180,8 @@
     }
     if (isOwner) {
         m_directory.setOwner(FleetOwnerRecord{.m_vm = *peer, .m_fence = revision});
+    } else if (key != std::string(StoreKeys::vms) + peer->m_vm) {
+        logEvent(LogLevel::Warn, "record_skipped", {{"key", key}, {"reason", "the record belongs to VM '" + peer->m_vm + "'"}});
     } else {
         m_directory.setPeer(*peer);
     }
@@ -225,6 +227,16 @@
     return settings ? settings->m_maxAttempts : 1;
 }
 
+// Decodes the submission under @p key. A copy of a record under another key would make one job appear twice.
+static Result<JobSpec> decodeSubmissionAt(const std::string &key, const std::string &value)
+{
+    auto spec = decodeSubmission(value);
+    if (spec.ok() && key != submissionKey(spec.value().m_id)) {
+        return Error(ErrorKind::Internal, "the record belongs to job '" + spec.value().m_id + "'", "check which program wrote the record");
+    }
+    return spec;
+}
+
 static void reportSkippedRecord(const std::string &key, const Error &error)
 {
     FleetMetrics::instance().increment(FleetCounter::RecordsSkipped);
@@ -256,7 +268,7 @@
             cancellations.push_back(item.m_key.substr(StoreKeys::cancellations.size()));
             continue;
         }
-        const auto spec = decodeSubmission(item.m_value);
+        const auto spec = decodeSubmissionAt(item.m_key, item.m_value);
         if (!spec.ok()) {
             reportSkippedRecord(item.m_key, spec.error());
             continue;
@@ -356,7 +368,7 @@
         m_owner->post(JobCancelled{.m_job = key.substr(StoreKeys::cancellations.size())});
         return;
     }
-    const auto spec = decodeSubmission(value);
+    const auto spec = decodeSubmissionAt(key, value);
     if (spec.ok()) {
         m_owner->post(JobSubmitted{.m_spec = std::make_shared<const JobSpec>(spec.value())});
     } else {
--- a/service/unittests/Fleetservice/fleetnode.cpp
+++ b/service/unittests/Fleetservice/fleetnode.cpp
@@ -4,7 +4,7 @@
 #include "primrosebridge/Fleetstandin/standinstore.h"
 #include "primrosebridge/Fleetstandin/standinworker.h"
 
-#include <Poco/Net/ServerSocket.h>
+#include "nodefixture.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,70 +13,6 @@
 
 namespace PrimroseBridge {
 
-static std::string freeAddress()
-{
-    Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return socket.address().toString();
-}
-
-static FleetSettings settingsOf(const std::string &vm, const StandinStore &store, double processorCores = 1.0)
-{
-    const auto peerAddress = freeAddress();
-    return FleetSettings{.m_vm = VmId::create(vm).value(),
-                         .m_zone = ZoneId::create("zone-a").value(),
-                         .m_frontAddress = {},
-                         .m_readinessAddress = {},
-                         .m_peerAddress = peerAddress,
-                         .m_peerListenAddress = peerAddress,
-                         .m_metricsAddress = {},
-                         .m_storeAddress = store.address(),
-                         .m_taskLease = Duration(3000),
-                         .m_shortestStoreLease = Duration(1000),
-                         .m_reclaimBound = Duration(3400),
-                         .m_stopBound = Duration(900),
-                         .m_shutdownBound = Duration(6000),
-                         .m_processorCores = processorCores,
-                         .m_remoteFactor = 3.0,
-                         .m_logLevel = "info"};
-}
-
-static std::string configurationText(int version, const std::string &keys)
-{
-    return R"({"version":)" + std::to_string(version)
-           + R"(,"routes":[{"name":"q","host":"h.example","prefix":"/q/","service":"pool","attempts":2,"priority":0,"latencyGoalMs":300,)"
-             R"("slackFactor":1.5}],"services":[{"name":"pool"}],"limits":{},"tenants":[{"name":"org","keys":[)"
-           + keys + R"(],"guaranteed":{"gpu":8}}]})";
-}
-
-static HttpCall callOf(const std::string &method, const std::string &path, const std::string &body, const std::string &key = "k1")
-{
-    return HttpCall{.m_method = method,
-                    .m_path = {},
-                    .m_query = {},
-                    .m_headers = {{"host", "H.example:80"}, {"authorization", "Bearer " + key}},
-                    .m_body = body,
-                    .m_rawPath = path};
-}
-
-static const std::string oneTaskJob = R"({"spec":"x","phases":[{"count":1,"cpu":1000,"memMb":10,"gpu":1,"estimateMs":100}]})";
-
-template<class Condition>
-static bool waitUntil(Condition condition, int timeoutMs = 6000)
-{
-    for (int waitedMs = 0; waitedMs < timeoutMs; waitedMs += 20) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(Duration(20));
-    }
-    return condition();
-}
-
-static bool isComplete(FleetNode &node, const std::string &path)
-{
-    return answerFleetCall(node, callOf("GET", path, {})).m_body == R"({"state":"complete"})";
-}
-
 // Guards against any failure on the path through two VMs, the store and a worker, and against a fleet that stays without an owner for
 // longer than a lease after the owner has stopped.
 TEST_CASE("jobs run through any VM, also after the owner has stopped")
