Tell from its own clock when a draining worker has left, and await only workers of the roster

Besides, a takeover awaited each worker of the store's list, also those that had registered just before and on which nothing can have been started.

Change: the announced time is counted on the worker's own clock, which its entry and all its answers carry; 500 ms of tolerance for the delay of the last answer. A takeover awaits the workers of the recorded roster only.

Result: both new tests failed before and pass now.

--- a/scheduling/include/primrosebridge/Fleet/worker.h
+++ b/scheduling/include/primrosebridge/Fleet/worker.h
@@ -23,6 +23,7 @@
     const Resources m_capacity;
     const bool m_draining; ///< The worker leaves soon and accepts no new work.
     const std::optional<Duration> m_leavesIn; ///< Minimum time from the report until the worker leaves; set only while draining.
+    const std::optional<std::int64_t> m_reportedAtClockMs; ///< The worker's own clock at the report, in milliseconds; empty if not reported.
 
     bool operator==(const WorkerReport &) const = default;
 };
--- a/scheduling/unittests/Fleet/fleetbuilder.h
+++ b/scheduling/unittests/Fleet/fleetbuilder.h
@@ -43,6 +43,7 @@
                 .m_capacity = Resources{.m_milliCores = 32000, .m_memoryMb = 131072, .m_accelerators = 8},
                 .m_draining = false,
                 .m_leavesIn = std::nullopt,
+                .m_reportedAtClockMs = std::nullopt,
             }),
             .m_incarnation = std::make_shared<const WorkerIncarnation>(incarnation),
             .m_usable = true,
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -16,6 +16,9 @@
 static constexpr Duration entryRemovalSilence(5000);
 // Maximum age of the newest answer of a worker that answers every poll; about the duration of one poll.
 static constexpr Duration maxAnswerAge(2500);
+// A worker counts as having left as announced from this time before its announced time on: the owner learns of the announcement, and of
+// the worker's clock, with a delay.
+static constexpr Duration leavingTimeTolerance(500);
 // A draining worker that does not announce its remaining time stays available at least this long. This is the platform's minimum on its
 // smallest deployments.
 static constexpr Duration minDrainTime(2000);
@@ -289,6 +292,13 @@
     }
 }
 
+void correctLeavingTime(TrackedWorker &worker)
+{
+    if (worker.m_leavesAtClockMs && worker.m_fenceConfirmed) {
+        worker.m_leavesAt = std::min(worker.m_leavesAt, worker.m_answeredAt + Duration(*worker.m_leavesAtClockMs - worker.m_workerClockAtAnswerMs));
+    }
+}
+
 static void applyWorkerReport(OwnerState &state, const WorkerReportPointer &report, Instant now)
 {
     const auto unresolved = removeEarlierIncarnations(state, *report, now);
@@ -301,7 +311,10 @@
         logEvent(LogLevel::Info, "worker_draining", {{"worker", entry->first}, {"tasks", std::to_string(worker.m_tasks.size())}});
     }
     if (report->m_draining && (added || !worker.m_report->m_draining)) {
-        worker.m_leavesAt = now + report->m_leavesIn.value_or(minDrainTime);
+        const auto leavesIn = report->m_leavesIn.value_or(minDrainTime);
+        worker.m_leavesAt = now + leavesIn;
+        worker.m_leavesAtClockMs = report->m_reportedAtClockMs ? std::optional(*report->m_reportedAtClockMs + leavesIn.count()) : std::nullopt;
+        correctLeavingTime(worker);
     }
     worker.m_report = report;
     worker.m_entryPresent = true;
@@ -323,7 +336,7 @@
     }
     auto &worker = found->second;
     worker.m_entryPresent = false;
-    const bool announced = worker.m_report->m_draining && now >= worker.m_leavesAt;
+    const bool announced = worker.m_report->m_draining && now + leavingTimeTolerance >= worker.m_leavesAt;
     const bool answeredThroughout
         = worker.m_fenceConfirmed && now - worker.m_answeredAt <= maxAnswerAge && now - worker.m_answeringSince >= entryRemovalSilence;
     worker.m_leftGracefully = announced && answeredThroughout;
@@ -406,9 +419,15 @@
     for (const auto &report : snapshot.m_workers) {
         applyWorkerReport(state, report, now);
     }
+    std::set<std::string> inRoster;
+    for (const auto &entry : snapshot.m_roster) {
+        inRoster.insert(entry.m_worker->m_incarnation.m_worker);
+    }
     for (auto &[name, worker] : state.m_workers) {
         const auto &present = snapshot.m_workers;
-        if (!worker.m_jobsIfCordoned) {
+        // The previous owner started nothing on a worker that its recorded roster does not list. Orders name the identifier only, so a
+        // listed worker may have restarted.
+        if (!worker.m_jobsIfCordoned && inRoster.contains(name)) {
             state.m_awaitedWorkers.insert(name);
         }
         worker.m_entryPresent = std::any_of(
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -239,6 +239,7 @@
     worker.m_missedPolls = 0;
     worker.m_answeredAt = now;
     worker.m_workerClockAtAnswerMs = runReport.m_clockMs;
+    correctLeavingTime(worker);
     state.m_awaitedWorkers.erase(worker.m_incarnation->m_worker);
 }
 
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -48,7 +48,8 @@
     Instant m_noStartsUntil; ///< Boot clock; until then the worker gets no start orders because it refused or missed one.
     int m_unknownRuns = 0; ///< Runs in the last answer that match no known task; they use capacity that is not accounted for until they are stopped.
     Instant m_slowUntil; ///< Boot clock; until then the worker counts as slow: its tasks fell behind the other tasks of their steps.
-    Instant m_leavesAt; ///< Boot clock; a draining worker stays available at least until then.
+    Instant m_leavesAt; ///< Boot clock; a draining worker stays available at least until then. May be late by the delay of its report.
+    std::optional<std::int64_t> m_leavesAtClockMs; ///< The same time on the worker's own clock, which knows no such delay.
     std::int64_t m_lastHandledEnd = 0; ///< Number of the newest run end that has been applied.
     std::int64_t m_lastAcknowledgedEnd = 0; ///< Number up to which run ends are applied and recorded, so that the worker may drop them.
     std::deque<PendingRunEnd> m_pendingRunEnds;
@@ -146,6 +147,8 @@
 void pollWorker(OwnerState &state, TrackedWorker &worker, bool immediate, Instant now);
 /// Returns the pause between polls of a worker without tasks; it is 0 except on fleets of thousands of workers.
 Duration idlePollPause(const OwnerState &state);
+/// Moves m_leavesAt of a draining worker forward to the time that follows from the worker's own clock in its last answer.
+void correctLeavingTime(TrackedWorker &worker);
 /// Returns the tracked worker of that incarnation, or null.
 TrackedWorker *findWorker(OwnerState &state, const WorkerIncarnation &incarnation);
 /// Queues the job's progress for the store if it is newer than the version that the store has acknowledged.
--- a/service/lib/Fleetservice/roster.cpp
+++ b/service/lib/Fleetservice/roster.cpp
@@ -43,6 +43,7 @@
                                 .m_accelerators = json.at("accelerators").get<std::int64_t>()},
         .m_draining = false,
         .m_leavesIn = std::nullopt,
+        .m_reportedAtClockMs = std::nullopt,
     });
 }
 
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -362,6 +362,19 @@
     CHECK(unlisted.runHistory().size() == 1);
 }
 
+// Guards against jobs that wait for a whole task lease after a takeover because a worker registered shortly before it and does not answer
+// yet. The previous owner started nothing there, because it had not recorded the worker in the roster.
+TEST_CASE("a worker that the roster does not list holds back no job after a takeover")
+{
+    StandinWorker unlisted("w1", "r1", Duration(100));
+    StandinWorker listed("w2", "r1", Duration(100));
+    unlisted.setFaults([](WorkerCall) { return WorkerFault::Unreachable; });
+    OwnerFixture fixture;
+    fixture.becomeOwner({newJobState(makeJobSpec(1, false), 2, bootClockNow())}, {reportOf(unlisted), reportOf(listed)}, {rosterEntryOf(listed)});
+    CHECK(fixture.waitFor([&] { return fixture.isComplete(); }, 1000));
+    CHECK(unlisted.runHistory().empty());
+}
+
 // Guards against jobs that wait for a whole task lease after a takeover because a worker crashed or left before it (inc-627a).
 TEST_CASE("a cordoned worker that does not answer a new owner holds back only the jobs that may run on it")
 {
@@ -435,6 +448,29 @@
     CHECK(fixture.waitFor([&] { return staying.runningTasks().size() == 1; }, 1500));
 }
 
+// Guards against tasks that wait for a whole lease of a worker that left when it had announced: the owner learns late that the worker
+// drains, as after a takeover, and counts the announced time from then (LOST on zdz-crockplan-large, mix with seed 236551481558).
+TEST_CASE("the announced time of a draining worker counts from its report and not from the delivery of the report")
+{
+    auto leaving = std::make_unique<StandinWorker>("w1", "r1", Duration(60'000));
+    StandinWorker staying("w2", "r1", Duration(60'000));
+    OwnerFixture fixture;
+    fixture.becomeOwner({}, {reportOf(*leaving)});
+    fixture.m_owner->post(JobSubmitted{.m_spec = makeJobSpec(1, false, std::string(jobId), true)});
+    REQUIRE(fixture.waitFor([&] { return leaving->runningTasks().size() == 1; }));
+    auto entry = leaving->entry("draining");
+    entry.insert(entry.size() - 1, R"(,"remainingMs":5500)");
+    const auto report = std::make_shared<const WorkerReport>(decodeWorkerReport("w1", entry).value());
+    std::this_thread::sleep_for(Duration(2500));
+    fixture.m_owner->post(WorkerReported{.m_report = report});
+    std::this_thread::sleep_for(Duration(3100));
+    REQUIRE(leaving->runningTasks().size() == 1);
+    fixture.m_owner->post(WorkerReported{.m_report = reportOf(staying)});
+    leaving.reset();
+    fixture.m_owner->post(WorkerEntryRemoved{.m_worker = "w1"});
+    CHECK(fixture.waitFor([&] { return staying.runningTasks().size() == 1; }, 1500));
+}
+
 // Guards against two runs of one task: the entry of a temporarily unreachable worker is removed for silence, the owner learns of it after
 // the worker answers again, and the worker then misses one more poll. Seen once in scenario zdz-crockplan-grown.
 TEST_CASE("a worker whose entry was removed for silence does not count as gracefully left")
--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -293,6 +293,7 @@
         {"capacity", Json{{"cpu", 32000}, {"memMb", 131072}, {"gpu", acceleratorsPerWorker}}},
         {"labels", Json::array({"a", m_private->m_rack})},
         {"born", incarnation},
+        {"clockMs", workerClockMs()},
         {"seq", 1},
     }
         .dump();
