--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -21,6 +21,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <future>
 #include <map>
 #include <set>
 #include <thread>
@@ -46,6 +47,7 @@
     std::int64_t m_fence = 0;
     std::int64_t m_inboxRevision = 0;
     std::int64_t m_workersRevision = 0;
+    std::set<std::string> m_workerKeys = {}; // Keys of the workers' entries in the snapshot.
 };
 
 } // namespace
@@ -243,27 +245,65 @@
     logEvent(LogLevel::Warn, "record_skipped", {{"key", key}, {"reason", error.message()}});
 }
 
+namespace {
+
+// What the store holds for a new owner. The progress records and the roster cannot change while it is read, because they are written on
+// condition of the ownership.
+struct StoreSnapshot {
+    const StoreListing m_inbox;
+    const StoreListing m_progress;
+    const StoreListing m_workers;
+    const std::optional<StoreItem> m_roster;
+};
+
+} // namespace
+
+// Reads the listings at the same time, so that a slow store or link delays the takeover once and not four times.
+static Result<StoreSnapshot> readStoreSnapshot(PlatformStore &store)
+{
+    const auto listInBackground
+        = [&store](std::string_view prefix) { return std::async(std::launch::async, [&store, prefix] { return store.list(std::string(prefix)); }); };
+    try {
+        auto pendingInbox = listInBackground(StoreKeys::inbox);
+        auto pendingProgress = listInBackground(StoreKeys::progress);
+        auto pendingWorkers = listInBackground(workerPrefix);
+        const auto roster = store.get(std::string(StoreKeys::roster));
+        const auto inbox = pendingInbox.get();
+        const auto progress = pendingProgress.get();
+        const auto workers = pendingWorkers.get();
+        for (const auto *listing : {&inbox, &progress, &workers}) {
+            if (!listing->ok()) {
+                return listing->error();
+            }
+        }
+        if (!roster.ok()) {
+            return roster.error();
+        }
+        return StoreSnapshot{.m_inbox = inbox.value(), .m_progress = progress.value(), .m_workers = workers.value(), .m_roster = roster.value()};
+    } catch (const std::system_error &error) {
+        return Error(ErrorKind::Unavailable, std::string("cannot start a thread: ") + error.what(), "raise the thread limit of this process");
+    }
+}
+
 bool FleetNode::Private::startTermFromStore(std::int64_t fence)
 {
-    const auto inbox = m_store->list(std::string(StoreKeys::inbox));
-    const auto progress = inbox.ok() ? m_store->list(std::string(StoreKeys::progress)) : Result<StoreListing>(inbox.error());
-    const auto workers = progress.ok() ? m_store->list(std::string(workerPrefix)) : Result<StoreListing>(progress.error());
-    const auto roster = workers.ok() ? m_store->get(std::string(StoreKeys::roster)) : Result<std::optional<StoreItem>>(workers.error());
-    if (!roster.ok()) {
-        logEvent(LogLevel::Warn, "snapshot_not_read", {{"fence", std::to_string(fence)}, {"error", roster.error().message()}});
+    auto snapshot = readStoreSnapshot(*m_store);
+    if (!snapshot.ok()) {
+        logEvent(LogLevel::Warn, "snapshot_not_read", {{"fence", std::to_string(fence)}, {"error", snapshot.error().message()}});
         return false;
     }
+    const auto &[inbox, progress, workers, roster] = snapshot.value();
     const auto now = bootClockNow();
     std::map<std::string, const StoreItem *> records;
     std::vector<RecordRevision> revisions;
-    for (const auto &item : progress.value().m_items) {
+    for (const auto &item : progress.m_items) {
         const auto job = item.m_key.substr(StoreKeys::progress.size());
         records[job] = &item;
         revisions.push_back(RecordRevision{.m_key = item.m_key, .m_revision = item.m_revision});
     }
     std::vector<JobPointer> jobs;
     std::vector<std::string> cancellations;
-    for (const auto &item : inbox.value().m_items) {
+    for (const auto &item : inbox.m_items) {
         if (item.m_key.starts_with(StoreKeys::cancellations)) {
             cancellations.push_back(item.m_key.substr(StoreKeys::cancellations.size()));
             continue;
@@ -288,7 +328,9 @@
         jobs.push_back(restored.value());
     }
     std::vector<WorkerReportPointer> reports;
-    for (const auto &item : workers.value().m_items) {
+    std::set<std::string> workerKeys;
+    for (const auto &item : workers.m_items) {
+        workerKeys.insert(item.m_key);
         const auto report = decodeWorkerReport(item.m_key.substr(workerPrefix.size()), item.m_value);
         if (report.ok()) {
             reports.push_back(std::make_shared<const WorkerReport>(report.value()));
@@ -298,7 +340,7 @@
     }
     std::vector<RosterEntry> rosterEntries;
     std::int64_t rosterVersion = 0;
-    if (const auto &item = roster.value()) {
+    if (const auto &item = roster) {
         revisions.push_back(RecordRevision{.m_key = item->m_key, .m_revision = item->m_revision});
         const auto decoded = decodeRoster(item->m_value);
         if (decoded.ok()) {
@@ -318,7 +360,8 @@
                                                                                                     .m_rosterVersion = rosterVersion})});
     {
         const std::lock_guard lock(m_termMutex);
-        m_term = OwnerTerm{.m_fence = fence, .m_inboxRevision = inbox.value().m_revision, .m_workersRevision = workers.value().m_revision};
+        m_term
+            = OwnerTerm{.m_fence = fence, .m_inboxRevision = inbox.m_revision, .m_workersRevision = workers.m_revision, .m_workerKeys = std::move(workerKeys)};
     }
     m_termChanged.notify_all();
     return true;
@@ -415,7 +458,7 @@
 void FleetNode::Private::watchWorkers()
 {
     while (const auto term = waitForTerm()) {
-        std::set<std::string> known;
+        auto known = term->m_workerKeys;
         const WatchHandlers handlers{
             .m_listed =
                 [&](const StoreListing &listing) {
@@ -442,7 +485,7 @@
                     }
                 },
         };
-        watchPrefix(*m_store, std::string(workerPrefix), std::nullopt, handlers, [&] { return !m_closed && isCurrentTerm(term->m_fence); });
+        watchPrefix(*m_store, std::string(workerPrefix), term->m_workersRevision, handlers, [&] { return !m_closed && isCurrentTerm(term->m_fence); });
     }
 }
 
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -239,6 +239,37 @@
     return entry;
 }
 
+std::pair<TrackedWorkerIterator, bool> trackWorker(OwnerState &state, const WorkerReportPointer &report, Instant now)
+{
+    const auto &name = report->m_incarnation.m_worker;
+    const auto added = state.m_workers.try_emplace(name, newTrackedWorker(report, now));
+    if (added.second && !report->m_machine.empty()) {
+        state.m_workersByMachine[report->m_machine].insert(name);
+    }
+    return added;
+}
+
+TrackedWorkerIterator forgetWorker(OwnerState &state, TrackedWorkerIterator entry)
+{
+    const auto machine = state.m_workersByMachine.find(entry->second.m_report->m_machine);
+    if (machine != state.m_workersByMachine.end()) {
+        machine->second.erase(entry->first);
+        if (machine->second.empty()) {
+            state.m_workersByMachine.erase(machine);
+        }
+    }
+    state.m_awaitedWorkers.erase(entry->first);
+    state.m_rosterChanged = true;
+    return state.m_workers.erase(entry);
+}
+
+void forgetAllWorkers(OwnerState &state)
+{
+    state.m_workers.clear();
+    state.m_workersByMachine.clear();
+    state.m_awaitedWorkers.clear();
+}
+
 namespace {
 
 // Starts that an earlier incarnation of a worker has never listed; the next incarnation with its identifier may have executed them.
@@ -257,23 +288,26 @@
 static UnresolvedStarts removeEarlierIncarnations(OwnerState &state, const WorkerReport &report, Instant now)
 {
     UnresolvedStarts unresolved;
-    for (auto entry = state.m_workers.begin(); entry != state.m_workers.end();) {
+    std::set<std::string> candidates{report.m_incarnation.m_worker};
+    if (const auto sameMachine = state.m_workersByMachine.find(report.m_machine); sameMachine != state.m_workersByMachine.end()) {
+        candidates.insert(sameMachine->second.begin(), sameMachine->second.end());
+    }
+    for (const auto &name : candidates) {
+        const auto entry = state.m_workers.find(name);
+        if (entry == state.m_workers.end() || entry->second.m_incarnation->m_startedAtMs >= report.m_incarnation.m_startedAtMs) {
+            continue;
+        }
         auto &worker = entry->second;
-        const bool sameMachine = !report.m_machine.empty() && worker.m_report->m_machine == report.m_machine;
-        const bool sameIdentifier = entry->first == report.m_incarnation.m_worker;
-        const bool newerIncarnation = report.m_incarnation.m_startedAtMs > worker.m_incarnation->m_startedAtMs;
-        if ((sameMachine || sameIdentifier) && *worker.m_incarnation != report.m_incarnation && newerIncarnation) {
-            logEvent(LogLevel::Info, "worker_life_over", {{"worker", entry->first}, {"successor", report.m_incarnation.m_worker}});
-            releaseTasks(state, worker, "worker_restarted", now, sameIdentifier);
-            if (sameIdentifier) {
-                unresolved = UnresolvedStarts{.m_tasks = worker.m_tasks, .m_leasesExpiredBy = worker.m_leasesExpiredBy};
-            }
-            state.m_awaitedWorkers.erase(entry->first);
-            state.m_rosterChanged = true;
-            entry = state.m_workers.erase(entry);
-        } else {
-            ++entry;
+        const bool sameIdentifier = name == report.m_incarnation.m_worker;
+        if (!sameIdentifier && worker.m_report->m_machine != report.m_machine) {
+            continue; // The worker reported another machine when it was first known.
+        }
+        logEvent(LogLevel::Info, "worker_life_over", {{"worker", name}, {"successor", report.m_incarnation.m_worker}});
+        releaseTasks(state, worker, "worker_restarted", now, sameIdentifier);
+        if (sameIdentifier) {
+            unresolved = UnresolvedStarts{.m_tasks = worker.m_tasks, .m_leasesExpiredBy = worker.m_leasesExpiredBy};
         }
+        forgetWorker(state, entry);
     }
     return unresolved;
 }
@@ -299,13 +333,14 @@
     }
 }
 
-static void applyWorkerReport(OwnerState &state, const WorkerReportPointer &report, Instant now)
+// Tracks or updates a worker. Returns true if it was not tracked before.
+static bool applyWorkerReport(OwnerState &state, const WorkerReportPointer &report, Instant now)
 {
     const auto unresolved = removeEarlierIncarnations(state, *report, now);
-    const auto [entry, added] = state.m_workers.try_emplace(report->m_incarnation.m_worker, newTrackedWorker(report, now));
+    const auto [entry, added] = trackWorker(state, report, now);
     auto &worker = entry->second;
     if (*worker.m_incarnation != report->m_incarnation) {
-        return; // A delayed report of an earlier incarnation.
+        return false; // A delayed report of an earlier incarnation.
     }
     if (!added && report->m_draining && !worker.m_report->m_draining) {
         logEvent(LogLevel::Info, "worker_draining", {{"worker", entry->first}, {"tasks", std::to_string(worker.m_tasks.size())}});
@@ -322,10 +357,18 @@
     if (added) {
         adoptUnresolvedStarts(state, worker, unresolved, now);
         state.m_rosterChanged = true;
-        logEvent(LogLevel::Info, "worker_known", {{"worker", entry->first}, {"zone", report->m_zone}, {"rack", report->m_rack}});
         pollWorker(state, worker, false, now);
     }
     state.m_placementNeeded = true;
+    return added;
+}
+
+static void applyReportedWorker(OwnerState &state, const WorkerReportPointer &report, Instant now)
+{
+    // A takeover reports its workers in one line, because a line for each of a thousand would delay it.
+    if (applyWorkerReport(state, report, now)) {
+        logEvent(LogLevel::Info, "worker_known", {{"worker", report->m_incarnation.m_worker}, {"zone", report->m_zone}, {"rack", report->m_rack}});
+    }
 }
 
 static void applyWorkerEntryRemoved(OwnerState &state, const std::string &name, Instant now)
@@ -393,10 +436,9 @@
     for (const auto &job : state.m_jobs.values()) {
         state.m_jobs.update(job->m_spec->m_id, [](const auto &) { return nullptr; });
     }
-    state.m_workers.clear();
+    forgetAllWorkers(state);
     state.m_jobOrder.clear();
     state.m_lockedJobs.clear();
-    state.m_awaitedWorkers.clear();
     state.m_jobsLearntWithoutLease.clear();
     state.m_waits.clear();
     auto jobs = snapshot.m_jobs;
@@ -507,7 +549,7 @@
     void operator()(const WorkerReported &event) const
     {
         if (m_state.m_fence != 0) {
-            applyWorkerReport(m_state, event.m_report, m_now);
+            applyReportedWorker(m_state, event.m_report, m_now);
         }
     }
     void operator()(const WorkerEntryRemoved &event) const
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -16,6 +16,10 @@
 static constexpr std::size_t pollsPerSecond = 1000;
 // Added to the wait of a poll, for the network round trip and a worker that answers slowly.
 static constexpr Duration pollTimeoutSlack(700);
+// Time-out of the first polls of a worker that has not answered this owner yet. Of a thousand workers some leave a poll unanswered, and
+// all jobs known at the takeover may wait for their answers. Later polls have the full time-out, for workers that answer slowly.
+static constexpr Duration takeoverPollTimeout(350);
+static constexpr int shortTakeoverPolls = 2;
 // Time without start orders for a worker after an order that it refused for lack of capacity or an expired lease, or that was not sent.
 static constexpr Duration refusalPause(300);
 // Time without start orders for a worker after an order that it left unanswered or could not parse, or that was refused because the worker
@@ -58,11 +62,14 @@
     if (renew) {
         extendLeasesExpiredBy(state, worker, now);
     }
+    const bool mayRetryEarly = !worker.m_fenceConfirmed && worker.m_missedPolls < shortTakeoverPolls;
     const auto fence = state.m_fence.load();
     requestRunReport(
         *state.m_context.m_workerClient,
-        OrderTarget{
-            .m_worker = worker.m_incarnation->m_worker, .m_address = worker.m_report->m_address, .m_fence = fence, .m_timeout = wait + pollTimeoutSlack},
+        OrderTarget{.m_worker = worker.m_incarnation->m_worker,
+                    .m_address = worker.m_report->m_address,
+                    .m_fence = fence,
+                    .m_timeout = mayRetryEarly ? takeoverPollTimeout : wait + pollTimeoutSlack},
         RunReportRequest{.m_lastAcknowledgedEnd = worker.m_lastAcknowledgedEnd,
                          .m_leaseEndMs = renew ? std::optional(leaseEndOnWorkerClockMs(state, worker, now)) : std::nullopt,
                          .m_wait = wait},
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -22,6 +22,8 @@
 static constexpr Duration slowMarkDuration(3000);
 // Pause between polls of a worker that does not answer or whose run ends are not recorded yet.
 static constexpr Duration pollRetryPause(250);
+// The same pause while the worker has not answered this owner yet, because all jobs known at the takeover may wait for its answer.
+static constexpr Duration takeoverRetryPause(50);
 
 static std::string_view endKindName(RunEndKind kind)
 {
@@ -231,7 +233,8 @@
 static void recordPollAnswer(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant now)
 {
     if (!worker.m_fenceConfirmed || worker.m_missedPolls > 0) {
-        logEvent(LogLevel::Info, "worker_answers", {{"worker", worker.m_incarnation->m_worker}, {"missed", std::to_string(worker.m_missedPolls)}});
+        const auto level = worker.m_missedPolls > 0 ? LogLevel::Info : LogLevel::Debug; // A takeover expects an answer from each worker.
+        logEvent(level, "worker_answers", {{"worker", worker.m_incarnation->m_worker}, {"missed", std::to_string(worker.m_missedPolls)}});
         state.m_placementNeeded = true;
         worker.m_answeringSince = now;
     }
@@ -251,7 +254,7 @@
         return;
     }
     ++worker.m_missedPolls;
-    worker.m_nextPollAt = now + pollRetryPause;
+    worker.m_nextPollAt = now + (worker.m_fenceConfirmed ? pollRetryPause : takeoverRetryPause);
     if (worker.m_missedPolls == 1) {
         logEvent(LogLevel::Warn, "worker_silent", {{"worker", worker.m_incarnation->m_worker}, {"tasks", std::to_string(worker.m_tasks.size())}});
     }
@@ -350,9 +353,7 @@
         }
         if ((leasesExpired || left || idle) && !worker.m_entryPresent) {
             logEvent(LogLevel::Info, "worker_forgotten", {{"worker", entry->first}});
-            state.m_awaitedWorkers.erase(entry->first);
-            state.m_rosterChanged = true;
-            entry = state.m_workers.erase(entry);
+            entry = forgetWorker(state, entry);
         } else {
             ++entry;
         }
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -92,7 +92,8 @@
     std::shared_ptr<BoundedQueue<OwnerEvent>> m_events;
     JobShards m_jobs;
     std::atomic<std::int64_t> m_fence = 0; ///< 0 while another VM owns the fleet.
-    std::map<std::string, TrackedWorker> m_workers;
+    std::map<std::string, TrackedWorker> m_workers; ///< By identifier; changed only by trackWorker(), forgetWorker() and forgetAllWorkers().
+    std::map<std::string, std::set<std::string>> m_workersByMachine; ///< Identifiers of the tracked workers that report a machine.
     std::vector<std::string> m_jobOrder; ///< Identifiers of active jobs and of jobs with tasks on workers, in order of acceptance.
     std::set<std::string> m_lockedJobs; ///< Active jobs at the takeover; their waiting tasks are not started while m_awaitedWorkers may still run them.
     std::set<std::string> m_awaitedWorkers; ///< Workers that have not answered this owner yet and that the previous owner had not cordoned.
@@ -147,6 +148,12 @@
 void pollWorker(OwnerState &state, TrackedWorker &worker, bool immediate, Instant now);
 /// Returns the pause between polls of a worker without tasks; it is 0 except on fleets of thousands of workers.
 Duration idlePollPause(const OwnerState &state);
+using TrackedWorkerIterator = std::map<std::string, TrackedWorker>::iterator;
+/// Tracks the worker of the report unless one with its identifier is tracked. Returns the tracked worker and whether it was added.
+std::pair<TrackedWorkerIterator, bool> trackWorker(OwnerState &state, const WorkerReportPointer &report, Instant now);
+/// Ends the tracking of a worker, which no takeover awaits any longer. Returns the next worker.
+TrackedWorkerIterator forgetWorker(OwnerState &state, TrackedWorkerIterator entry);
+void forgetAllWorkers(OwnerState &state);
 /// Moves m_leavesAt of a draining worker forward to the time that follows from the worker's own clock in its last answer.
 void correctLeavingTime(TrackedWorker &worker);
 /// Returns the tracked worker of that incarnation, or null.
--- a/service/lib/Fleetservice/roster.cpp
+++ b/service/lib/Fleetservice/roster.cpp
@@ -22,6 +22,9 @@
         {"memory", report.m_capacity.m_memoryMb},
         {"accelerators", report.m_capacity.m_accelerators},
     };
+    if (report.m_reportedAtClockMs) {
+        json["clock"] = *report.m_reportedAtClockMs;
+    }
     if (entry.m_jobsIfCordoned) {
         json["onlyJobs"] = *entry.m_jobsIfCordoned;
     }
@@ -43,7 +46,7 @@
                                 .m_accelerators = json.at("accelerators").get<std::int64_t>()},
         .m_draining = false,
         .m_leavesIn = std::nullopt,
-        .m_reportedAtClockMs = std::nullopt,
+        .m_reportedAtClockMs = json.contains("clock") ? std::optional(json.at("clock").get<std::int64_t>()) : std::nullopt,
     });
 }
 
