Refuse to replace a configuration on a VM that has none to check the token against

Cause: a VM that has just started checks the operator's token only against the document of the call, which its sender writes. With If-Match naming the stored version, anyone could replace the configuration and with it the operator's token.

Change: such a VM publishes the first configuration of a deployment only (If-Match 0 or missing, which the store refuses if it holds one) and answers 503 with Retry-After to every other call. Fault messages replace bytes that are not ASCII on every machine, not only where char is signed.

--- a/core/lib/Config/document.cpp
+++ b/core/lib/Config/document.cpp
@@ -155,8 +155,9 @@
 static std::string printablePrefix(std::string_view text)
 {
     std::string printable(text.substr(0, 200));
+    // The sign of char differs between machines, and bytes that are not ASCII may be no valid UTF-8.
     std::replace_if(
-        printable.begin(), printable.end(), [](char character) { return character < 0x20 || character == 0x7f; }, '?');
+        printable.begin(), printable.end(), [](unsigned char character) { return character < 0x20 || character >= 0x7f; }, '?');
     return printable;
 }
 
--- a/core/unittests/Config/faults.cpp
+++ b/core/unittests/Config/faults.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace PrimroseBridge;
 using namespace PrimroseBridge::Test;
 
@@ -99,6 +101,15 @@
     CHECK(hasFault(readFaults(std::string(100000, '[')), "/0/0/0/0/0/0/0/0/0/0/0/0/0/0/0/0", "levels deep"));
 }
 
+// Guards against a message that differs between machines on which char is signed and on which it is not.
+TEST_CASE("bytes of a malformed document that are not ASCII are replaced in the message")
+{
+    for (const std::string document : {"{\"a\": \xc3\xa9}", "{\"a\": \"x\xff\"}", "{\"a\": \"\xc3\xa9\" x}"}) {
+        const auto text = describeFaults(readFaults(document));
+        CHECK(std::all_of(text.begin(), text.end(), [](unsigned char character) { return character < 0x80; }));
+    }
+}
+
 // Without a limit on faults, a malicious document would use memory many times its own size.
 TEST_CASE("at most 1000 faults are listed individually")
 {
--- a/service/lib/FrontEnd/operatorapi.cpp
+++ b/service/lib/FrontEnd/operatorapi.cpp
@@ -35,11 +35,31 @@
     return okJsonReply({{"version", current->m_configuration.m_version}, {"document", current->m_document}});
 }
 
-static HttpReply publishConfiguration(Node &node, const HttpCall &call)
+// Returns the version that the caller has seen.
+static std::optional<long long> expectedVersion(const HttpCall &call)
 {
     auto expected = headerValue(call, "if-match");
     std::erase(expected, '"');
-    const auto version = parseInteger(expected);
+    return parseInteger(expected);
+}
+
+std::optional<Error> checkFirstPublication(const Configuration &document, const HttpCall &call)
+{
+    if (auto error = checkOperatorToken(document, call)) {
+        return error;
+    }
+    if (expectedVersion(call).value_or(0) != 0) {
+        return Error(ErrorKind::Unavailable,
+                     "this VM has no configuration yet, so it cannot check the operator's token for a change",
+                     "send the change to another entry VM, or again later",
+                     Duration(1000));
+    }
+    return std::nullopt;
+}
+
+static HttpReply publishConfiguration(Node &node, const HttpCall &call)
+{
+    const auto version = expectedVersion(call);
     if (!version) {
         return errorReply(
             Error(ErrorKind::InvalidArgument, "the header If-Match does not name a version", "send the version that you have seen, as 'If-Match: 7'"));
@@ -54,7 +74,7 @@
     if (const auto *faults = std::get_if<std::vector<ConfigFault>>(&read)) {
         return errorReply(Error(ErrorKind::InvalidArgument, "the configuration has faults:\n" + describeFaults(*faults), "correct the fields named above"));
     }
-    if (const auto error = checkOperatorToken(std::get<Configuration>(read), call)) {
+    if (const auto error = checkFirstPublication(std::get<Configuration>(read), call)) {
         return errorReply(*error);
     }
     return publishConfiguration(node, call);
