Repeat unanswered starts and poll a large fleet half as often

Change: a start without an answer that the worker does not list is sent again with the same run number, at most twice; a worker executes a run number once. A refusal of the repetition does not count for the first order, which is then stopped as before. A run with such a start is not taken for ended when its worker restarts. Polls are spread over at most 500 a second.

--- a/service/include/primrosebridge/Fleetservice/ownerevents.h
+++ b/service/include/primrosebridge/Fleetservice/ownerevents.h
@@ -67,6 +67,7 @@
 struct StartOrderCompleted {
     const TaskReference m_task;
     const std::int64_t m_runNumber;
+    const std::string m_checkpoint; ///< Checkpoint that the order carried; empty if none.
     const WorkerIncarnation m_incarnation;
     const std::int64_t m_fence;
     const Instant m_sentAt; ///< Boot clock.
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -167,7 +167,9 @@
         const auto job = state.m_jobs.find(reference.m_job);
         const auto task = job ? findTask(*job, reference) : nullptr;
         const bool here = task && task->m_assignedWorker && *task->m_assignedWorker == *worker.m_incarnation;
-        if (here && onlyListedRuns && !isListed(worker, reference, task->m_runNumber)) {
+        // A start that was unanswered once may be executed by the next incarnation as well, although this one has listed the run.
+        const bool certain = isListed(worker, reference, task ? task->m_runNumber : 0) && !worker.m_unansweredStarts.contains(reference);
+        if (here && onlyListedRuns && !certain) {
             continue;
         }
         ++released;
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -9,11 +9,14 @@
 
 // A worker usually answers an order within a network round trip; one that takes longer may execute the order seconds later.
 static constexpr Duration orderTimeout(500);
+// How often a start order is sent again that a worker has left unanswered although it answers other calls. With all repetitions, a start
+// takes less time than the members of a gang wait for each other, at least 3 s on the platform.
+static constexpr int maxStartRepeats = 2;
 // Minimum long-poll wait for a worker with tasks, which is also the period at which the leases of its runs are renewed.
 static constexpr Duration busyPollWait(1000);
 static constexpr Duration maxPollWait(2000); // The platform's maximum.
 // Polls that an owner can send per second beside its other work, at about 0.2 ms of processor time each on the smallest VMs.
-static constexpr std::size_t pollsPerSecond = 1000;
+static constexpr std::size_t pollsPerSecond = 500;
 // Added to the wait of a poll, for the network round trip and a worker that answers slowly.
 static constexpr Duration pollTimeoutSlack(700);
 // Time-out of the first polls of a worker that has not answered this owner yet. Of a thousand workers some leave a poll unanswered, and
@@ -79,6 +82,35 @@
         });
 }
 
+static void sendStart(OwnerState &state,
+                      TrackedWorker &worker,
+                      const TaskReference &reference,
+                      std::int64_t runNumber,
+                      const std::string &checkpoint,
+                      const JobSpec &spec,
+                      Instant now)
+{
+    extendLeasesExpiredBy(state, worker, now);
+    const auto fence = state.m_fence.load();
+    sendStartOrder(
+        *state.m_context.m_workerClient,
+        OrderTarget{.m_worker = worker.m_incarnation->m_worker, .m_address = worker.m_report->m_address, .m_fence = fence, .m_timeout = orderTimeout},
+        StartOrder{.m_task = reference,
+                   .m_runNumber = runNumber,
+                   .m_payload = spec.m_payload,
+                   .m_checkpoint = checkpoint,
+                   .m_leaseEndMs = leaseEndOnWorkerClockMs(state, worker, now)},
+        [events = state.m_events, reference, runNumber, checkpoint, incarnation = worker.m_incarnation, fence, now](const OrderReply &reply) {
+            events->tryPush(StartOrderCompleted{.m_task = reference,
+                                                .m_runNumber = runNumber,
+                                                .m_checkpoint = checkpoint,
+                                                .m_incarnation = *incarnation,
+                                                .m_fence = fence,
+                                                .m_sentAt = now,
+                                                .m_reply = reply});
+        });
+}
+
 void orderStart(OwnerState &state, const StartDecision &decision, const PlacementWorker &placement, const JobPointer &job, Instant now)
 {
     auto *worker = findWorker(state, *placement.m_incarnation);
@@ -87,21 +119,21 @@
         return;
     }
     setTask(state, decision.m_task, startingTask(*task, worker->m_incarnation, decision.m_runNumber, now));
-    extendLeasesExpiredBy(state, *worker, now);
-    const auto fence = state.m_fence.load();
-    sendStartOrder(
-        *state.m_context.m_workerClient,
-        OrderTarget{.m_worker = worker->m_incarnation->m_worker, .m_address = worker->m_report->m_address, .m_fence = fence, .m_timeout = orderTimeout},
-        StartOrder{.m_task = decision.m_task,
-                   .m_runNumber = decision.m_runNumber,
-                   .m_payload = job->m_spec->m_payload,
-                   .m_checkpoint = decision.m_checkpoint,
-                   .m_leaseEndMs = leaseEndOnWorkerClockMs(state, *worker, now)},
-        [events = state.m_events, reference = decision.m_task, runNumber = decision.m_runNumber, incarnation = worker->m_incarnation, fence, now](
-            const OrderReply &reply) {
-            events->tryPush(StartOrderCompleted{
-                .m_task = reference, .m_runNumber = runNumber, .m_incarnation = *incarnation, .m_fence = fence, .m_sentAt = now, .m_reply = reply});
-        });
+    worker->m_unansweredStarts.erase(decision.m_task);
+    sendStart(state, *worker, decision.m_task, decision.m_runNumber, decision.m_checkpoint, *job->m_spec, now);
+}
+
+bool repeatStart(OwnerState &state, TrackedWorker &worker, const TaskReference &reference, const JobPointer &job, const TaskState &task, Instant now)
+{
+    const auto found = worker.m_unansweredStarts.find(reference);
+    const bool known = found != worker.m_unansweredStarts.end() && found->second.m_runNumber == task.m_runNumber;
+    if (!known || found->second.m_repeats >= maxStartRepeats || job->m_outcome != JobOutcome::Active || !mayScheduleKnownJobs(authorityOf(state), now)) {
+        return false;
+    }
+    ++found->second.m_repeats;
+    setTask(state, reference, taskInPhase(task, TaskPhase::Starting, false, now));
+    sendStart(state, worker, reference, task.m_runNumber, found->second.m_checkpoint, *job->m_spec, now);
+    return true;
 }
 
 void orderStop(OwnerState &state, const WorkerIncarnation &incarnation, const TaskReference &reference, std::int64_t runNumber, StopReason reason, Instant now)
@@ -210,7 +242,17 @@
         return;
     }
     pauseStartsAfterRefusal(*worker, answer, now);
-    if (answer == OrderAnswer::Unanswered) {
+    const auto earlier = worker->m_unansweredStarts.find(event.m_task);
+    const bool repeated = earlier != worker->m_unansweredStarts.end() && earlier->second.m_runNumber == event.m_runNumber;
+    if (repeated && answer != OrderAnswer::Unanswered) {
+        // The refusal says nothing about the earlier order, which the worker may have executed or may execute late.
+        earlier->second.m_repeats = maxStartRepeats;
+    }
+    if (answer == OrderAnswer::Unanswered && !repeated) {
+        worker->m_unansweredStarts.insert_or_assign(event.m_task,
+                                                    UnansweredStart{.m_runNumber = event.m_runNumber, .m_checkpoint = event.m_checkpoint, .m_repeats = 0});
+    }
+    if (answer == OrderAnswer::Unanswered || repeated) {
         // The run may have started; the worker's run report shows whether it has. See applyPollResult().
         setTask(state, event.m_task, taskInPhase(*task, TaskPhase::Starting, true, now));
         pollWorker(state, *worker, true, now);
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -213,6 +213,9 @@
             continue;
         }
         if (task->m_phase == TaskPhase::Starting) {
+            if (repeatStart(state, worker, reference, job, *task, now)) {
+                continue;
+            }
             // Once the worker has answered the stop order, it refuses a delayed start order for this run.
             orderStop(state, *worker.m_incarnation, reference, task->m_runNumber, StopReason::Unconfirmed, now);
             continue;
@@ -295,6 +298,7 @@
         worker->m_unknownRuns += known ? 0 : 1;
     }
     handleUnlistedTasks(state, *worker, runReport, event.m_sentAt, now);
+    std::erase_if(worker->m_unansweredStarts, [worker](const auto &start) { return !worker->m_tasks.contains(start.first); });
     if (event.m_immediate) {
         return;
     }
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -30,6 +30,13 @@
     std::int64_t m_version; ///< Version of the job that has to be recorded first; 0 if none.
 };
 
+/// A start order without an answer. The worker may execute it seconds later.
+struct UnansweredStart {
+    std::int64_t m_runNumber;
+    std::string m_checkpoint; ///< Checkpoint that the order carried; empty if none.
+    int m_repeats = 0; ///< How often the order has been sent again.
+};
+
 /// The owner's state of one incarnation of a worker.
 struct TrackedWorker {
     WorkerReportPointer m_report;
@@ -60,6 +67,7 @@
     /// Set while the worker is cordoned, see RosterEntry::m_jobsIfCordoned; the recorded roster may already contain it.
     std::optional<std::set<std::string>> m_jobsIfCordoned;
     std::set<TaskReference> m_tasks; ///< Tasks that the owner assigns to this incarnation: starting, running or stopping.
+    std::map<TaskReference, UnansweredStart> m_unansweredStarts; ///< Start orders of the runs in m_tasks that were left unanswered at least once.
     std::map<TaskReference, std::int64_t> m_listedRuns; ///< Newest run of each task that this incarnation has reported as running and not yet as ended.
 };
 
@@ -143,6 +151,9 @@
 void orderStop(OwnerState &state, const WorkerIncarnation &incarnation, const TaskReference &task, std::int64_t runNumber, StopReason reason, Instant now);
 /// Marks the task as starting and sends the start order. Does nothing if the worker or the task is no longer known.
 void orderStart(OwnerState &state, const StartDecision &decision, const PlacementWorker &worker, const JobPointer &job, Instant now);
+/// Sends the start order of a task again that the worker has left unanswered and does not list. A worker executes a run number once, so
+/// the repetition starts no second run. Returns false if the order may not be repeated; the run has to be stopped then.
+bool repeatStart(OwnerState &state, TrackedWorker &worker, const TaskReference &reference, const JobPointer &job, const TaskState &task, Instant now);
 /// Requests a worker's run report, and renews its leases if allowed. The worker may delay the answer until
 /// a run ends; with @p immediate it answers at once. Does nothing while a poll of the same kind is in flight.
 void pollWorker(OwnerState &state, TrackedWorker &worker, bool immediate, Instant now);
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -667,6 +667,50 @@
     CHECK(runIds.size() <= 2);
 }
 
+// Guards against gangs that never run while workers leave a share of the orders unanswered and execute them late: the more members a gang
+// has, the likelier one of its starts is lost, and the members that run are stopped each time.
+TEST_CASE("a start that a worker leaves unanswered is repeated and the other members of its gang go on")
+{
+    std::vector<std::unique_ptr<StandinWorker>> workers;
+    std::vector<WorkerReportPointer> reports;
+    for (int index = 0; index < 6; ++index) {
+        workers.push_back(std::make_unique<StandinWorker>("w" + std::to_string(index), "r1", Duration(1500)));
+        auto starts = std::make_shared<int>(0);
+        workers.back()->setFaults(
+            [starts](WorkerCall call) { return call == WorkerCall::Start && ++*starts == 1 ? WorkerFault::ExecutedLate : WorkerFault::None; });
+        reports.push_back(reportOf(*workers.back()));
+    }
+    OwnerFixture fixture;
+    fixture.becomeOwner({}, reports);
+    fixture.m_owner->post(JobSubmitted{.m_spec = makeJobSpec(6, true)});
+    REQUIRE(fixture.waitFor([&] { return fixture.isComplete(); }, 4000));
+    std::this_thread::sleep_for(Duration(1000));
+    for (const auto &worker : workers) {
+        REQUIRE(worker->runHistory().size() == 1);
+        CHECK(worker->runHistory().front().m_run == 1);
+        CHECK(worker->runHistory().front().m_endKind == "done");
+    }
+}
+
+// Guards against two runs of one task: a repeated start is refused, but the first order is executed late.
+TEST_CASE("a refused repetition of a start does not count for the unanswered order")
+{
+    StandinWorker worker("w1", "r1", Duration(300));
+    StandinWorker other("w2", "r1", Duration(300));
+    std::atomic<int> starts = 0;
+    const auto lateThenUnanswered = [&](WorkerCall call) {
+        return call != WorkerCall::Start || starts >= 3 ? WorkerFault::None : (++starts == 1 ? WorkerFault::ExecutedLate : WorkerFault::Unreachable);
+    };
+    worker.setFaults(lateThenUnanswered);
+    other.setFaults(lateThenUnanswered);
+    OwnerFixture fixture;
+    fixture.becomeOwner({}, {reportOf(worker), reportOf(other)});
+    fixture.m_owner->post(JobSubmitted{.m_spec = makeJobSpec(1, false)});
+    REQUIRE(fixture.waitFor([&] { return fixture.isComplete(); }, 6000));
+    std::this_thread::sleep_for(Duration(1000));
+    CHECK(worker.runHistory().size() + other.runHistory().size() == 1);
+}
+
 // Guards against a former owner that keeps sending orders after a worker has reported a higher fence.
 TEST_CASE("a worker that refuses the owner's fence is reported")
 {
