--- a/scheduling/include/primrosebridge/Fleet/worker.h
+++ b/scheduling/include/primrosebridge/Fleet/worker.h
@@ -23,6 +23,7 @@
     const Resources m_capacity;
     const bool m_draining; ///< The worker leaves soon and accepts no new work.
     const std::optional<Duration> m_leavesIn; ///< Minimum time from the report until the worker leaves; set only while draining.
+    const std::string m_softwareVersion; ///< Version of the worker's software; empty if not reported.
     const std::optional<std::int64_t> m_reportedAtClockMs; ///< The worker's own clock at the report, in milliseconds; empty if not reported.
 
     bool operator==(const WorkerReport &) const = default;
@@ -36,6 +37,7 @@
     const std::shared_ptr<const WorkerIncarnation> m_incarnation; ///< The object to which the tasks on the worker also refer.
     const bool m_usable; ///< The worker answers and is not draining, so work may be started on it.
     const bool m_isolated; ///< Runs failed, stalled or were slow on the worker; it is used only if no other worker fits.
+    const bool m_outdated = false; ///< Workers with newer software are replacing those of its kind, so it may leave soon; see outdatedWorkers().
 
     bool operator==(const PlacementWorker &) const = default;
 };
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -19,6 +19,9 @@
 // accelerators is free. Both multiply the run time, so on a busier fleet only overdue steps and steps that fit into no rack may do so.
 constexpr double minFreeShareToSpread = 0.5;
 
+// The shortest notice with which workers of the users' deployments leave. Work that takes longer may be lost on a worker that is replaced.
+constexpr Duration shortestLeaveNotice(2000);
+
 // Half-life of the urgent demand peaks. It is several times the run time of urgent work, but shorter than a pause of urgent work that is
 // long enough for other work.
 constexpr double demandHalfLifeSeconds = 10.0;
@@ -562,6 +565,26 @@
     return isLimitedToRacks ? WaitReason::InsufficientRackCapacity : WaitReason::InsufficientCapacity;
 }
 
+// Starts the candidate's tasks on reliable workers that are not outdated, if all of them fit there at once. Otherwise the candidate does not
+// wait for these workers. Returns true if the tasks start.
+static bool startOnCurrentWorkers(Pass &pass, const Candidate &candidate)
+{
+    const auto &step = stepOf(pass, candidate);
+    auto workers = eligibleWorkers(pass, candidate, false);
+    const auto removed = std::erase_if(workers, [&pass](std::size_t worker) { return pass.m_input.m_workers[worker].m_outdated; });
+    if (removed == 0 || workers.empty() || step.m_estimate <= shortestLeaveNotice || isBoundToRacks(step)) {
+        return false;
+    }
+    const std::vector<WorkerGroup> groups{WorkerGroup{.m_workers = std::move(workers), .m_remote = false}};
+    const auto placement = bestPlacement(pass, candidate, groups, false);
+    if (!placement || placement->m_workers.size() < candidate.m_waitingTasks.size()) {
+        return false;
+    }
+    addStartDecisions(pass, candidate, *placement);
+    subtractPlacement(pass, candidate, *placement);
+    return true;
+}
+
 static void placeCandidate(Pass &pass, Candidate candidate)
 {
     if (candidate.m_jobLocked) {
@@ -578,7 +601,7 @@
             addWaitingStep(pass, candidate, candidate.m_waitingTasks.size() - static_cast<std::size_t>(allowed), WaitReason::ReservedForUrgent);
             candidate.m_waitingTasks.resize(static_cast<std::size_t>(allowed));
         }
-        if (candidate.m_waitingTasks.empty()) {
+        if (candidate.m_waitingTasks.empty() || (!allowUnreliable && startOnCurrentWorkers(pass, candidate))) {
             return;
         }
         const auto groups = workerGroupsFor(pass, candidate, workers);
--- a/scheduling/unittests/Fleet/fleetbuilder.h
+++ b/scheduling/unittests/Fleet/fleetbuilder.h
@@ -28,7 +28,7 @@
 public:
     static constexpr std::int64_t nowMs = 100'000;
 
-    FleetBuilder &addWorker(const std::string &name, const std::string &rack, bool isolated = false)
+    FleetBuilder &addWorker(const std::string &name, const std::string &rack, bool isolated = false, bool outdated = false)
     {
         const WorkerIncarnation incarnation{.m_worker = name, .m_startedAtMs = 1};
         m_workers.push_back(PlacementWorker{
@@ -43,11 +43,13 @@
                 .m_capacity = Resources{.m_milliCores = 32000, .m_memoryMb = 131072, .m_accelerators = 8},
                 .m_draining = false,
                 .m_leavesIn = std::nullopt,
+                .m_softwareVersion = {},
                 .m_reportedAtClockMs = std::nullopt,
             }),
             .m_incarnation = std::make_shared<const WorkerIncarnation>(incarnation),
             .m_usable = true,
             .m_isolated = isolated,
+            .m_outdated = outdated,
         });
         return *this;
     }
--- a/scheduling/unittests/FleetLoad/loadsimulation.cpp
+++ b/scheduling/unittests/FleetLoad/loadsimulation.cpp
@@ -118,6 +118,7 @@
                     .m_capacity = Resources{.m_milliCores = 128000, .m_memoryMb = 262144, .m_accelerators = 8},
                     .m_draining = false,
                     .m_leavesIn = std::nullopt,
+                    .m_softwareVersion = {},
                     .m_reportedAtClockMs = std::nullopt,
                 }),
                 .m_incarnation = std::make_shared<const WorkerIncarnation>(incarnation),
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -1,5 +1,6 @@
 #include "ownerstate.h"
 
+#include "primrosebridge/Fleet/release.h"
 #include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Pipeline/timerservice.h"
@@ -52,12 +53,20 @@
 
 static std::vector<PlacementWorker> placementWorkers(const OwnerState &state, Instant now)
 {
+    std::vector<WorkerReportPointer> reports;
+    reports.reserve(state.m_workers.size());
+    for (const auto &[name, worker] : state.m_workers) {
+        reports.push_back(worker.m_report);
+    }
+    const auto outdated = outdatedWorkers(reports, TimerService::wallClockNow());
     std::vector<PlacementWorker> workers;
+    workers.reserve(reports.size());
     for (const auto &[name, worker] : state.m_workers) {
         workers.push_back(PlacementWorker{.m_report = worker.m_report,
                                           .m_incarnation = worker.m_incarnation,
                                           .m_usable = isUsable(state, worker, now),
-                                          .m_isolated = worker.m_isolatedUntil > now || worker.m_slowUntil > now});
+                                          .m_isolated = worker.m_isolatedUntil > now || worker.m_slowUntil > now,
+                                          .m_outdated = outdated[workers.size()]});
     }
     return workers;
 }
--- a/service/lib/Fleetservice/roster.cpp
+++ b/service/lib/Fleetservice/roster.cpp
@@ -46,6 +46,7 @@
                                 .m_accelerators = json.at("accelerators").get<std::int64_t>()},
         .m_draining = false,
         .m_leavesIn = std::nullopt,
+        .m_softwareVersion = {},
         .m_reportedAtClockMs = json.contains("clock") ? std::optional(json.at("clock").get<std::int64_t>()) : std::nullopt,
     });
 }
