--- a/service/unittests/Fleetservice/fleetnode.cpp
+++ b/service/unittests/Fleetservice/fleetnode.cpp
@@ -159,4 +159,33 @@
     CHECK_FALSE(store.value(submissionKey("job")));
 }
 
+// Guards against a key that was withdrawn, or a worker that has left, being in use again after every VM has restarted: the roster still
+// lists the worker, and the VM that starts again knows nothing of the versions before.
+TEST_CASE("after a restart neither a withdrawn key nor a worker that has left is used")
+{
+    StandinStore store;
+    StandinWorker left("w1", "r1", Duration(100));
+    StandinWorker present("w2", "r1", Duration(100));
+    store.put("op/config", configurationText(1, R"("k1","k2")"));
+    store.put("servers/w1", left.entry("ready"));
+    {
+        auto first = FleetNode::create(settingsOf("vm-1", store)).take();
+        REQUIRE(waitUntil([&] { return first->ready() && store.value(std::string(StoreKeys::roster)).has_value(); }));
+        REQUIRE(answerFleetCall(*first, callOf("POST", "/q/job1", oneTaskJob, "k1")).m_status == 200);
+        REQUIRE(waitUntil([&] { return isComplete(*first, "/q/job1"); }));
+        store.put("op/config", configurationText(2, R"("k2")"));
+        REQUIRE(waitUntil([&] { return first->configuration()->m_version == 2; }));
+    }
+    store.remove("servers/w1");
+    store.put("servers/w2", present.entry("ready"));
+    const auto second = FleetNode::create(settingsOf("vm-1", store)).take();
+    REQUIRE(waitUntil([&] { return second->ready(); }));
+    CHECK(answerFleetCall(*second, callOf("POST", "/q/job2", oneTaskJob, "k1")).m_status == 401);
+    REQUIRE(answerFleetCall(*second, callOf("POST", "/q/job3", oneTaskJob, "k2")).m_status == 200);
+    const auto isDone = [&] { return answerFleetCall(*second, callOf("GET", "/q/job3", {}, "k2")).m_body == R"({"state":"complete"})"; };
+    CHECK(waitUntil(isDone, 8000));
+    CHECK(left.runHistory().size() == 1);
+    CHECK(present.runHistory().size() == 1);
+}
+
 } // namespace PrimroseBridge
