Do not repeat a start on a worker that drains

Since a start without an answer is sent again; the worker may have begun to drain meanwhile, and nothing checked that.

Change: a start is repeated only on a worker with an entry that neither drains nor is cordoned, and is logged as start_repeated; otherwise the run is stopped as before.

Result: the new test fails without the check and passes with it.

--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -127,10 +127,20 @@
 {
     const auto found = worker.m_unansweredStarts.find(reference);
     const bool known = found != worker.m_unansweredStarts.end() && found->second.m_runNumber == task.m_runNumber;
-    if (!known || found->second.m_repeats >= maxStartRepeats || job->m_outcome != JobOutcome::Active || !mayScheduleKnownJobs(authorityOf(state), now)) {
+    // The worker may have begun to drain since the first order.
+    const bool acceptsStarts = worker.m_entryPresent && !worker.m_report->m_draining && !worker.m_jobsIfCordoned;
+    if (!known || !acceptsStarts || found->second.m_repeats >= maxStartRepeats || job->m_outcome != JobOutcome::Active
+        || !mayScheduleKnownJobs(authorityOf(state), now)) {
         return false;
     }
     ++found->second.m_repeats;
+    logEvent(LogLevel::Info,
+             "start_repeated",
+             {{"request", reference.m_job},
+              {"task", taskName(reference)},
+              {"run", std::to_string(task.m_runNumber)},
+              {"worker", worker.m_incarnation->m_worker},
+              {"repeats", std::to_string(found->second.m_repeats)}});
     setTask(state, reference, taskInPhase(task, TaskPhase::Starting, false, now));
     sendStart(state, worker, reference, task.m_runNumber, found->second.m_checkpoint, *job->m_spec, now);
     return true;
--- a/service/unittests/Fleetservice/oddentries.cpp
+++ b/service/unittests/Fleetservice/oddentries.cpp
@@ -26,23 +26,23 @@
 // Writes entries that no program of the deployment writes, under each prefix that the VMs read.
 static void putOddEntries(StandinStore &store, const std::string &suffix)
 {
-    const std::vector<std::string> values
-        = {nested(100'000),
-           R"({"service":)" + nested(100'000) + "}",
-           R"({"capacity":{"cpu":1e400}})",
-           R"({"capacity":{"cpu":18446744073709551616}})",
-           entryOnPort("0"),
-           entryOnPort("65536"),
-           entryOnPort("-1"),
-           "\xff\xfe",
-           std::string(1024 * 1024, 'x'),
-           std::string(),
-           R"({"layout":1,"id":"odd","queue":"q","organisation":"","accepted":0,"payload":"x","times":0,"first_due":0,"interval":0,)"
-           R"("steps":[{"tasks":2147483647,"cores":1,"memory":1,"accelerators":1,"estimate":1,"after":[7],"gang":false,)"
-           R"("same_rack":false,"label":"","data_rack":"","max_per_worker":0,"speculative":false,"checkpointing":false,)"
-           R"("long_running":false,"image":"","tail_latency":0,"filler":false,"max_unavailable":0}]})",
-           R"({"vm":"vm-1","address":"127.0.0.1:65536","incarnation":"x","processor":1e300})",
-           R"({"vm":"vm-1","address":"127.0.0.1:1","incarnation":"x","processor":1})"};
+    const std::string oddSubmission = R"({"layout":1,"id":"odd","queue":"q","organisation":"","accepted":0,"payload":"x","times":0,"first_due":0,"interval":0,)"
+                                      R"("steps":[{"tasks":2147483647,"cores":1,"memory":1,"accelerators":1,"estimate":1,"after":[7],"gang":false,)"
+                                      R"("same_rack":false,"label":"","data_rack":"","max_per_worker":0,"speculative":false,"checkpointing":false,)"
+                                      R"("long_running":false,"image":"","tail_latency":0,"filler":false,"max_unavailable":0}]})";
+    const std::vector<std::string> values = {nested(100'000),
+                                             R"({"service":)" + nested(100'000) + "}",
+                                             R"({"capacity":{"cpu":1e400}})",
+                                             R"({"capacity":{"cpu":18446744073709551616}})",
+                                             entryOnPort("0"),
+                                             entryOnPort("65536"),
+                                             entryOnPort("-1"),
+                                             "\xff\xfe",
+                                             std::string(1024 * 1024, 'x'),
+                                             std::string(),
+                                             oddSubmission,
+                                             R"({"vm":"vm-1","address":"127.0.0.1:65536","incarnation":"x","processor":1e300})",
+                                             R"({"vm":"vm-1","address":"127.0.0.1:1","incarnation":"x","processor":1})"};
     int number = 0;
     for (const auto &value : values) {
         const auto name = "odd" + std::to_string(number++) + suffix;
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -692,6 +692,34 @@
     }
 }
 
+// Guards against a start on a draining worker: the worker leaves a start unanswered, announces that it drains, and gets the start again
+// (DRAIN on ccu-beltworks, deploy/days/late-orders-and-kills.toml --vary --seed 820848279297).
+TEST_CASE("a start is not repeated on a worker that drains")
+{
+    StandinWorker draining("w1", "r1", Duration(300));
+    StandinWorker other("w2", "r1", Duration(300));
+    std::atomic<int> starts = 0;
+    std::atomic<bool> reports = true;
+    draining.setFaults([&](WorkerCall call) {
+        if (call == WorkerCall::Start) {
+            reports = ++starts > 1;
+            return starts == 1 ? WorkerFault::Unreachable : WorkerFault::None;
+        }
+        return reports ? WorkerFault::None : WorkerFault::Unreachable;
+    });
+    OwnerFixture fixture;
+    fixture.becomeOwner({}, {reportOf(draining)});
+    fixture.m_owner->post(JobSubmitted{.m_spec = makeJobSpec(1, false)});
+    REQUIRE(fixture.waitFor([&] { return starts == 1; }));
+    fixture.m_owner->post(WorkerReported{.m_report = drainingReportOf(draining)});
+    std::this_thread::sleep_for(Duration(100));
+    fixture.m_owner->post(WorkerReported{.m_report = reportOf(other)});
+    reports = true;
+    REQUIRE(fixture.waitFor([&] { return fixture.isComplete(); }, 6000));
+    CHECK(draining.runHistory().empty());
+    CHECK(other.runHistory().size() == 1);
+}
+
 // Guards against two runs of one task: a repeated start is refused, but the first order is executed late.
 TEST_CASE("a refused repetition of a start does not count for the unanswered order")
 {
