Poll a worker as soon as it has accepted a start

With at most 500 polls a second, an idle worker of that fleet is polled every 6 s, and a start did not end that pause: the end of a run of 2.5 s was read up to 4 s late.

Change: the answer to a start begins the next poll unless one is open.

--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -249,6 +249,9 @@
     }
     if (answer == OrderAnswer::Accepted) {
         setTask(state, event.m_task, taskInPhase(*task, TaskPhase::Running, false, now));
+        if (!worker->m_pollInFlight) {
+            pollWorker(state, *worker, false, now); // The pause between the polls of an idle worker would delay the end of the run.
+        }
         return;
     }
     pauseStartsAfterRefusal(*worker, answer, now);
