Let the time-out of a takeover's polls grow with the fleet

Read from the code, not traced: repeats polls that a takeover sent after 350 ms, but on half a core the answers of 3,000 workers take longer to read, so that polls expire before their turn and are sent again.

Change: the time-out is a quarter of the time in which all workers are polled once, 350 ms at least (550 ms for 1,100 workers, 1.5 s for 3,000), and the pause before a repetition a quarter of that.

--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -21,8 +21,12 @@
 static constexpr Duration pollTimeoutSlack(700);
 // Time-out of the first polls of a worker that has not answered this owner yet. Of a thousand workers some leave a poll unanswered, and
 // all jobs known at the takeover may wait for their answers. Later polls have the full time-out, for workers that answer slowly.
-static constexpr Duration takeoverPollTimeout(350);
+static constexpr Duration minTakeoverPollTimeout(350);
 static constexpr int shortTakeoverPolls = 2;
+static constexpr Duration minTakeoverRetryPause(50);
+// Part of pollCycle() in which the answers to the polls of a takeover are read. A shorter time-out would expire before their turn comes,
+// and the repeated polls would delay the answers further.
+static constexpr int takeoverPollShare = 4;
 // Time without start orders for a worker after an order that it refused for lack of capacity or an expired lease, or that was not sent.
 static constexpr Duration refusalPause(300);
 // Time without start orders for a worker after an order that it left unanswered or could not parse, or that was refused because the worker
@@ -46,6 +50,16 @@
     return Duration(static_cast<Duration::rep>(state.m_workers.size() * 1000 / pollsPerSecond));
 }
 
+static Duration takeoverPollTimeout(const OwnerState &state)
+{
+    return std::max(minTakeoverPollTimeout, pollCycle(state) / takeoverPollShare);
+}
+
+Duration takeoverRetryPause(const OwnerState &state)
+{
+    return std::max(minTakeoverRetryPause, takeoverPollTimeout(state) / takeoverPollShare);
+}
+
 Duration idlePollPause(const OwnerState &state)
 {
     return std::max(pollCycle(state) - maxPollWait, Duration(0));
@@ -72,7 +86,7 @@
         OrderTarget{.m_worker = worker.m_incarnation->m_worker,
                     .m_address = worker.m_report->m_address,
                     .m_fence = fence,
-                    .m_timeout = mayRetryEarly ? takeoverPollTimeout : wait + pollTimeoutSlack},
+                    .m_timeout = mayRetryEarly ? takeoverPollTimeout(state) : std::max(wait + pollTimeoutSlack, takeoverPollTimeout(state))},
         RunReportRequest{.m_lastAcknowledgedEnd = worker.m_lastAcknowledgedEnd,
                          .m_leaseEndMs = renew ? std::optional(leaseEndOnWorkerClockMs(state, worker, now)) : std::nullopt,
                          .m_wait = wait},
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -22,8 +22,6 @@
 static constexpr Duration slowMarkDuration(3000);
 // Pause between polls of a worker that does not answer or whose run ends are not recorded yet.
 static constexpr Duration pollRetryPause(250);
-// The same pause while the worker has not answered this owner yet, because all jobs known at the takeover may wait for its answer.
-static constexpr Duration takeoverRetryPause(50);
 
 static std::string_view endKindName(RunEndKind kind)
 {
@@ -257,7 +255,7 @@
         return;
     }
     ++worker.m_missedPolls;
-    worker.m_nextPollAt = now + (worker.m_fenceConfirmed ? pollRetryPause : takeoverRetryPause);
+    worker.m_nextPollAt = now + (worker.m_fenceConfirmed ? pollRetryPause : takeoverRetryPause(state));
     if (worker.m_missedPolls == 1) {
         logEvent(LogLevel::Warn, "worker_silent", {{"worker", worker.m_incarnation->m_worker}, {"tasks", std::to_string(worker.m_tasks.size())}});
     }
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -167,6 +167,9 @@
 void forgetAllWorkers(OwnerState &state);
 /// Moves m_leavesAt of a draining worker forward to the time that follows from the worker's own clock in its last answer.
 void correctLeavingTime(TrackedWorker &worker);
+/// Returns the pause between polls of a worker that has not answered this owner yet. It is short, because all jobs known at the takeover
+/// may wait for the answer, and grows with the fleet.
+Duration takeoverRetryPause(const OwnerState &state);
 /// Returns the tracked worker of that incarnation, or null.
 TrackedWorker *findWorker(OwnerState &state, const WorkerIncarnation &incarnation);
 /// Queues the job's progress for the store if it is newer than the version that the store has acknowledged.
