Drop an unused field of the platform from a test's entry

Cause: the stop check lists names of the platform outside platform/ and standins/; the entry of the test did not need that one. Result: FleetserviceTests "odd entries of other writers are skipped and the entries after them are followed" passes.

--- a/service/unittests/Fleetservice/oddentries.cpp
+++ b/service/unittests/Fleetservice/oddentries.cpp
@@ -19,7 +19,7 @@
 static std::string entryOnPort(const std::string &port)
 {
     return R"({"service":"pool","addr":"127.0.0.1:)" + port
-           + R"(","zone":"zone-a","version":"1","slots":8,"state":"ready","coldLeftMs":0,"capacity":{"cpu":96000,"memMb":9000,"gpu":8},"labels":["a","r1"],)"
+           + R"(","zone":"zone-a","version":"1","slots":8,"state":"ready","capacity":{"cpu":96000,"memMb":9000,"gpu":8},"labels":["a","r1"],)"
              R"("seq":1,"born":1700000000000,"machine":"m-w1"})";
 }
 
