review: show the lasting task with a single failed run

Cause: three failures in a row are more than the fault needs. Change: two workers with the required label, one of them full, instead of four workers.

--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -249,6 +249,8 @@
         self.highest_ended = {}
         self.seq = 0
         self.state = "ready"
+        self.kind = "a"
+        self.unhealthy = False  # Answers 503 to starts and does nothing.
         self.server = JsonServer(self.answer)
         self.changed = asyncio.Condition()
 
@@ -260,7 +262,7 @@
             self.seq += 1
             entry = {
                 "service": SERVICE, "addr": self.server.address, "zone": "zwolle-noord", "version": "v1", "slots": 8, "state": self.state, "coldLeftMs": 0,
-                "capacity": self.capacity, "labels": ["a", f"r1-{self.index // 4}"], "clockMs": self.clock(), "seq": self.seq, "born": self.born,
+                "capacity": self.capacity, "labels": [self.kind, f"r1-{self.index // 6}"], "clockMs": self.clock(), "seq": self.seq, "born": self.born,
             }  # fmt: skip
             await self.platform.store.write([(f"servers/{self.name}", json.dumps(entry).encode(), 0)], [])
             await asyncio.sleep(HEARTBEAT_S)
@@ -297,6 +299,9 @@
         self.fence = body.get("fence", 0)
         if "deadlineMs" in body:
             self.deadline = max(self.deadline, min(body["deadlineMs"], self.clock() + HOLD_MAX_MS))
+        if path == "/run-start" and self.unhealthy:
+            self.platform.record(f"minion {self.index}: 503 to the start of run {body['runId']} of {body['task']}")
+            return self.reply(503, {})
         if path == "/run-start":
             return await self.start(body)
         if path == "/run-stop":
@@ -425,7 +430,7 @@
 class Platform:
     """The store, the minions, the operator and the VMs of one run. Use as a context manager; leaving it ends all processes."""
 
-    def __init__(self, folder, vms, minions, capacity, behaviour):
+    def __init__(self, folder, vms, minions, capacity, behaviour, kinds=""):
         self.record = Record(Path(folder) / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="primrosebridge-review-"))
         self.runs, self.starts = [], []
@@ -434,7 +439,7 @@
         self.loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._thread.start()
-        self._call(self._create(vms, minions, capacity, behaviour))
+        self._call(self._create(vms, minions, capacity, behaviour, kinds))
 
     def _call(self, coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(30)
@@ -450,10 +455,12 @@
 
         self._call(add())
 
-    async def _create(self, vms, minions, capacity, behaviour):
+    async def _create(self, vms, minions, capacity, behaviour, kinds):
         self.store = Store()
         self.tasks = [asyncio.ensure_future(self.store.expire_leases())]
         self.minions = [Minion(self, index, capacity, behaviour) for index in range(minions)]
+        for minion, kind in zip(self.minions, kinds):
+            minion.kind = kind
         for minion in self.minions:
             await minion.server.open()
             self.tasks += [asyncio.ensure_future(minion.beat()), asyncio.ensure_future(minion.tick())]
