--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -75,6 +75,7 @@
         self.port = free_port()
         self._server = None
         self._writers = set()
+        self._busy = set()  # Connections with a call that is not answered yet.
 
     @property
     def address(self):
@@ -90,6 +91,13 @@
             self._server = None
         await self.reset_connections()
 
+    async def reset_busy_connections(self):
+        """Resets the connections with a call in progress. Returns their number and that of all connections."""
+        busy, all_open = list(self._busy), len(self._writers)
+        for writer in busy:
+            writer.transport.abort()
+        return len(busy), all_open
+
     async def reset_connections(self):
         for writer in list(self._writers):
             writer.transport.abort()
@@ -102,7 +110,9 @@
                 parts = urlsplit(target)
                 query = {name: values[0] for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
                 document = json.loads(body) if body else {}
+                self._busy.add(writer)
                 result = await self._answer(method, parts.path, query, headers, document)
+                self._busy.discard(writer)
                 if result is None:
                     await asyncio.sleep(3600)  # The connection returns nothing further.
                 status, reply = result
@@ -113,6 +123,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._busy.discard(writer)
             writer.close()
 
 
@@ -267,11 +278,11 @@
     async def beat(self):
         while not self.left:
             if not self.cut_from_store:
-                self.last_beat = time.monotonic()
                 await self.write_entry()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def write_entry(self):
+        self.last_beat = time.monotonic()
         self.seq += 1
         entry = {
             "service": SERVICE, "addr": self.server.address, "zone": "zwolle-noord", "version": "v1", "slots": 8, "state": self.state, "coldLeftMs": 0,
