review: allocate ports below the ephemeral range

Cause: an outgoing connection could take a port between its allocation and its use. Change: free_port() in the shared stand-ins.

--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -34,10 +34,22 @@
 KEY = "d4a3hwrr6x73d3zji9n7"
 
 
+_used_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """A port below the kernel's ephemeral ports, so that no outgoing connection takes it before it is bound."""
+    while True:
+        port = random.SystemRandom().randrange(10000, 32000)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _used_ports:
+            _used_ports.add(port)
+            return port
 
 
 class Record:
