Log what decides whether a job has failed and whether a worker has left

Change: job_queued names the attempts and the configuration in force, the new job_failed the failed runs and the attempts, worker_entry_removed whether the worker drains, its announced time and the age of its last answer.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -386,7 +386,14 @@
         = worker.m_fenceConfirmed && now - worker.m_answeredAt <= maxAnswerAge && now - worker.m_answeringSince >= entryRemovalSilence;
     worker.m_leftGracefully = announced && answeredThroughout;
     pollWorker(state, worker, true, now);
-    logEvent(LogLevel::Info, "worker_entry_removed", {{"worker", name}, {"tasks", std::to_string(found->second.m_tasks.size())}});
+    logEvent(LogLevel::Info,
+             "worker_entry_removed",
+             {{"worker", name},
+              {"tasks", std::to_string(worker.m_tasks.size())},
+              {"draining", worker.m_report->m_draining ? "yes" : "no"},
+              {"announced_time_over", announced ? "yes" : "no"},
+              {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())},
+              {"taken_for_left", worker.m_leftGracefully ? "yes" : "no"}});
 }
 
 static int maxAttemptsOf(const OwnerState &state, const std::string &queue)
@@ -409,14 +416,21 @@
         return;
     }
     const auto age = TimerService::wallClockNow() - spec->m_acceptedAt;
+    const auto configuration = state.m_context.m_configuration.current();
+    const auto attempts = maxAttemptsOf(state, spec->m_queue);
     FleetMetrics::instance().observe(FleetHistogram::SubmissionDelaySeconds, std::chrono::duration<double>(age).count());
     logEvent(LogLevel::Info,
              "job_queued",
-             {{"request", spec->m_id}, {"queue", spec->m_queue}, {"organisation", spec->m_organisation}, {"age_ms", std::to_string(age.count())}});
+             {{"request", spec->m_id},
+              {"queue", spec->m_queue},
+              {"organisation", spec->m_organisation},
+              {"age_ms", std::to_string(age.count())},
+              {"attempts", std::to_string(attempts)},
+              {"configuration", std::to_string(configuration ? configuration->m_version : 0)}});
     if (!state.m_soleOwner) {
         state.m_jobsLearntWithoutLease.insert(spec->m_id);
     }
-    addJob(state, newJobState(spec, maxAttemptsOf(state, spec->m_queue), now));
+    addJob(state, newJobState(spec, attempts, now));
 }
 
 static void applyCancellation(OwnerState &state, const std::string &name, Instant now)
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -111,6 +111,13 @@
     }
     stopSupersededRun(state, job, end, worker.m_incarnation->m_worker, now);
     if (job->m_outcome == JobOutcome::Active && effect.m_job->m_outcome == JobOutcome::Failed) {
+        const auto step = findStep(*effect.m_job, end.m_task.m_occurrence, end.m_task.m_step);
+        logEvent(LogLevel::Warn,
+                 "job_failed",
+                 {{"request", end.m_task.m_job},
+                  {"task", taskName(end.m_task)},
+                  {"failed_runs", std::to_string(failedAttempts(*job->m_spec, *step, end.m_task.m_step, end.m_task.m_index))},
+                  {"attempts", std::to_string(job->m_maxAttempts)}});
         stopJobRuns(state, effect.m_job, StopReason::Superseded, now);
     }
     // A completed run frees capacity. After any other end the task waits again, or work for which the run was preempted can start.
