Store the policy of its queue with each accepted job

Cause: an accepted job names its queue only, and each VM reads the queue's settings from the configuration that it holds at the time.

Change: the settings that decide how jobs run become a value, QueuePolicy. The VM that accepts a job writes it into the submission record. Records without it, from an earlier release, are read as before; an earlier release ignores the field. The attempts of a job may be unknown, and the two copies of maxAttemptsOf() are one function. No decision uses the stored policy yet.

Result: ProgressTests pass, among them a new one on records without a policy and with one beyond the limits.

--- a/core/include/primrosebridge/Work/fleetconfiguration.h
+++ b/core/include/primrosebridge/Work/fleetconfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "primrosebridge/Model/time.h"
+#include "primrosebridge/Work/job.h"
 
 #include <cstdint>
 #include <memory>
@@ -16,14 +17,9 @@
     const std::string m_name;
     const std::string m_host; ///< Host name of the calls that are routed to the queue, in lower case.
     const std::string m_pathPrefix; ///< Start of the paths of those calls, with a trailing slash.
-    const std::string m_workerPool; ///< Name of the worker pool that runs the queue's tasks.
-    const int m_priority; ///< 0 is the most urgent.
-    const int m_maxAttempts; ///< A job fails when one of its tasks or gangs has failed this many times.
-    const double m_slackFactor; ///< A job's latency objective is this factor times the estimated run time of its longest chain of steps, plus m_latencyGoal.
-    const Duration m_latencyGoal; ///< Fixed part of the latency objective.
+    const QueuePolicy m_policy;
     const Duration m_timeout; ///< Time limit of one call.
     const bool m_isPublic; ///< Calls need no API key.
-    const bool m_needsPlacementAdvice; ///< Only workers that an external placement service names may run a step.
 
     bool operator==(const QueueSettings &) const = default;
 };
@@ -66,6 +62,10 @@
 /// Returns the queue with this name, or nullptr. Thread-safe.
 const QueueSettings *findQueueByName(const FleetConfiguration &configuration, std::string_view name);
 
+/// Returns the number of failed runs of a task after which the job fails: that of its queue in @p configuration, which may be null, or 1 if
+/// the configuration does not have the queue. Thread-safe.
+std::optional<int> findMaxAttempts(const JobSpec &job, const FleetConfigurationPointer &configuration);
+
 /// Returns the organisation that has the API key @p key, or nullptr. Thread-safe.
 const OrganisationSettings *findOrganisationByApiKey(const FleetConfiguration &configuration, std::string_view key);
 
--- a/core/include/primrosebridge/Work/job.h
+++ b/core/include/primrosebridge/Work/job.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,10 +52,25 @@
     bool operator==(const JobSchedule &) const = default;
 };
 
+/// The settings of a queue that decide how its jobs are run.
+struct QueuePolicy {
+    const std::string m_workerPool; ///< Name of the worker pool that runs the queue's tasks.
+    const int m_priority; ///< 0 is the most urgent.
+    const int m_maxAttempts; ///< A job fails when one of its tasks or gangs has failed this many times.
+    const double m_slackFactor; ///< A job's latency objective is this factor times the estimated run time of its longest chain of steps, plus m_latencyGoal.
+    const Duration m_latencyGoal; ///< Fixed part of the latency objective.
+    const bool m_needsPlacementAdvice; ///< Only workers that an external placement service names may run a step.
+
+    bool operator==(const QueuePolicy &) const = default;
+};
+
 /// A job as submitted.
 struct JobSpec {
     const std::string m_id; ///< Job identifier chosen by the submitter; repeated submissions with the same identifier are accepted once.
     const std::string m_queue; ///< Name of the queue; see QueueSettings.
+    /// Policy of the queue in the configuration under which the job was accepted. Other VMs may hold an older configuration, or a newer one
+    /// without the queue. Empty if an earlier release, which did not store it, accepted the job.
+    const std::optional<QueuePolicy> m_acceptedPolicy;
     const std::string m_organisation; ///< Name of the submitting organisation; empty if a public queue accepted the job without an API key.
     const Instant m_acceptedAt; ///< Time of acceptance by the wall clock of the VM that accepted the job.
     const std::string m_payload; ///< Data that is passed to the workers unchanged.
--- a/core/lib/Work/fleetconfiguration.cpp
+++ b/core/lib/Work/fleetconfiguration.cpp
@@ -21,6 +21,12 @@
     return found == configuration.m_queues.end() ? nullptr : &*found;
 }
 
+std::optional<int> findMaxAttempts(const JobSpec &job, const FleetConfigurationPointer &configuration)
+{
+    const auto *queue = configuration ? findQueueByName(*configuration, job.m_queue) : nullptr;
+    return queue ? queue->m_policy.m_maxAttempts : 1;
+}
+
 const OrganisationSettings *findOrganisationByApiKey(const FleetConfiguration &configuration, std::string_view key)
 {
     for (const auto &organisation : configuration.m_organisations) {
--- a/core/unittests/Work/job.cpp
+++ b/core/unittests/Work/job.cpp
@@ -29,6 +29,7 @@
 {
     return JobSpec{.m_id = "5c0e7a21d94b36f8",
                    .m_queue = "queue",
+                   .m_acceptedPolicy = std::nullopt,
                    .m_organisation = "org",
                    .m_acceptedAt = fromMilliseconds(1000),
                    .m_payload = std::move(payload),
@@ -65,14 +66,14 @@
         return QueueSettings{.m_name = std::move(name),
                              .m_host = std::move(host),
                              .m_pathPrefix = std::move(prefix),
-                             .m_workerPool = "pool",
-                             .m_priority = 0,
-                             .m_maxAttempts = 1,
-                             .m_slackFactor = 1.0,
-                             .m_latencyGoal = Duration(0),
+                             .m_policy = QueuePolicy{.m_workerPool = "pool",
+                                                     .m_priority = 0,
+                                                     .m_maxAttempts = 1,
+                                                     .m_slackFactor = 1.0,
+                                                     .m_latencyGoal = Duration(0),
+                                                     .m_needsPlacementAdvice = false},
                              .m_timeout = Duration(0),
-                             .m_isPublic = false,
-                             .m_needsPlacementAdvice = false};
+                             .m_isPublic = false};
     };
     const FleetConfiguration configuration{.m_version = 1,
                                            .m_queues = {makeQueue("short", "a", "/x/"), makeQueue("long", "a", "/x/y/"), makeQueue("other", "b", "/x/")},
--- a/recovery/include/primrosebridge/Progress/jobrecord.h
+++ b/recovery/include/primrosebridge/Progress/jobrecord.h
@@ -15,9 +15,9 @@
 /// Encodes the progress record of a job: its outcome, completed tasks, failed runs, highest run numbers and checkpoints. Thread-safe.
 std::string encodeProgress(const JobState &job);
 
-/// Restores a job from its submission and its progress record, with every unfinished task in phase Waiting. Fails with Internal if
-/// @p progress is no valid progress record. Thread-safe.
-Result<JobPointer> restoreJob(JobSpecPointer spec, int attempts, const std::string &progress, Instant now);
+/// Restores a job from its submission and its progress record, with every unfinished task in phase Waiting; @p maxAttempts as in
+/// JobState::m_maxAttempts. Fails with Internal if @p progress is no valid progress record. Thread-safe.
+Result<JobPointer> restoreJob(JobSpecPointer spec, std::optional<int> maxAttempts, const std::string &progress, Instant now);
 
 /// Decodes only the outcome of a progress record, for a VM that answers a caller without holding the job's state. Fails with Internal
 /// if @p progress is no valid progress record. Thread-safe.
--- a/recovery/include/primrosebridge/Progress/jobstate.h
+++ b/recovery/include/primrosebridge/Progress/jobstate.h
@@ -86,7 +86,9 @@
 /// The state of one job.
 struct JobState {
     const JobSpecPointer m_spec;
-    const int m_maxAttempts; ///< Number of failed runs of a task after which the job fails; the queue's setting at acceptance or takeover.
+    /// Number of failed runs of a task after which the job fails. Empty while no configuration that names the queue is known; the job cannot
+    /// fail until then. It is fixed once known, so that a job is judged by one number across takeovers and later configurations.
+    const std::optional<int> m_maxAttempts;
     const JobOutcome m_outcome;
     const std::vector<OccurrencePointer> m_occurrences; ///< Occurrences that are due and not complete. A job that runs once keeps its occurrence.
     const std::int64_t m_nextOccurrence; ///< Number of the first occurrence that is not due yet.
@@ -121,8 +123,9 @@
     bool operator==(const RunEnd &) const = default;
 };
 
-/// Returns the initial state of a job that was just accepted, or that has no progress record in the store. Thread-safe.
-JobPointer newJobState(JobSpecPointer spec, int attempts, Instant now);
+/// Returns the initial state of a job that was just accepted, or that has no progress record in the store; @p maxAttempts as in
+/// JobState::m_maxAttempts. Thread-safe.
+JobPointer newJobState(JobSpecPointer spec, std::optional<int> maxAttempts, Instant now);
 
 /// Returns the task, or null if the job has no such task at present. Thread-safe.
 TaskPointer findTask(const JobState &job, const TaskReference &task);
@@ -164,6 +167,10 @@
 /// of the task unchanged, but a completion, a failure and a checkpoint still count. Thread-safe.
 RunEndEffect applyRunEnd(const JobPointer &job, const RunEnd &end, const std::string &worker, Instant now);
 
+/// Returns the job with its number of attempts, now that it is known. The job has the outcome Failed if one of its tasks or gangs has
+/// already failed that many times; the change must then be recorded. Thread-safe.
+JobPointer withMaxAttempts(const JobState &job, int maxAttempts, Instant now);
+
 /// Returns the job with the outcome Cancelled, or an equal copy if its outcome is already final. Thread-safe.
 JobPointer withCancellation(const JobState &job, Instant now);
 
--- a/recovery/lib/Progress/jobrecord.cpp
+++ b/recovery/lib/Progress/jobrecord.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace PrimroseBridge {
 
@@ -10,6 +11,9 @@
 
 // Layout version of both records. decodeSubmission() rejects records with a later version, which a newer release may have written.
 constexpr int recordLayoutVersion = 1;
+// Limits of a recorded policy, so that times computed from a record of another writer do not overflow.
+constexpr double maxSlackFactor = 1e6;
+constexpr std::int64_t maxLatencyGoalMs = std::int64_t(366) * 24 * 3600 * 1000;
 
 static Error malformedRecordError(const std::string &recordName, const std::string &reason)
 {
@@ -64,13 +68,43 @@
     };
 }
 
+static Json encodePolicy(const QueuePolicy &policy)
+{
+    return Json{
+        {"pool", policy.m_workerPool},
+        {"priority", policy.m_priority},
+        {"attempts", policy.m_maxAttempts},
+        {"slack", policy.m_slackFactor},
+        {"latency_goal", policy.m_latencyGoal.count()},
+        {"advice", policy.m_needsPlacementAdvice},
+    };
+}
+
+static int decodeInt(const Json &json, int lowest)
+{
+    return static_cast<int>(std::clamp<std::int64_t>(json.get<std::int64_t>(), lowest, std::numeric_limits<int>::max()));
+}
+
+// Values beyond the limits are replaced by the limits: rejecting the record would lose an accepted job.
+static QueuePolicy decodePolicy(const Json &json)
+{
+    return QueuePolicy{
+        .m_workerPool = json.at("pool").get<std::string>(),
+        .m_priority = decodeInt(json.at("priority"), 0),
+        .m_maxAttempts = decodeInt(json.at("attempts"), 1),
+        .m_slackFactor = std::clamp(json.at("slack").get<double>(), 0.0, maxSlackFactor),
+        .m_latencyGoal = Duration(std::clamp<std::int64_t>(json.at("latency_goal").get<std::int64_t>(), 0, maxLatencyGoalMs)),
+        .m_needsPlacementAdvice = json.at("advice").get<bool>(),
+    };
+}
+
 std::string encodeSubmission(const JobSpec &spec)
 {
     Json steps = Json::array();
     for (const auto &step : spec.m_steps) {
         steps.push_back(encodeStep(step));
     }
-    const Json record{
+    Json record{
         {"layout", recordLayoutVersion},
         {"id", spec.m_id},
         {"queue", spec.m_queue},
@@ -82,6 +116,9 @@
         {"first_due", toMilliseconds(spec.m_schedule.m_firstDue)},
         {"interval", spec.m_schedule.m_interval.count()},
     };
+    if (spec.m_acceptedPolicy) {
+        record["policy"] = encodePolicy(*spec.m_acceptedPolicy);
+    }
     return record.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -99,6 +136,7 @@
         JobSpec spec{
             .m_id = record.at("id").get<std::string>(),
             .m_queue = record.at("queue").get<std::string>(),
+            .m_acceptedPolicy = record.contains("policy") ? std::optional(decodePolicy(record.at("policy"))) : std::nullopt,
             .m_organisation = record.at("organisation").get<std::string>(),
             .m_acceptedAt = fromMilliseconds(record.at("accepted").get<long long>()),
             .m_payload = record.at("payload").get<std::string>(),
@@ -215,7 +253,7 @@
     return std::make_shared<const OccurrenceState>(OccurrenceState{.m_number = json.at("number").get<std::int64_t>(), .m_steps = std::move(steps)});
 }
 
-Result<JobPointer> restoreJob(JobSpecPointer spec, int attempts, const std::string &progress, Instant now)
+Result<JobPointer> restoreJob(JobSpecPointer spec, std::optional<int> maxAttempts, const std::string &progress, Instant now)
 {
     try {
         const auto record = Json::parse(progress);
@@ -234,7 +272,7 @@
         }
         return std::make_shared<const JobState>(JobState{
             .m_spec = std::move(spec),
-            .m_maxAttempts = attempts,
+            .m_maxAttempts = maxAttempts,
             .m_outcome = outcome.value(),
             .m_occurrences = std::move(occurrences),
             .m_nextOccurrence = nextOccurrence,
--- a/recovery/lib/Progress/jobstate.cpp
+++ b/recovery/lib/Progress/jobstate.cpp
@@ -84,7 +84,7 @@
     });
 }
 
-JobPointer newJobState(JobSpecPointer spec, int attempts, Instant now)
+JobPointer newJobState(JobSpecPointer spec, std::optional<int> maxAttempts, Instant now)
 {
     std::vector<OccurrencePointer> occurrences;
     const bool repeated = spec->m_schedule.m_count > 0;
@@ -93,7 +93,7 @@
     }
     return std::make_shared<const JobState>(JobState{
         .m_spec = std::move(spec),
-        .m_maxAttempts = attempts,
+        .m_maxAttempts = maxAttempts,
         .m_outcome = JobOutcome::Active,
         .m_occurrences = std::move(occurrences),
         .m_nextOccurrence = repeated ? 0 : 1,
@@ -396,7 +396,7 @@
     update.m_occurrences = occurrencesWithStep(*job, end.m_task.m_occurrence, end.m_task.m_step, changed);
     if (failure) {
         update.m_version += 1;
-        if (failedAttempts(*job->m_spec, *changed, end.m_task.m_step, end.m_task.m_index) >= job->m_maxAttempts) {
+        if (job->m_maxAttempts && failedAttempts(*job->m_spec, *changed, end.m_task.m_step, end.m_task.m_index) >= *job->m_maxAttempts) {
             update.m_outcome = JobOutcome::Failed;
             update.m_changedAt = now;
         }
@@ -424,6 +424,37 @@
     return applyUncompletedRun(job, end, *step, spec, worker, now);
 }
 
+static bool hasFailedAttempts(const JobState &job, int maxAttempts)
+{
+    for (const auto &occurrence : job.m_occurrences) {
+        for (std::size_t step = 0; step < occurrence->m_steps.size(); ++step) {
+            const auto tasks = static_cast<int>(occurrence->m_steps[step]->m_tasks.size());
+            for (int index = 0; !job.m_spec->m_steps[step].m_longRunning && index < tasks; ++index) {
+                if (failedAttempts(*job.m_spec, *occurrence->m_steps[step], static_cast<int>(step), index) >= maxAttempts) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+JobPointer withMaxAttempts(const JobState &job, int maxAttempts, Instant now)
+{
+    const bool fails = job.m_outcome == JobOutcome::Active && hasFailedAttempts(job, maxAttempts);
+    return std::make_shared<const JobState>(JobState{
+        .m_spec = job.m_spec,
+        .m_maxAttempts = maxAttempts,
+        .m_outcome = fails ? JobOutcome::Failed : job.m_outcome,
+        .m_occurrences = job.m_occurrences,
+        .m_nextOccurrence = job.m_nextOccurrence,
+        .m_version = job.m_version + (fails ? 1 : 0),
+        .m_recordedVersion = job.m_recordedVersion,
+        .m_recordedOutcome = job.m_recordedOutcome,
+        .m_changedAt = fails ? now : job.m_changedAt,
+    });
+}
+
 JobPointer withCancellation(const JobState &job, Instant now)
 {
     auto update = updateFrom(job);
--- a/recovery/unittests/Progress/oddrecords.cpp
+++ b/recovery/unittests/Progress/oddrecords.cpp
@@ -13,6 +13,7 @@
     return JobSpec{
         .m_id = "5c0e7a21d94b36f8",
         .m_queue = "queue",
+        .m_acceptedPolicy = std::nullopt,
         .m_organisation = {},
         .m_acceptedAt = fromMilliseconds(1000),
         .m_payload = "payload",
@@ -63,6 +64,21 @@
     CHECK_FALSE(decodeSubmission(R"({"layout":1e400})").ok());
 }
 
+// Guards against the loss of an accepted job: an earlier release stores no policy, and a policy beyond the limits must not overflow the
+// times that are computed from it.
+TEST_CASE("a submission record is read without a policy and with a policy beyond the limits")
+{
+    REQUIRE(decodeSubmission(encodeSubmission(sampleSpec())).ok());
+    CHECK_FALSE(decodeSubmission(encodeSubmission(sampleSpec())).value().m_acceptedPolicy);
+    const Json odd{{"pool", "p"}, {"priority", -5}, {"attempts", 0}, {"slack", 1e300}, {"latency_goal", 9'000'000'000'000'000'000}, {"advice", false}};
+    const auto decoded = decodeSubmission(submissionWith("/policy", odd));
+    REQUIRE(decoded.ok());
+    CHECK(decoded.value().m_acceptedPolicy->m_maxAttempts == 1);
+    CHECK(decoded.value().m_acceptedPolicy->m_slackFactor <= 1e6);
+    CHECK(decoded.value().m_acceptedPolicy->m_latencyGoal <= std::chrono::hours(24 * 366));
+    CHECK_FALSE(decodeSubmission(submissionWith("/policy", "none")).ok());
+}
+
 // Guards against a record of another writer whose number of the next occurrence keeps the owner busy for ever.
 TEST_CASE("a progress record beyond the schedule of its job is rejected")
 {
--- a/recovery/unittests/Progress/progress.cpp
+++ b/recovery/unittests/Progress/progress.cpp
@@ -34,6 +34,12 @@
     return std::make_shared<const JobSpec>(JobSpec{
         .m_id = "job",
         .m_queue = "queue",
+        .m_acceptedPolicy = QueuePolicy{.m_workerPool = "pool",
+                                        .m_priority = 1,
+                                        .m_maxAttempts = 4,
+                                        .m_slackFactor = 1.5,
+                                        .m_latencyGoal = Duration(300),
+                                        .m_needsPlacementAdvice = false},
         .m_organisation = "org",
         .m_acceptedAt = fromMilliseconds(5),
         .m_payload = "payload \"quoted\"",
--- a/scheduling/lib/Fleet/candidates.cpp
+++ b/scheduling/lib/Fleet/candidates.cpp
@@ -37,30 +37,30 @@
     return 0;
 }
 
-std::vector<const QueueSettings *> queuesOfJobs(const PlacementInput &input)
+std::vector<const QueuePolicy *> policiesOfJobs(const PlacementInput &input)
 {
-    std::unordered_map<std::string_view, const QueueSettings *> byName;
+    std::unordered_map<std::string_view, const QueuePolicy *> byName;
     for (const auto &queue : input.m_configuration->m_queues) {
-        byName.emplace(queue.m_name, &queue);
+        byName.emplace(queue.m_name, &queue.m_policy);
     }
-    std::vector<const QueueSettings *> queues;
-    queues.reserve(input.m_jobs.size());
+    std::vector<const QueuePolicy *> policies;
+    policies.reserve(input.m_jobs.size());
     for (const auto &job : input.m_jobs) {
         const auto found = byName.find(job->m_spec->m_queue);
-        queues.push_back(found == byName.end() ? nullptr : found->second);
+        policies.push_back(found == byName.end() ? nullptr : found->second);
     }
-    return queues;
+    return policies;
 }
 
-std::vector<UrgencyRank> rankJobs(const PlacementInput &input, const std::vector<const QueueSettings *> &queues)
+std::vector<UrgencyRank> rankJobs(const PlacementInput &input, const std::vector<const QueuePolicy *> &policies)
 {
     std::map<std::string, std::int64_t> guaranteeUsed;
     std::vector<UrgencyRank> ranks;
     ranks.reserve(input.m_jobs.size());
     for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
         const auto &job = input.m_jobs[index];
-        const auto *queue = queues[index];
-        const auto rank = rankOfPriority(queue ? queue->m_priority : 1);
+        const auto *policy = policies[index];
+        const auto rank = rankOfPriority(policy ? policy->m_priority : 1);
         if (rank != UrgencyRank::Urgent || job->m_outcome != JobOutcome::Active) {
             ranks.push_back(rank);
             continue;
@@ -114,7 +114,7 @@
 
 static void addReadySteps(const PlacementInput &input,
                           std::size_t index,
-                          const QueueSettings *queue,
+                          const QueuePolicy *policy,
                           const OccurrenceState &occurrence,
                           UrgencyRank rank,
                           std::vector<Candidate> &candidates)
@@ -122,7 +122,7 @@
     const auto &spec = *input.m_jobs[index]->m_spec;
     const bool locked = std::binary_search(input.m_lockedJobs.begin(), input.m_lockedJobs.end(), spec.m_id);
     // Workers refuse starts without a ticket from the placement advice service. No ticket is requested yet, so these jobs stay queued.
-    if (!queue || queue->m_needsPlacementAdvice) {
+    if (!policy || policy->m_needsPlacementAdvice) {
         return;
     }
     for (std::size_t step = 0; step < spec.m_steps.size(); ++step) {
@@ -136,7 +136,7 @@
             continue;
         }
         const auto criticalPath = criticalPathEstimate(spec, 0);
-        const auto objective = std::chrono::duration_cast<Duration>(criticalPath * queue->m_slackFactor) + queue->m_latencyGoal;
+        const auto objective = std::chrono::duration_cast<Duration>(criticalPath * policy->m_slackFactor) + policy->m_latencyGoal;
         const auto end = input.m_wallNow + criticalPathEstimate(spec, static_cast<int>(step));
         const auto due = dueTime(spec, occurrence.m_number);
         const bool missesFinalDeadline = end > due + std::chrono::duration_cast<Duration>(objective * finalDeadlineObjectives);
@@ -159,7 +159,7 @@
     }
 }
 
-std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<const QueueSettings *> &queues, const std::vector<UrgencyRank> &ranks)
+std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<const QueuePolicy *> &policies, const std::vector<UrgencyRank> &ranks)
 {
     std::vector<Candidate> candidates;
     for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
@@ -168,7 +168,7 @@
             continue;
         }
         for (const auto &occurrence : job.m_occurrences) {
-            addReadySteps(input, index, queues[index], *occurrence, ranks[index], candidates);
+            addReadySteps(input, index, policies[index], *occurrence, ranks[index], candidates);
         }
     }
     // Work that misses its latency objective goes after work of its rank that can still meet it, until it has aged. The sort is stable,
--- a/scheduling/lib/Fleet/candidates.h
+++ b/scheduling/lib/Fleet/candidates.h
@@ -34,14 +34,14 @@
     return rank == UrgencyRank::Guaranteed || rank == UrgencyRank::Urgent;
 }
 
-/// Returns the queue settings of each job of @p input, or null where the configuration no longer has the queue. The result is computed once
+/// Returns the queue policy of each job of @p input, or null where the configuration does not have the queue. The result is computed once
 /// per pass, because a configuration may have hundreds of queues.
-std::vector<const QueueSettings *> queuesOfJobs(const PlacementInput &input);
+std::vector<const QueuePolicy *> policiesOfJobs(const PlacementInput &input);
 
 /// Returns the rank of each job of @p input. Jobs use up the guarantee of their organisation in the order of acceptance.
-std::vector<UrgencyRank> rankJobs(const PlacementInput &input, const std::vector<const QueueSettings *> &queues);
+std::vector<UrgencyRank> rankJobs(const PlacementInput &input, const std::vector<const QueuePolicy *> &policies);
 
 /// Returns every step that is ready to start, in the order of placement.
-std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<const QueueSettings *> &queues, const std::vector<UrgencyRank> &ranks);
+std::vector<Candidate> findCandidates(const PlacementInput &input, const std::vector<const QueuePolicy *> &policies, const std::vector<UrgencyRank> &ranks);
 
 } // namespace PrimroseBridge
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -73,13 +73,13 @@
     return needed;
 }
 
-static CurrentUrgentDemand currentUrgentDemandOf(const PlacementInput &input, const std::vector<const QueueSettings *> &queues)
+static CurrentUrgentDemand currentUrgentDemandOf(const PlacementInput &input, const std::vector<const QueuePolicy *> &policies)
 {
     double total = 0.0;
     double largest = 0.0;
     for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
         const auto &job = *input.m_jobs[index];
-        if (queues[index] && queues[index]->m_priority == 0 && job.m_outcome == JobOutcome::Active) {
+        if (policies[index] && policies[index]->m_priority == 0 && job.m_outcome == JobOutcome::Active) {
             const auto needed = acceleratorsOfUnfinishedTasks(job);
             total += needed;
             largest = std::max(largest, needed);
@@ -90,7 +90,7 @@
 
 CurrentUrgentDemand currentUrgentDemand(const PlacementInput &input)
 {
-    return currentUrgentDemandOf(input, queuesOfJobs(input));
+    return currentUrgentDemandOf(input, policiesOfJobs(input));
 }
 
 std::string_view stopReasonName(StopReason reason)
@@ -176,7 +176,7 @@
 
 struct Pass {
     const PlacementInput &m_input;
-    const std::vector<const QueueSettings *> m_queues; // By index in PlacementInput::m_jobs.
+    const std::vector<const QueuePolicy *> m_policies; // By index in PlacementInput::m_jobs.
     FleetAllocation m_allocation;
     // Usable workers by pool and required label; computed at the first use.
     std::map<std::pair<std::string_view, std::string_view>, std::vector<std::size_t>> m_workersByPoolAndLabel = {};
@@ -254,7 +254,7 @@
 // step failed.
 static std::vector<std::size_t> eligibleWorkers(Pass &pass, const Candidate &candidate, bool allowUnreliable)
 {
-    const auto &all = usableWorkersWithLabel(pass, pass.m_queues[candidate.m_job]->m_workerPool, stepOf(pass, candidate));
+    const auto &all = usableWorkersWithLabel(pass, pass.m_policies[candidate.m_job]->m_workerPool, stepOf(pass, candidate));
     const bool excludesDrained = mustAvoidDrainedWorkers(pass, candidate);
     if (allowUnreliable && !excludesDrained) {
         return all;
@@ -624,7 +624,7 @@
         return;
     }
     const bool isBlockedByDrain = mustAvoidDrainedWorkers(pass, candidate)
-                                  && !usableWorkersWithLabel(pass, pass.m_queues[candidate.m_job]->m_workerPool, stepOf(pass, candidate)).empty();
+                                  && !usableWorkersWithLabel(pass, pass.m_policies[candidate.m_job]->m_workerPool, stepOf(pass, candidate)).empty();
     addWaitingStep(pass, candidate, candidate.m_waitingTasks.size(), isBlockedByDrain ? WaitReason::DrainedForGang : WaitReason::NoEligibleWorker);
 }
 
@@ -657,11 +657,11 @@
 
 PlacementDecisions decidePlacement(const PlacementInput &input)
 {
-    auto queues = queuesOfJobs(input);
-    const auto ranks = rankJobs(input, queues);
-    auto candidates = findCandidates(input, queues, ranks);
-    const auto urgent = currentUrgentDemandOf(input, queues);
-    Pass pass{.m_input = input, .m_queues = std::move(queues), .m_allocation = makeFleetAllocation(input, ranks), .m_starts = {}, .m_stops = {}};
+    auto policies = policiesOfJobs(input);
+    const auto ranks = rankJobs(input, policies);
+    auto candidates = findCandidates(input, policies, ranks);
+    const auto urgent = currentUrgentDemandOf(input, policies);
+    Pass pass{.m_input = input, .m_policies = std::move(policies), .m_allocation = makeFleetAllocation(input, ranks), .m_starts = {}, .m_stops = {}};
     const auto budget = acceleratorBudgetOf(pass, urgent);
     pass.m_urgentReserveAccelerators = budget.m_reservedAccelerators;
     drainForAgedGang(pass, candidates);
--- a/scheduling/unittests/Fleet/fleetbuilder.h
+++ b/scheduling/unittests/Fleet/fleetbuilder.h
@@ -146,14 +146,14 @@
         return QueueSettings{.m_name = name,
                              .m_host = "host",
                              .m_pathPrefix = "/" + name + "/",
-                             .m_workerPool = "pool",
-                             .m_priority = priority,
-                             .m_maxAttempts = 3,
-                             .m_slackFactor = slack,
-                             .m_latencyGoal = Duration(300),
+                             .m_policy = QueuePolicy{.m_workerPool = "pool",
+                                                     .m_priority = priority,
+                                                     .m_maxAttempts = 3,
+                                                     .m_slackFactor = slack,
+                                                     .m_latencyGoal = Duration(300),
+                                                     .m_needsPlacementAdvice = false},
                              .m_timeout = Duration(3000),
-                             .m_isPublic = false,
-                             .m_needsPlacementAdvice = false};
+                             .m_isPublic = false};
     }
 
     [[nodiscard]] JobSpecPointer specOf(const std::string &name, const std::string &queue, const TestStep &step, const std::string &organisation) const
@@ -161,6 +161,7 @@
         return std::make_shared<const JobSpec>(JobSpec{
             .m_id = name,
             .m_queue = queue,
+            .m_acceptedPolicy = std::nullopt,
             .m_organisation = organisation,
             .m_acceptedAt = fromMilliseconds(nowMs - m_ageMs),
             .m_payload = {},
--- a/scheduling/unittests/FleetLoad/loadsimulation.cpp
+++ b/scheduling/unittests/FleetLoad/loadsimulation.cpp
@@ -17,14 +17,14 @@
         return QueueSettings{.m_name = name,
                              .m_host = "host",
                              .m_pathPrefix = "/" + name + "/",
-                             .m_workerPool = "pool",
-                             .m_priority = priority,
-                             .m_maxAttempts = 3,
-                             .m_slackFactor = slack,
-                             .m_latencyGoal = Duration(goalMs),
+                             .m_policy = QueuePolicy{.m_workerPool = "pool",
+                                                     .m_priority = priority,
+                                                     .m_maxAttempts = 3,
+                                                     .m_slackFactor = slack,
+                                                     .m_latencyGoal = Duration(goalMs),
+                                                     .m_needsPlacementAdvice = false},
                              .m_timeout = Duration(3000),
-                             .m_isPublic = false,
-                             .m_needsPlacementAdvice = false};
+                             .m_isPublic = false};
     };
     return {queue("urgent", 0, 1.5, 300), queue("normal", 1, 3.0, 1000), queue("background", 2, 3.0, 3000)};
 }
@@ -33,7 +33,8 @@
 {
     for (const auto &queue : simulatedQueues()) {
         if (queue.m_name == job.m_queue) {
-            return (std::chrono::duration_cast<Duration>(job.m_runTime * queue.m_slackFactor) + queue.m_latencyGoal) * finalDeadlineObjectives;
+            return (std::chrono::duration_cast<Duration>(job.m_runTime * queue.m_policy.m_slackFactor) + queue.m_policy.m_latencyGoal)
+                   * finalDeadlineObjectives;
         }
     }
     return Duration(0);
@@ -76,6 +77,7 @@
     return std::make_shared<const JobSpec>(JobSpec{
         .m_id = job.m_name,
         .m_queue = job.m_queue,
+        .m_acceptedPolicy = std::nullopt,
         .m_organisation = job.m_organisation,
         .m_acceptedAt = job.m_acceptedAt,
         .m_payload = {},
--- a/service/lib/Fleetservice/fleetapi.cpp
+++ b/service/lib/Fleetservice/fleetapi.cpp
@@ -66,10 +66,12 @@
 
 static HttpReply submitJob(FleetNode &node, const FleetCall &call, const HttpCall &http)
 {
-    const auto spec = decodeJob(
-        SubmissionMetadata{
-            .m_id = call.m_job, .m_queue = call.m_queue.m_name, .m_organisation = call.m_organisation, .m_acceptedAt = TimerService::wallClockNow()},
-        http.m_body);
+    const auto spec = decodeJob(SubmissionMetadata{.m_id = call.m_job,
+                                                   .m_queue = call.m_queue.m_name,
+                                                   .m_policy = call.m_queue.m_policy,
+                                                   .m_organisation = call.m_organisation,
+                                                   .m_acceptedAt = TimerService::wallClockNow()},
+                                http.m_body);
     if (!spec.ok()) {
         return errorReply(400, "the submission is malformed");
     }
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -104,7 +104,6 @@
     std::optional<OwnerTerm> waitForTerm();
     bool isCurrentTerm(std::int64_t fence);
     Duration electionDelay() const;
-    int maxAttemptsOf(const std::string &queue) const;
     InboxOutcome recordThroughPeer(const std::string &job, const std::string &submission);
 };
 
@@ -222,13 +221,6 @@
         SuccessionView{.m_processorCores = m_self.m_processorCores, .m_peerCores = std::move(peerCores), .m_uptime = bootClockNow() - m_startedAt});
 }
 
-int FleetNode::Private::maxAttemptsOf(const std::string &queue) const
-{
-    const auto configuration = m_configuration.current();
-    const auto *settings = configuration ? findQueueByName(*configuration, queue) : nullptr;
-    return settings ? settings->m_maxAttempts : 1;
-}
-
 // Decodes the submission under @p key. A copy of a record under another key would make one job appear twice.
 static Result<JobSpec> decodeSubmissionAt(const std::string &key, const std::string &value)
 {
@@ -294,6 +286,7 @@
     }
     const auto &[inbox, progress, workers, roster] = snapshot.value();
     const auto now = bootClockNow();
+    const auto configuration = m_configuration.current();
     std::map<std::string, const StoreItem *> records;
     std::vector<RecordRevision> revisions;
     for (const auto &item : progress.m_items) {
@@ -315,12 +308,12 @@
         }
         const auto pointer = std::make_shared<const JobSpec>(spec.value());
         const auto record = records.find(pointer->m_id);
-        const auto attempts = maxAttemptsOf(pointer->m_queue);
+        const auto maxAttempts = findMaxAttempts(*pointer, configuration);
         if (record == records.end()) {
-            jobs.push_back(newJobState(pointer, attempts, now));
+            jobs.push_back(newJobState(pointer, maxAttempts, now));
             continue;
         }
-        const auto restored = restoreJob(pointer, attempts, record->second->m_value, now);
+        const auto restored = restoreJob(pointer, maxAttempts, record->second->m_value, now);
         if (!restored.ok()) {
             reportSkippedRecord(record->second->m_key, restored.error());
             continue;
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -396,13 +396,6 @@
               {"taken_for_left", worker.m_leftGracefully ? "yes" : "no"}});
 }
 
-static int maxAttemptsOf(const OwnerState &state, const std::string &queue)
-{
-    const auto configuration = state.m_context.m_configuration.current();
-    const auto *settings = configuration ? findQueueByName(*configuration, queue) : nullptr;
-    return settings ? settings->m_maxAttempts : 1;
-}
-
 static void addJob(OwnerState &state, const JobPointer &job)
 {
     setJob(state, job);
@@ -417,7 +410,7 @@
     }
     const auto age = TimerService::wallClockNow() - spec->m_acceptedAt;
     const auto configuration = state.m_context.m_configuration.current();
-    const auto attempts = maxAttemptsOf(state, spec->m_queue);
+    const auto maxAttempts = findMaxAttempts(*spec, configuration);
     FleetMetrics::instance().observe(FleetHistogram::SubmissionDelaySeconds, std::chrono::duration<double>(age).count());
     logEvent(LogLevel::Info,
              "job_queued",
@@ -425,12 +418,12 @@
               {"queue", spec->m_queue},
               {"organisation", spec->m_organisation},
               {"age_ms", std::to_string(age.count())},
-              {"attempts", std::to_string(attempts)},
+              {"attempts", maxAttempts ? std::to_string(*maxAttempts) : "unknown"},
               {"configuration", std::to_string(configuration ? configuration->m_version : 0)}});
     if (!state.m_soleOwner) {
         state.m_jobsLearntWithoutLease.insert(spec->m_id);
     }
-    addJob(state, newJobState(spec, attempts, now));
+    addJob(state, newJobState(spec, maxAttempts, now));
 }
 
 static void applyCancellation(OwnerState &state, const std::string &name, Instant now)
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -117,7 +117,7 @@
                  {{"request", end.m_task.m_job},
                   {"task", taskName(end.m_task)},
                   {"failed_runs", std::to_string(failedAttempts(*job->m_spec, *step, end.m_task.m_step, end.m_task.m_index))},
-                  {"attempts", std::to_string(job->m_maxAttempts)}});
+                  {"attempts", std::to_string(job->m_maxAttempts.value_or(0))}});
         stopJobRuns(state, effect.m_job, StopReason::Superseded, now);
     }
     // A completed run frees capacity. After any other end the task waits again, or work for which the run was preempted can start.
