Judge a job by the attempts under which it was accepted

The owner took the configuration that it held when it learnt of the job for the one under which the job had been accepted. Its watch was silent, so its version did not name the queue, and the number of attempts became 1 for good. Evidence, logged since: "job_queued ... attempts=1 configuration=7" 2.4 s before "configuration_in_force version=8"; one "run_ended how=failed"; "job_failed failed_runs=1 attempts=1". A takeover did the same.

Change: the attempts come from the policy that is stored with the job. It does not depend on when the owner learns of the job or of a configuration, or on how often the owner changes. Of a job without a stored policy they are unknown until a configuration names its queue; the job is not judged before.

--- a/core/include/primrosebridge/Work/fleetconfiguration.h
+++ b/core/include/primrosebridge/Work/fleetconfiguration.h
@@ -62,8 +62,8 @@
 /// Returns the queue with this name, or nullptr. Thread-safe.
 const QueueSettings *findQueueByName(const FleetConfiguration &configuration, std::string_view name);
 
-/// Returns the number of failed runs of a task after which the job fails: that of its queue in @p configuration, which may be null, or 1 if
-/// the configuration does not have the queue. Thread-safe.
+/// Returns the number of failed runs of a task after which the job fails: that of the policy under which it was accepted, or else that of
+/// its queue in @p configuration, which may be null. Empty if neither is known. Thread-safe.
 std::optional<int> findMaxAttempts(const JobSpec &job, const FleetConfigurationPointer &configuration);
 
 /// Returns the organisation that has the API key @p key, or nullptr. Thread-safe.
--- a/core/lib/Work/fleetconfiguration.cpp
+++ b/core/lib/Work/fleetconfiguration.cpp
@@ -23,8 +23,11 @@
 
 std::optional<int> findMaxAttempts(const JobSpec &job, const FleetConfigurationPointer &configuration)
 {
+    if (job.m_acceptedPolicy) {
+        return job.m_acceptedPolicy->m_maxAttempts;
+    }
     const auto *queue = configuration ? findQueueByName(*configuration, job.m_queue) : nullptr;
-    return queue ? queue->m_policy.m_maxAttempts : 1;
+    return queue ? std::optional(queue->m_policy.m_maxAttempts) : std::nullopt;
 }
 
 const OrganisationSettings *findOrganisationByApiKey(const FleetConfiguration &configuration, std::string_view key)
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -26,9 +26,33 @@
     return false;
 }
 
+// Sets the number of attempts of a job that was restored or submitted before this VM had a configuration with its queue. Returns the job.
+static JobPointer applyMaxAttempts(OwnerState &state, const JobPointer &job, const FleetConfigurationPointer &configuration, Instant now)
+{
+    const auto maxAttempts = findMaxAttempts(*job->m_spec, configuration);
+    if (job->m_maxAttempts || !maxAttempts) {
+        return job;
+    }
+    const auto changed = withMaxAttempts(*job, *maxAttempts, now);
+    setJob(state, changed);
+    logEvent(LogLevel::Info,
+             "attempts_known",
+             {{"request", job->m_spec->m_id},
+              {"queue", job->m_spec->m_queue},
+              {"attempts", std::to_string(*maxAttempts)},
+              {"configuration", std::to_string(configuration->m_version)},
+              {"outcome", std::string(outcomeName(changed->m_outcome))}});
+    if (changed->m_outcome == JobOutcome::Failed && job->m_outcome == JobOutcome::Active) {
+        recordProgressIfChanged(state, changed);
+        stopJobRuns(state, changed, StopReason::Superseded, now);
+        return state.m_jobs.find(job->m_spec->m_id);
+    }
+    return changed;
+}
+
 // Adds the occurrences that are due and returns the jobs to consider in a pass. Removes settled jobs without runs and unknown jobs from
 // m_jobOrder.
-static std::vector<JobPointer> collectJobsToPlace(OwnerState &state, Instant now)
+static std::vector<JobPointer> collectJobsToPlace(OwnerState &state, const FleetConfigurationPointer &configuration, Instant now)
 {
     std::vector<JobPointer> jobs;
     const auto wallNow = TimerService::wallClockNow();
@@ -37,6 +61,7 @@
         if (!job) {
             return true;
         }
+        job = applyMaxAttempts(state, job, configuration, now);
         const auto due = withDueOccurrences(job, wallNow, now);
         if (due != job) {
             setJob(state, due);
@@ -86,7 +111,7 @@
         .m_now = now,
         .m_wallNow = TimerService::wallClockNow(),
         .m_configuration = configuration,
-        .m_jobs = collectJobsToPlace(state, now),
+        .m_jobs = collectJobsToPlace(state, configuration, now),
         .m_workers = placementWorkers(state, now),
         .m_remoteFactor = state.m_context.m_settings.m_remoteFactor,
         .m_lockedJobs = lockedJobs(state, now),
