Place a job by its stored policy while the configuration lacks its queue

The owner took the absence of a queue in the configuration that it held for "this job must not run". Only DELETE cancels a job.

Change: placement uses the policy in force, or the stored one if the configuration does not name the queue.

--- a/scheduling/lib/Fleet/candidates.cpp
+++ b/scheduling/lib/Fleet/candidates.cpp
@@ -47,7 +47,8 @@
     policies.reserve(input.m_jobs.size());
     for (const auto &job : input.m_jobs) {
         const auto found = byName.find(job->m_spec->m_queue);
-        policies.push_back(found == byName.end() ? nullptr : found->second);
+        const auto &accepted = job->m_spec->m_acceptedPolicy;
+        policies.push_back(found != byName.end() ? found->second : (accepted ? &*accepted : nullptr));
     }
     return policies;
 }
--- a/scheduling/lib/Fleet/candidates.h
+++ b/scheduling/lib/Fleet/candidates.h
@@ -34,8 +34,9 @@
     return rank == UrgencyRank::Guaranteed || rank == UrgencyRank::Urgent;
 }
 
-/// Returns the queue policy of each job of @p input, or null where the configuration does not have the queue. The result is computed once
-/// per pass, because a configuration may have hundreds of queues.
+/// Returns the queue policy of each job of @p input: that of the configuration or, if the configuration does not have the queue, the one under
+/// which the job was accepted, since the route may have been removed or may be newer than the configuration. Null if neither is known. The
+/// result is computed once per pass, because a configuration may have hundreds of queues, and refers to @p input.
 std::vector<const QueuePolicy *> policiesOfJobs(const PlacementInput &input);
 
 /// Returns the rank of each job of @p input. Jobs use up the guarantee of their organisation in the order of acceptance.
--- a/service/unittests/Fleetservice/acceptedpolicy.cpp
+++ b/service/unittests/Fleetservice/acceptedpolicy.cpp
@@ -115,4 +115,38 @@
     }
 }
 
+// Guards against accepted jobs that never go on (review/3): the configuration in force has lost their queue. The owner may change meanwhile.
+TEST_CASE("a job goes on after its route is removed")
+{
+    for (const bool ownerChanges : {false, true}) {
+        const auto spec = Sim::job(jobId, newQueue, Sim::policy(attempts));
+        Sim sim;
+        sim.configure(1, {newQueue}, attempts);
+        sim.becomeOwner({Sim::worker("w1")});
+        sim.answer("w1", std::nullopt, {}, Sim::at(5));
+        sim.apply(JobSubmitted{.m_spec = spec}, Sim::at(10));
+        sim.configure(2, {"old"});
+        if (ownerChanges) {
+            sim.becomeOwner({Sim::worker("w1")}, {newJobState(spec, findMaxAttempts(*spec, sim.m_configuration.current()), Sim::at(20))}, {}, Sim::at(20));
+            sim.answer("w1", std::nullopt, {}, Sim::at(30));
+            sim.review(Sim::at(40));
+        }
+        failRun(sim, 50, 1);
+        failRun(sim, 10'000, 2);
+        CHECK(sim.jobState(jobId)->m_outcome == JobOutcome::Active);
+    }
+}
+
+// Guards against an urgent job that waits for a silent watch of the owner, although another VM has accepted it under the newer configuration.
+TEST_CASE("a job starts before its owner knows the configuration of its queue")
+{
+    Sim sim;
+    sim.configure(1, {"old"});
+    sim.becomeOwner({Sim::worker("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.apply(JobSubmitted{.m_spec = Sim::job(jobId, newQueue, Sim::policy(attempts))}, Sim::at(10));
+    sim.place(Sim::at(20));
+    CHECK(sim.workerOf(jobId) == "w1");
+}
+
 } // namespace PrimroseBridge
