Release the tasks of a silent worker only when its leases have ended

The owner took the removal of a draining worker's entry and one call without an answer for the end of its process. The store removes the entry of a running worker that cannot reach it, a connection may be reset, and the mark was not withdrawn when the worker answered again. Evidence, logged since: "worker_entry_removed ... draining=yes announced_time_over=yes answered_ms_ago=801 taken_for_left=yes", 0.8 s later "worker_tasks_released reason=worker_left" and the second start, 0.7 s later the end of the first run.

Change: the mark and the three time limits behind it are gone; nothing but the end of the leases, or a later start of the worker or its machine, releases the tasks of a worker that does not answer. It no longer matters when, how often or with what delay an entry goes. So that a worker that leaves as announced does not cost a lease, its long-running tasks are stopped in time, at most maxUnavailable of a step at once.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -11,14 +11,6 @@
 
 namespace PrimroseBridge {
 
-// The entry of a silent worker is removed after three heartbeats of 1.5 s each, and the owner may learn of the removal after the
-// worker has resumed. A worker that has answered every poll for longer than this was not removed for silence.
-static constexpr Duration entryRemovalSilence(5000);
-// Maximum age of the newest answer of a worker that answers every poll; about the duration of one poll.
-static constexpr Duration maxAnswerAge(2500);
-// A worker counts as having left as announced from this time before its announced time on: the owner learns of the announcement, and of
-// the worker's clock, with a delay.
-static constexpr Duration leavingTimeTolerance(500);
 // A draining worker that does not announce its remaining time stays available at least this long. This is the platform's minimum on its
 // smallest deployments.
 static constexpr Duration minDrainTime(2000);
@@ -355,7 +347,6 @@
     }
     worker.m_report = report;
     worker.m_entryPresent = true;
-    worker.m_leftGracefully = false;
     if (added) {
         adoptUnresolvedStarts(state, worker, unresolved, now);
         state.m_rosterChanged = true;
@@ -373,6 +364,9 @@
     }
 }
 
+// The removal of an entry ends new starts on the worker but releases none of its tasks: the store also removes the entry of a running worker
+// that cannot reach it, and an unanswered poll may be due to a reset connection. Only the end of its leases shows that a silent worker runs
+// nothing.
 static void applyWorkerEntryRemoved(OwnerState &state, const std::string &name, Instant now)
 {
     const auto found = state.m_workers.find(name);
@@ -381,19 +375,14 @@
     }
     auto &worker = found->second;
     worker.m_entryPresent = false;
-    const bool announced = worker.m_report->m_draining && now + leavingTimeTolerance >= worker.m_leavesAt;
-    const bool answeredThroughout
-        = worker.m_fenceConfirmed && now - worker.m_answeredAt <= maxAnswerAge && now - worker.m_answeringSince >= entryRemovalSilence;
-    worker.m_leftGracefully = announced && answeredThroughout;
     pollWorker(state, worker, true, now);
     logEvent(LogLevel::Info,
              "worker_entry_removed",
              {{"worker", name},
               {"tasks", std::to_string(worker.m_tasks.size())},
               {"draining", worker.m_report->m_draining ? "yes" : "no"},
-              {"announced_time_over", announced ? "yes" : "no"},
-              {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())},
-              {"taken_for_left", worker.m_leftGracefully ? "yes" : "no"}});
+              {"announced_time_over", worker.m_report->m_draining && worker.m_leavesAt <= now ? "yes" : "no"},
+              {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())}});
 }
 
 static void addJob(OwnerState &state, const JobPointer &job)
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -17,6 +17,8 @@
 static constexpr Duration isolationDuration(6000);
 // The time-out of an order plus the transit time of a late answer. Stop orders are idempotent.
 static constexpr Duration stopRepeatDelay(700);
+// Time to order a stop and to learn of its end, in addition to the time that the stop takes: a review, a round trip, and one late answer.
+static constexpr Duration stopConfirmationSlack(600);
 static constexpr Duration speedReviewPeriod(300);
 // Time for which a worker counts as slow after it was last found slow, because the tasks that showed it may have ended since.
 static constexpr Duration slowMarkDuration(3000);
@@ -244,7 +246,6 @@
         const auto level = worker.m_missedPolls > 0 ? LogLevel::Info : LogLevel::Debug; // A takeover expects an answer from each worker.
         logEvent(level, "worker_answers", {{"worker", worker.m_incarnation->m_worker}, {"missed", std::to_string(worker.m_missedPolls)}});
         state.m_placementNeeded = true;
-        worker.m_answeringSince = now;
     }
     worker.m_fenceConfirmed = true;
     worker.m_missedPolls = 0;
@@ -354,13 +355,11 @@
             updateCordon(state, worker);
         }
         const bool leasesExpired = worker.m_missedPolls > 0 && worker.m_leasesExpiredBy <= now;
-        // A worker that left gracefully runs nothing once it stops answering, and neither does a worker without tasks.
-        const bool left = worker.m_missedPolls > 0 && !worker.m_entryPresent && worker.m_leftGracefully;
         const bool idle = worker.m_missedPolls > 0 && worker.m_fenceConfirmed && worker.m_tasks.empty();
-        if ((leasesExpired || left) && !worker.m_tasks.empty()) {
-            releaseTasks(state, worker, left ? "worker_left" : "leases_lapsed", now);
+        if (leasesExpired && !worker.m_tasks.empty()) {
+            releaseTasks(state, worker, "leases_lapsed", now);
         }
-        if ((leasesExpired || left || idle) && !worker.m_entryPresent) {
+        if ((leasesExpired || idle) && !worker.m_entryPresent) {
             logEvent(LogLevel::Info, "worker_forgotten", {{"worker", entry->first}});
             entry = forgetWorker(state, entry);
         } else {
@@ -426,21 +425,46 @@
     }
 }
 
+// Returns true if the task cannot end before its draining worker leaves. A long-running task, which never ends, stays until the worker's
+// announced time leaves just enough for its stop to be confirmed. A task that is still on a worker that has left waits for the leases.
+static bool mustMoveBeforeWorkerLeaves(const OwnerState &state, const TrackedWorker &worker, const TaskState &task, const JobStep &step, Instant now)
+{
+    if (!worker.m_report->m_draining) {
+        return false;
+    }
+    const auto timeToLeave = worker.m_leavesAt - now;
+    if (step.m_longRunning) {
+        return timeToLeave <= state.m_context.m_settings.m_stopBound + stopConfirmationSlack;
+    }
+    return timeToLeave > Duration(0) && endsAfterWorkerLeaves(estimatedRemainingTime(task, step, now), timeToLeave);
+}
+
 // Returns the reason for which the task has to be moved to another worker, or nothing if it may stay.
 static std::optional<StopReason> reasonToMove(OwnerState &state, const TaskState &task, const JobStep &step, Instant now)
 {
-    if (task.m_phase != TaskPhase::Running || step.m_longRunning) {
+    if (task.m_phase != TaskPhase::Running) {
         return std::nullopt;
     }
     const auto *worker = findWorker(state, *task.m_assignedWorker);
     if (!worker || worker->m_missedPolls > 0) {
         return std::nullopt; // The progress of tasks on a silent worker is unknown.
     }
-    if (hasStalled(task, step, worker->m_answeredAt)) {
+    if (!step.m_longRunning && hasStalled(task, step, worker->m_answeredAt)) {
         return StopReason::Stalled;
     }
-    const bool leaves = worker->m_report->m_draining && endsAfterWorkerLeaves(estimatedRemainingTime(task, step, now), worker->m_leavesAt - now);
-    return leaves && worker->m_leavesAt > now ? std::optional(StopReason::WorkerLeaves) : std::nullopt;
+    return mustMoveBeforeWorkerLeaves(state, *worker, task, step, now) ? std::optional(StopReason::WorkerLeaves) : std::nullopt;
+}
+
+// Returns how many more tasks of the step may be moved at once. The tasks of a long-running step that are not at work, which is when they
+// report 100 percent, count as unavailable.
+static int movesAllowed(const JobStep &step, const std::vector<TaskPointer> &tasks)
+{
+    if (!step.m_longRunning || step.m_maxUnavailable == 0) {
+        return static_cast<int>(tasks.size());
+    }
+    const auto unavailable
+        = std::count_if(tasks.begin(), tasks.end(), [](const auto &task) { return task->m_phase != TaskPhase::Running || task->m_percent < 100; });
+    return std::max(step.m_maxUnavailable - static_cast<int>(unavailable), 0);
 }
 
 // Stops tasks that are stalled or that cannot end before their worker leaves, so that they are placed again; a gang is stopped as a
@@ -454,6 +478,7 @@
         return;
     }
     std::optional<StopReason> gangReason;
+    int allowed = movesAllowed(spec, tasks);
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const TaskReference reference{.m_job = job.m_spec->m_id, .m_occurrence = occurrence.m_number, .m_step = step, .m_index = static_cast<int>(index)};
         const auto reason = reasonToMove(state, *tasks[index], spec, now);
@@ -462,7 +487,7 @@
         }
         if (reason && spec.m_gang) {
             gangReason = reason;
-        } else if (reason) {
+        } else if (reason && allowed-- > 0) {
             orderStop(state, *tasks[index]->m_assignedWorker, reference, tasks[index]->m_runNumber, *reason, now);
         }
     }
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -42,10 +42,8 @@
     WorkerReportPointer m_report;
     std::shared_ptr<const WorkerIncarnation> m_incarnation;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
-    bool m_leftGracefully = false; ///< The worker drained and then removed its entry; once it stops answering, nothing runs on it.
     bool m_fenceConfirmed = false; ///< The worker has answered a poll under the current fence.
     Instant m_answeredAt; ///< Boot clock at the last answered poll.
-    Instant m_answeringSince; ///< Boot clock; the worker has answered every poll from then until m_answeredAt.
     std::int64_t m_workerClockAtAnswerMs = 0; ///< The worker's own clock in the answer of m_answeredAt.
     Instant m_leasesExpiredBy; ///< Boot clock; by then every lease given to the worker's runs has expired, unless it is renewed.
     int m_missedPolls = 0; ///< Consecutive polls without an answer.
--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -67,7 +67,12 @@
             FleetConfiguration{.m_version = version, .m_queues = std::move(settings), .m_organisations = {}, .m_pools = {}, .m_maxBodyBytes = 1000}));
     }
 
-    static JobSpecPointer job(const std::string &name, const std::string &queue, std::optional<QueuePolicy> acceptedPolicy, bool longRunning = false)
+    static JobSpecPointer job(const std::string &name,
+                              const std::string &queue,
+                              std::optional<QueuePolicy> acceptedPolicy,
+                              bool longRunning = false,
+                              int tasks = 1,
+                              int maxUnavailable = 0)
     {
         return std::make_shared<const JobSpec>(JobSpec{
             .m_id = name,
@@ -76,7 +81,7 @@
             .m_organisation = {},
             .m_acceptedAt = TimerService::wallClockNow(),
             .m_payload = "payload",
-            .m_steps = {JobStep{.m_taskCount = 1,
+            .m_steps = {JobStep{.m_taskCount = tasks,
                                 .m_taskResources = Resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = 8},
                                 .m_estimate = Duration(20'000),
                                 .m_after = {},
@@ -91,7 +96,7 @@
                                 .m_image = {},
                                 .m_tailLatencyTarget = Duration(0),
                                 .m_filler = false,
-                                .m_maxUnavailable = 0}},
+                                .m_maxUnavailable = maxUnavailable}},
             .m_schedule = JobSchedule{.m_count = 0, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(0)},
         });
     }
@@ -165,11 +170,11 @@
               now);
     }
 
-    /// The worker accepts the start that the owner has ordered for the first task of @p job.
-    void acceptStart(const std::string &job, Instant now)
+    /// The worker accepts the start that the owner has ordered for a task of @p job.
+    void acceptStart(const std::string &job, Instant now, int index = 0)
     {
-        const auto task = this->task(job);
-        apply(StartOrderCompleted{.m_task = reference(job),
+        const auto task = findTask(*jobState(job), reference(job, index));
+        apply(StartOrderCompleted{.m_task = reference(job, index),
                                   .m_runNumber = task->m_runNumber,
                                   .m_checkpoint = {},
                                   .m_incarnation = *task->m_assignedWorker,
@@ -191,14 +196,14 @@
         runPlacementPass(m_state, now);
     }
 
-    static TaskReference reference(const std::string &job)
+    static TaskReference reference(const std::string &job, int index = 0)
     {
-        return TaskReference{.m_job = job, .m_occurrence = 0, .m_step = 0, .m_index = 0};
+        return TaskReference{.m_job = job, .m_occurrence = 0, .m_step = 0, .m_index = index};
     }
 
-    static RunningTask running(const std::string &job, std::int64_t runNumber, int percent = 50)
+    static RunningTask running(const std::string &job, std::int64_t runNumber, int percent = 50, int index = 0)
     {
-        return RunningTask{.m_task = reference(job), .m_runNumber = runNumber, .m_checkpoint = {}, .m_percent = percent, .m_load = 0.0};
+        return RunningTask{.m_task = reference(job, index), .m_runNumber = runNumber, .m_checkpoint = {}, .m_percent = percent, .m_load = 0.0};
     }
 
     static RunEnd ended(const std::string &job, std::int64_t number, std::int64_t runNumber, RunEndKind kind)
