--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -33,7 +33,7 @@
     if (job->m_maxAttempts || !maxAttempts) {
         return job;
     }
-    const auto changed = withMaxAttempts(*job, *maxAttempts, now);
+    auto changed = withMaxAttempts(*job, *maxAttempts, now);
     setJob(state, changed);
     logEvent(LogLevel::Info,
              "attempts_known",
