Do not take a list of the millisecond of a start for newer than the run

The log shows "start_answered run=2 after_ms=0 outcome=accepted" at 24.8971 s, "run_vanished run=2" at 24.8993 s and "start_answered run=3" on the same worker. The worker had answered a poll before it got the start; poll, start and acceptance carry the same millisecond, so the list counted as newer than the run.

Change: a list that was requested in the millisecond in which the task began to run says nothing about it; the next list does.

Result: the new test fails on the commit before (leavingworkers.cpp:161: CHECK( sim.task(jobId)->m_phase == TaskPhase::Running ), 0 == 2) and passes now.

--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -214,6 +214,9 @@
         if (!task || sentAt < task->m_phaseSince || isListed(runReport, reference, task->m_runNumber)) {
             continue;
         }
+        if (task->m_phase == TaskPhase::Running && sentAt == task->m_phaseSince) {
+            continue; // The worker may have answered the poll before it got the start, both within this millisecond.
+        }
         const bool startInFlight = task->m_phase == TaskPhase::Starting && !task->m_orderUnanswered;
         const bool stopUnanswered = task->m_phase == TaskPhase::Stopping && task->m_orderUnanswered;
         if (startInFlight || stopUnanswered) {
--- a/service/unittests/Fleetservice/leavingworkers.cpp
+++ b/service/unittests/Fleetservice/leavingworkers.cpp
@@ -146,4 +146,21 @@
     CHECK(stopping() == 1);
 }
 
+// Guards against two runs of one task (TWICE on szsa-clamp, scale-2 with seed 27): the worker answers a poll before it gets the start, both
+// are sent in one millisecond and the start is answered in it too, so the list without the run looks newer than the run.
+TEST_CASE("a list that was requested in the millisecond of the accepted start does not show that the run is gone")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.apply(JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}, Sim::at(10));
+    sim.place(Sim::at(20));
+    sim.acceptStart(jobId, Sim::at(20));
+    sim.answer("w1", std::nullopt, {}, Sim::at(20));
+    CHECK(sim.task(jobId)->m_phase == TaskPhase::Running);
+    sim.answer("w1", std::nullopt, {}, Sim::at(21));
+    CHECK(sim.task(jobId)->m_phase == TaskPhase::Waiting);
+}
+
 } // namespace PrimroseBridge
