--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -145,7 +145,7 @@
         if (running) {
             runs.push_back(std::move(*running));
         }
-        const auto clockMs = toMilliseconds(now) - bootTimeMs;
+        const auto workerClockMs = toMilliseconds(now) - bootTimeMs;
         apply(PollCompleted{.m_incarnation = incarnation(name),
                             .m_fence = fence,
                             .m_sentAt = now,
@@ -153,7 +153,7 @@
                             .m_immediate = immediate,
                             .m_reply = RunReportReply{.m_answer = OrderAnswer::Accepted,
                                                       .m_runReport = WorkerRunReport{.m_startedAtMs = incarnation(name).m_startedAtMs,
-                                                                                     .m_clockMs = clockMs,
+                                                                                     .m_clockMs = workerClockMs,
                                                                                      .m_running = std::move(runs),
                                                                                      .m_ends = std::move(ended)}}},
               now);
