Log each released task and why jobs are unlocked

Cause: when an owner places a task again without an end of its run, the log names the worker and the reason, but not the request, nor whether the VM was still the sole owner.

No decision is changed.

--- a/service/include/primrosebridge/Fleetservice/fleetmetrics.h
+++ b/service/include/primrosebridge/Fleetservice/fleetmetrics.h
@@ -13,6 +13,7 @@
     StartOrdersAnswered, ///< Label: how the worker answered.
     RunsEnded, ///< Label: how the run ended.
     StopsOrdered, ///< Label: reason.
+    TasksReleased, ///< Counts tasks that the owner places again without an end of their run. Label: reason.
     JobsEnded, ///< Label: outcome.
     Takeovers,
     RecordsSkipped, ///< Counts entries of the store that cannot be decoded.
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -151,6 +151,22 @@
     return found != worker.m_listedRuns.end() && found->second == runNumber;
 }
 
+static void logReleasedTask(
+    const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference, const TaskState &task, std::string_view reason, Instant now)
+{
+    FleetMetrics::instance().increment(FleetCounter::TasksReleased, reason);
+    logEvent(LogLevel::Info,
+             "task_released",
+             {{"request", reference.m_job},
+              {"task", taskName(reference)},
+              {"run", std::to_string(task.m_runNumber)},
+              {"worker", worker.m_incarnation->m_worker},
+              {"reason", std::string(reason)},
+              {"sole_owner", state.m_soleOwner ? "yes" : "no"},
+              {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())},
+              {"leases_over_ms_ago", std::to_string((now - worker.m_leasesExpiredBy).count())}});
+}
+
 void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now, bool onlyListedRuns)
 {
     const auto tasks = worker.m_tasks;
@@ -167,6 +183,7 @@
         ++released;
         worker.m_tasks.erase(reference);
         if (here) {
+            logReleasedTask(state, worker, reference, *task, reason, now);
             setTask(state, reference, waitingTask(*task, now));
         }
     }
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -379,7 +379,10 @@
     }
     logEvent(LogLevel::Info,
              "jobs_unlocked",
-             {{"jobs", std::to_string(state.m_lockedJobs.size())}, {"silent_workers", std::to_string(state.m_awaitedWorkers.size())}});
+             {{"jobs", std::to_string(state.m_lockedJobs.size())},
+              {"silent_workers", std::to_string(state.m_awaitedWorkers.size())},
+              {"reason", state.m_awaitedWorkers.empty() ? "workers_answered" : "leases_lapsed"},
+              {"sole_owner", state.m_soleOwner ? "yes" : "no"}});
     state.m_lockedJobs.clear();
     state.m_awaitedWorkers.clear();
     state.m_placementNeeded = true;
