Do not count leases as ended that a successor may have renewed

Cause: an owner whose store lease has ended goes on with known jobs for half a task lease, since a successor has those jobs locked. It counted the leases of a silent worker from its own last renewal. From the end of the store lease on that says nothing: a successor that reaches the worker adopts its runs and renews their leases. The former owner found them over, and started the tasks again on workers that only it reaches. The class of the fault is a conclusion from the absence of one's own renewals after the authority to renew has passed to another process.

Change: haveTaskLeasesExpired() in recovery/Ownership/authority accepts only an end that lies before the end of the owner's store lease. It decides in all three places that count leases: the release of a silent worker's tasks, the unlocking of the jobs of a takeover, and the jobs that a cordoned worker locks. A longer delay, a second silence, or an owner that changes and changes back do not matter to it, as it compares two times that no later event moves. If the store lease is renewed after all, no other VM was the owner, and the task is released then.

The search over all orders of events of a takeover now lets the first owner count leases as ended and place the task again; it finds 'two runs at the same time' as soon as the new rule is left out, and none with it. For that its store lease ends after 4 s in place of 3 and a task lease takes 3 s in place of 4; all rules that it checked before are still found necessary.

--- a/recovery/include/primrosebridge/Ownership/authority.h
+++ b/recovery/include/primrosebridge/Ownership/authority.h
@@ -9,7 +9,9 @@
 /// After its store lease has expired, another VM may own the fleet. That successor locks every job that the former owner knew while it
 /// held the store lease. A job stays locked until each worker refuses the former owner's fence, or until taskLeasesExpiredBy() has
 /// passed. The former owner may therefore still start the jobs that it knew, provided that no task lease ends later than taskLeaseEnd()
-/// allows: a run on a worker that the successor cannot reach has then ended before the successor unlocks the job.
+/// allows: a run on a worker that the successor cannot reach has then ended before the successor unlocks the job. The former owner may not
+/// start a job again that may still run on a worker that it cannot reach, because the successor may reach that worker and renew its leases;
+/// see haveTaskLeasesExpired().
 struct OwnerAuthority {
     const Instant m_leaseEnd; ///< End of the store lease after its last renewal, on the boot clock.
     const Duration m_taskLease; ///< Longest task lease that a worker accepts.
@@ -32,4 +34,8 @@
 /// later. Allows for a worker's clock that is 2% slow, and for the delivery time of the order. Thread-safe.
 Instant taskLeasesExpiredBy(Instant now, Duration taskLease);
 
+/// Returns true if task leases that the owner last granted or renewed to expire by @p expiredBy have expired. After the end of the store
+/// lease the owner cannot know that of leases that were in force until then, because a successor may have renewed them. Thread-safe.
+bool haveTaskLeasesExpired(const OwnerAuthority &authority, Instant expiredBy, Instant now);
+
 } // namespace PrimroseBridge
--- a/recovery/lib/Ownership/authority.cpp
+++ b/recovery/lib/Ownership/authority.cpp
@@ -30,4 +30,9 @@
     return now + std::chrono::duration_cast<Duration>(taskLease * clockDriftFactor) + orderDeliveryAllowance;
 }
 
+bool haveTaskLeasesExpired(const OwnerAuthority &authority, Instant expiredBy, Instant now)
+{
+    return expiredBy <= std::min(now, authority.m_leaseEnd);
+}
+
 } // namespace PrimroseBridge
--- a/recovery/unittests/Ownership/takeover.cpp
+++ b/recovery/unittests/Ownership/takeover.cpp
@@ -19,11 +19,12 @@
 
 constexpr int workerCount = 2;
 constexpr int lastSecond = 9;
-constexpr Duration taskLease(4000);
-// The end of the store lease of the first owner, which cannot renew it: the store is unreachable, or the VM is partitioned.
-constexpr int leaseEndSecond = 3;
+constexpr Duration taskLease(3000);
+// The end of the store lease of the first owner, which cannot renew it: the store is unreachable, or the VM is partitioned. It is later than
+// the end of a task lease that is granted in the first second, and earlier than that of one that is granted later.
+constexpr int leaseEndSecond = 4;
 // A worker's clock that is 2% slow deviates by this much at the end of a task lease.
-constexpr int clockErrorMs = 80;
+constexpr int clockErrorMs = 60;
 
 // The rules of a takeover. A false member disables its rule, and the search must then find a violation.
 struct Rules {
@@ -33,6 +34,7 @@
     bool m_lateJobsAreNotStarted = true; // The first owner starts no job that it learnt of after the end of its store lease.
     bool m_cordonedWorkersGetNoStarts = true; // The first owner starts nothing on a worker that the recorded roster shows as cordoned.
     bool m_renewsOnlyAsSoleOwner = true; // The first owner renews task leases only while isSoleOwner().
+    bool m_ownLeaseBoundsExpiry = true; // The first owner counts task leases as ended only if haveTaskLeasesExpired().
 };
 
 // A start order or lease renewal from the first owner to a worker.
@@ -61,6 +63,8 @@
     std::optional<int> m_acceptedAt;
     std::optional<int> m_knownToFirstOwnerAt; // Time at which the first owner learnt of the job.
     std::optional<int> m_chosenWorker; // Worker on which the first owner starts the task.
+    std::optional<int> m_lastGrantAt; // Time of the first owner's last order to that worker.
+    bool m_released = false; // The first owner has counted the leases of that worker as ended, and may start the task again.
     std::optional<int> m_takeoverAt; // Time at which the second owner took over.
     bool m_jobLocked = false; // The second owner knew the job when it took over.
     bool m_successorPlaced = false; // The second owner has started or adopted the task, or knows that it is done.
@@ -147,6 +151,23 @@
     }
 }
 
+// The chosen worker does not answer the first owner, which counts the leases of the worker as ended and places the task again, once.
+static void addRelease(Explorer &explorer, const State &state)
+{
+    if (!state.m_chosenWorker || state.m_released || !mayScheduleKnownJobs(firstOwner(), at(state.m_now))) {
+        return;
+    }
+    const auto expiredBy = taskLeasesExpiredBy(at(*state.m_lastGrantAt), taskLease);
+    const bool expired
+        = explorer.m_rules.m_ownLeaseBoundsExpiry ? haveTaskLeasesExpired(firstOwner(), expiredBy, at(state.m_now)) : expiredBy <= at(state.m_now);
+    if (expired) {
+        auto next = state;
+        next.m_chosenWorker.reset();
+        next.m_released = true;
+        explorer.add(next);
+    }
+}
+
 static void addFirstOwnerEvents(Explorer &explorer, const State &state)
 {
     const auto &rules = explorer.m_rules;
@@ -166,6 +187,7 @@
         if (state.m_knownToFirstOwnerAt && !state.m_chosenWorker && decides && !cordoned && !(late && rules.m_lateJobsAreNotStarted)) {
             auto next = state;
             next.m_chosenWorker = index;
+            next.m_lastGrantAt = state.m_now;
             next.m_orders.push_back(Order{.m_starts = true, .m_worker = index, .m_leaseEndMs = taskLeaseEndMs(rules, state.m_now)});
             explorer.add(next);
         }
@@ -173,10 +195,12 @@
         if (state.m_chosenWorker == index && renews && state.m_orders.size() < 2) {
             auto next = state;
             const auto end = rules.m_renewsOnlyAsSoleOwner ? taskLeaseEndMs(rules, state.m_now) : 1000 * state.m_now + static_cast<int>(taskLease.count());
+            next.m_lastGrantAt = state.m_now;
             next.m_orders.push_back(Order{.m_starts = false, .m_worker = index, .m_leaseEndMs = end});
             explorer.add(next);
         }
     }
+    addRelease(explorer, state);
 }
 
 static void addDeliveries(Explorer &explorer, const State &state)
@@ -295,6 +319,7 @@
     CHECK_FALSE(findViolation(Rules{.m_lateJobsAreNotStarted = false}).empty());
     CHECK_FALSE(findViolation(Rules{.m_cordonedWorkersGetNoStarts = false}).empty());
     CHECK_FALSE(findViolation(Rules{.m_renewsOnlyAsSoleOwner = false}).empty());
+    CHECK_FALSE(findViolation(Rules{.m_ownLeaseBoundsExpiry = false}).empty());
 }
 
 } // namespace PrimroseBridge
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -226,7 +226,7 @@
     auto locked = state.m_lockedJobs;
     locked.insert(state.m_jobsLearntWithoutLease.begin(), state.m_jobsLearntWithoutLease.end());
     for (const auto &[name, worker] : state.m_workers) {
-        if (worker.m_jobsIfCordoned && !worker.m_fenceConfirmed && now < worker.m_leasesExpiredBy) {
+        if (worker.m_jobsIfCordoned && !worker.m_fenceConfirmed && !haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now)) {
             locked.insert(worker.m_jobsIfCordoned->begin(), worker.m_jobsIfCordoned->end());
         }
     }
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -357,7 +357,7 @@
         if (state.m_soleOwner) {
             updateCordon(state, worker);
         }
-        const bool leasesExpired = worker.m_missedPolls > 0 && worker.m_leasesExpiredBy <= now;
+        const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now);
         const bool idle = worker.m_missedPolls > 0 && worker.m_fenceConfirmed && worker.m_tasks.empty();
         if (leasesExpired && !worker.m_tasks.empty()) {
             releaseTasks(state, worker, "leases_lapsed", now);
@@ -374,7 +374,7 @@
 // Unlocks the jobs of the takeover once every awaited worker has answered or every task lease of the previous owner has expired.
 static void unlockJobsIfSafe(OwnerState &state, Instant now)
 {
-    if (state.m_lockedJobs.empty() || (!state.m_awaitedWorkers.empty() && now < state.m_jobsLockedUntil)) {
+    if (state.m_lockedJobs.empty() || (!state.m_awaitedWorkers.empty() && !haveTaskLeasesExpired(authorityOf(state), state.m_jobsLockedUntil, now))) {
         return;
     }
     logEvent(LogLevel::Info,
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -45,7 +45,7 @@
     bool m_fenceConfirmed = false; ///< The worker has answered a poll under the current fence.
     Instant m_answeredAt; ///< Boot clock at the last answered poll.
     std::int64_t m_workerClockAtAnswerMs = 0; ///< The worker's own clock in the answer of m_answeredAt.
-    Instant m_leasesExpiredBy; ///< Boot clock; by then every lease given to the worker's runs has expired, unless it is renewed.
+    Instant m_leasesExpiredBy; ///< Boot clock; by then every lease given to the worker's runs has expired, unless it is renewed by this VM or by a successor.
     int m_missedPolls = 0; ///< Consecutive polls without an answer.
     std::string m_lastFailedJob; ///< Job of the last failure that m_failureStreak counts.
     int m_failureStreak = 0; ///< Failed or stalled runs of different jobs since the last success.
