Bind the end of an owner's lease to the fence of its term

Cause: Session::leaseEnd() returned the lease of the VM's present session. When a session lapses or the ownership is given up, the loss is queued for the owner stage, and the next session is open one or two calls to the store later. A stage with a backlog, or a VM that was suspended in between, then took the lease of the next session for that of its term: it was the sole owner again in its own eyes, renewed task leases and counted leases as ended while another VM owned the fleet.

Change: the lease end is asked for by fence. After a term has ended it stays as it was, or is the time at which the ownership was given up, before the store hears of it.

--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -507,7 +507,7 @@
                                  .m_workerClient = HttpClient::create().take(),
                                  .m_configuration = m_configuration,
                                  .m_enqueueRecord = [this](const DurableRecord &record) { m_writer->enqueue(record); },
-                                 .m_leaseEnd = [this] { return m_session ? m_session->leaseEnd() : Instant(); },
+                                 .m_leaseEnd = [this](std::int64_t fence) { return m_session ? m_session->leaseEnd(fence) : Instant(); },
                                  .m_onSuperseded = [this](std::int64_t fence, const std::string &reason) { m_session->requestOwnershipRelease(fence, reason); },
                              })
               .take();
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -57,7 +57,7 @@
         // Check the ownership lease before sending anything, because the VM may have been suspended since the last iteration.
         // Workers that a successor cannot reach still accept orders of this VM. Without the ownership lease this VM renews no
         // task leases, because the successor relies on their expiry.
-        updateAuthority(m_state, m_state.m_context.m_leaseEnd(), now);
+        updateAuthority(m_state, m_state.m_context.m_leaseEnd(m_state.m_fence), now);
         for (const auto &event : events) {
             applyEvent(m_state, event, now);
         }
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -47,6 +47,8 @@
     bool m_namedAsOwner = false; // True if the store names this process as the owner.
     std::int64_t m_leaseId = 0; // 0 while there is no session.
     std::int64_t m_fence = 0; // 0 while this VM is not the owner.
+    std::int64_t m_endedFence = 0; // Fence of the last ownership that has ended.
+    Instant m_endedAt; // Boot clock; the time from which on another VM could be the owner in place of that ownership.
     Instant m_ownerSince; // Boot clock.
     Instant m_nextHandOver; // Boot clock. No handover is requested before this time.
     std::string m_releaseReason; // Set while a request to give up the ownership is pending.
@@ -80,6 +82,10 @@
     {
         const std::lock_guard lock(m_mutex);
         std::swap(fence, m_fence);
+        if (fence != 0) {
+            m_endedFence = fence;
+            m_endedAt = std::min(fromMilliseconds(m_leaseEndMs), bootClockNow());
+        }
     }
     if (fence != 0) {
         m_callbacks.m_onOwnershipLost(fence, reason);
@@ -324,9 +330,13 @@
     m_private->m_changed.notify_all();
 }
 
-Instant Session::leaseEnd() const
+Instant Session::leaseEnd(std::int64_t fence) const
 {
-    return fromMilliseconds(m_private->m_leaseEndMs);
+    const std::lock_guard lock(m_private->m_mutex);
+    if (fence != 0 && fence == m_private->m_fence) {
+        return fromMilliseconds(m_private->m_leaseEndMs);
+    }
+    return fence != 0 && fence == m_private->m_endedFence ? m_private->m_endedAt : Instant();
 }
 
 void Session::requestOwnershipRelease(std::int64_t fence, const std::string &reason)
--- a/service/lib/Fleetservice/session.h
+++ b/service/lib/Fleetservice/session.h
@@ -36,10 +36,13 @@
     /// Asks the session's thread to give up the ownership under @p fence. Does nothing if this VM does not own the fleet under it. Never
     /// blocks.
     void requestOwnershipRelease(std::int64_t fence, const std::string &reason);
-    /// Returns the time, on the boot clock, from which on the lease may have expired, so that another VM may have become the owner.
+    /// Returns the time, on the boot clock, from which on another VM may have become the owner in place of this one under @p fence.
     ///
-    /// The end is counted from just before the last successful renewal was sent, so it is never later than the end that the store counts.
-    [[nodiscard]] Instant leaseEnd() const;
+    /// While this VM owns the fleet under that fence, it is the end of the lease, counted from just before the last successful renewal was
+    /// sent, so it is never later than the end that the store counts. Once the ownership has ended, the time stays as it was, or is the time
+    /// at which the ownership was given up if that is earlier; the lease of the next session doesn't move it. Returns the start of the clock
+    /// for other fences.
+    [[nodiscard]] Instant leaseEnd(std::int64_t fence) const;
     /// Ends the lease, which removes this VM's keys at once, and takes part in no further election.
     void close();
 
--- a/service/unittests/Fleetservice/formerowner.cpp
+++ b/service/unittests/Fleetservice/formerowner.cpp
@@ -1,7 +1,15 @@
 #include "ownersimulation.h"
+#include "session.h"
+
+#include "primrosebridge/Fleetservice/storekeys.h"
+#include "primrosebridge/Fleetstandin/standinstore.h"
+#include "primrosebridge/Pipeline/bootclock.h"
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <thread>
+
 namespace PrimroseBridge {
 
 using Sim = OwnerSimulation;
@@ -134,4 +142,61 @@
     CHECK(sim.workerOf(jobId) == "w2");
 }
 
+namespace {
+
+// A session that takes part in the election at a stand-in store.
+class SessionFixture
+{
+public:
+    SessionFixture()
+        : m_session(PeerVm{.m_vm = "vm-1", .m_address = "127.0.0.1:1", .m_incarnation = "1", .m_processorCores = 1.0},
+                    Duration(1000),
+                    std::make_shared<PlatformStore>(m_store.address(), HttpClient::create().take()),
+                    SessionCallbacks{.m_mayTakeOwnership = [this] { return m_mayTakeOwnership.load(); },
+                                     .m_electionDelay = [] { return Duration(0); },
+                                     .m_onOwnershipGained = [this](std::int64_t fence) { m_fence = fence; },
+                                     .m_onOwnershipLost =
+                                         [this](std::int64_t, const std::string &) {
+                                             m_mayTakeOwnership = false;
+                                             m_lostAtMs = toMilliseconds(bootClockNow());
+                                         }})
+    {
+        m_session.setKnownOwner(std::nullopt);
+    }
+
+    static bool waitFor(const std::function<bool()> &condition)
+    {
+        for (int round = 0; round < 500 && !condition(); ++round) {
+            std::this_thread::sleep_for(Duration(10));
+        }
+        return condition();
+    }
+
+    StandinStore m_store;
+    std::atomic<bool> m_mayTakeOwnership = true;
+    std::atomic<std::int64_t> m_fence = 0;
+    std::atomic<std::int64_t> m_lostAtMs = 0;
+    Session m_session;
+};
+
+} // namespace
+
+// Guards against an owner that goes on after its ownership has ended, because it takes the lease of the VM's next session for its own: its
+// thread may still have a backlog of events when the next session is open.
+TEST_CASE("the lease of a later session does not prolong an ownership that has ended")
+{
+    SessionFixture fixture;
+    REQUIRE(SessionFixture::waitFor([&] { return fixture.m_fence != 0; }));
+    const auto fence = fixture.m_fence.load();
+    REQUIRE(fixture.m_session.leaseEnd(fence) > bootClockNow());
+    const std::string vmKey = std::string(StoreKeys::vms) + "vm-1";
+    const auto firstRegistration = fixture.m_store.revisionOf(vmKey);
+    fixture.m_session.requestOwnershipRelease(fence, "the test asks for it");
+    REQUIRE(SessionFixture::waitFor([&] { return fixture.m_lostAtMs != 0; }));
+    REQUIRE(SessionFixture::waitFor([&] { return fixture.m_store.value(vmKey) && fixture.m_store.revisionOf(vmKey) != firstRegistration; }));
+    std::this_thread::sleep_for(Duration(300)); // At least one renewal of the next session.
+    CHECK(toMilliseconds(fixture.m_session.leaseEnd(fence)) <= fixture.m_lostAtMs);
+    CHECK(fixture.m_session.leaseEnd(fence + 1) == Instant());
+}
+
 } // namespace PrimroseBridge
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -114,7 +114,7 @@
                                          .m_workerClient = HttpClient::create().take(),
                                          .m_configuration = m_configuration,
                                          .m_enqueueRecord = [this](const DurableRecord &record) { acknowledge(record); },
-                                         .m_leaseEnd = [this] { return fromMilliseconds(m_ownershipLeaseEndMs); },
+                                         .m_leaseEnd = [this](std::int64_t) { return fromMilliseconds(m_ownershipLeaseEndMs); },
                                          .m_onSuperseded = [this](std::int64_t, const std::string &) { m_superseded = true; },
                                      })
                       .take();
