Await the next incarnation of a worker that restarts during a takeover

Cause: a new owner holds jobs locked until the workers of the recorded roster have answered, because start orders of the former owner may still arrive there. Orders name the identifier only, and an incarnation that has just started has seen no fence, so it may execute such an order. When the store's entry of the next incarnation came before the worker had answered, the earlier one was forgotten together with the wait for it, and the jobs were unlocked at once.

Change: the next incarnation takes over the wait, and the jobs for which an earlier owner has cordoned the worker, until it has answered.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -283,9 +283,11 @@
 
 namespace {
 
-// Starts that an earlier incarnation of a worker has never listed; the next incarnation with its identifier may have executed them.
+// Starts of an earlier incarnation of a worker that the next incarnation with its identifier may have executed.
 struct UnresolvedStarts {
-    std::set<TaskReference> m_tasks;
+    std::set<TaskReference> m_tasks; // Starts of this owner that the earlier incarnation has never listed.
+    bool m_awaited = false; // A takeover awaited the earlier incarnation, so that starts of the former owner are not known.
+    std::optional<std::set<std::string>> m_jobsIfCordoned; // The jobs of the former owner's starts, if it had cordoned the earlier incarnation.
     Instant m_leasesExpiredBy;
 };
 
@@ -316,7 +318,10 @@
         logEvent(LogLevel::Info, "worker_life_over", {{"worker", name}, {"successor", report.m_incarnation.m_worker}});
         releaseTasks(state, worker, "worker_restarted", now, sameIdentifier);
         if (sameIdentifier) {
-            unresolved = UnresolvedStarts{.m_tasks = worker.m_tasks, .m_leasesExpiredBy = worker.m_leasesExpiredBy};
+            unresolved = UnresolvedStarts{.m_tasks = worker.m_tasks,
+                                          .m_awaited = state.m_awaitedWorkers.contains(name),
+                                          .m_jobsIfCordoned = worker.m_fenceConfirmed ? std::nullopt : worker.m_jobsIfCordoned,
+                                          .m_leasesExpiredBy = worker.m_leasesExpiredBy};
         }
         forgetWorker(state, entry);
     }
@@ -327,6 +332,10 @@
 static void adoptUnresolvedStarts(OwnerState &state, TrackedWorker &worker, const UnresolvedStarts &unresolved, Instant now)
 {
     worker.m_leasesExpiredBy = std::max(worker.m_leasesExpiredBy, unresolved.m_leasesExpiredBy);
+    worker.m_jobsIfCordoned = unresolved.m_jobsIfCordoned;
+    if (unresolved.m_awaited) {
+        state.m_awaitedWorkers.insert(worker.m_incarnation->m_worker);
+    }
     for (const auto &reference : unresolved.m_tasks) {
         const auto job = state.m_jobs.find(reference.m_job);
         const auto task = job ? findTask(*job, reference) : nullptr;
--- a/service/unittests/Fleetservice/formerowner.cpp
+++ b/service/unittests/Fleetservice/formerowner.cpp
@@ -199,4 +199,30 @@
     CHECK(fixture.m_session.leaseEnd(fence + 1) == Instant());
 }
 
+// Guards against two runs of one task: a worker that a new owner awaits restarts under its identifier and executes a late start order of the
+// former owner. The order does not name the incarnation, and the new incarnation has seen no fence yet.
+TEST_CASE("a takeover also awaits the next incarnation of a worker that restarts before it has answered")
+{
+    const auto spec = Sim::job(jobId, "queue", Sim::policy(4));
+    const RosterEntry w2{.m_worker = Sim::worker("w2"), .m_jobsIfCordoned = {}};
+    const auto [jobsIfCordoned, description]
+        = GENERATE(std::pair<std::optional<std::vector<std::string>>, const char *>(std::nullopt, "awaited"),
+                   std::pair<std::optional<std::vector<std::string>>, const char *>(std::vector<std::string>{jobId}, "cordoned"));
+    CAPTURE(description);
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner(
+        {Sim::worker("w2")}, {newJobState(spec, 4, Sim::at(0))}, {RosterEntry{.m_worker = Sim::worker("w1"), .m_jobsIfCordoned = jobsIfCordoned}, w2});
+    sim.answer("w2", std::nullopt, {}, Sim::at(50));
+    sim.apply(WorkerReported{.m_report = Sim::worker("w1", std::nullopt, 2)}, Sim::at(100));
+    sim.review(Sim::at(100));
+    sim.place(Sim::at(100));
+    REQUIRE(sim.workerOf(jobId).empty());
+    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(120));
+    sim.review(Sim::at(120));
+    sim.place(Sim::at(120));
+    CHECK(sim.workerOf(jobId) == "w1");
+    CHECK(sim.task(jobId)->m_runNumber == 1);
+}
+
 } // namespace PrimroseBridge
