Bind records and reports to the term of ownership that they belong to

Cause: results of polls and orders name the fence of their term and are dropped in another one; records for the store, their acknowledgements, and the entries of watches did not. A VM that loses the ownership and gets it again some 60 ms later may still have events of the former term in its owner stage. Progress that was decided there was written under the new fence, over what another owner had recorded in between, and its acknowledgement counted an end as recorded that was not.

Change: ProgressWriter::enqueue() and its report name the fence; the writer drops records of any other term. What watches and the writer report is wrapped in EventOfTerm, which the owner stage drops in any other term.

--- a/service/include/primrosebridge/Fleetservice/fleetowner.h
+++ b/service/include/primrosebridge/Fleetservice/fleetowner.h
@@ -20,7 +20,8 @@
     const FleetSettings m_settings;
     const std::shared_ptr<HttpClient> m_workerClient; ///< Client for the calls to the workers.
     const CurrentConfiguration &m_configuration; ///< Must outlive the owner.
-    const std::function<void(const DurableRecord &)> m_enqueueRecord; ///< Queues a record to be written to the store; must not block.
+    /// Queues a record to be written to the store if the term @p fence is still running; must not block.
+    const std::function<void(std::int64_t fence, const DurableRecord &record)> m_enqueueRecord;
     /// Returns the time, on the boot clock, from which on another VM may be the owner in place of this one under @p fence.
     const std::function<Instant(std::int64_t fence)> m_leaseEnd;
     const std::function<void(std::int64_t fence, const std::string &reason)> m_onSuperseded; ///< Called when a worker reports a higher fence; must not block.
--- a/service/include/primrosebridge/Fleetservice/ownerevents.h
+++ b/service/include/primrosebridge/Fleetservice/ownerevents.h
@@ -95,7 +95,15 @@
     const std::int64_t m_version;
 };
 
+/// What a watch of the store or the progress writer reports in the term @p m_fence. It is dropped in any other term: entries of an earlier
+/// watch may be older than the snapshot of the present term.
+struct EventOfTerm {
+    const std::int64_t m_fence;
+    const std::variant<JobSubmitted, JobCancelled, WorkerReported, WorkerEntryRemoved, ProgressRecorded, RosterRecorded> m_event;
+};
+
 using OwnerEvent = std::variant<OwnershipGained,
+                                EventOfTerm,
                                 OwnershipLost,
                                 JobSubmitted,
                                 JobCancelled,
--- a/service/include/primrosebridge/Fleetservice/progresswriter.h
+++ b/service/include/primrosebridge/Fleetservice/progresswriter.h
@@ -23,7 +23,7 @@
 
 /// Callbacks of a ProgressWriter. They are called on the writer's thread and must not block.
 struct ProgressWriterCallbacks {
-    std::function<void(const DurableRecord &record)> m_recorded; ///< The store has committed the record.
+    std::function<void(std::int64_t fence, const DurableRecord &record)> m_recorded; ///< The store has committed the record of the term @p fence.
     std::function<void(std::int64_t fence)> m_ownershipLost; ///< The ownership key no longer has the revision @p fence.
 };
 
@@ -53,8 +53,10 @@
     void beginTerm(std::int64_t fence, const std::vector<RecordRevision> &revisions);
     /// Drops the queued records and stops writing until the next beginTerm(). A transaction that was already sent may still commit.
     void endTerm();
-    /// Queues a record and replaces a queued one with the same key. Does not wait for the store.
-    void enqueue(const DurableRecord &record);
+    /// Queues a record that was decided in the term @p fence, and replaces a queued one with the same key. Drops it if another term or none
+    /// is running: the owner stage may still apply events of a term that has ended, and later owners may have written the record since. Does
+    /// not wait for the store.
+    void enqueue(std::int64_t fence, const DurableRecord &record);
     /// Returns the number of queued records, without the batch that is being written.
     [[nodiscard]] std::size_t backlog() const;
 
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -93,8 +93,8 @@
     void watchWorkers();
     void applyConfiguration(const std::string &text);
     void updatePeerDirectory(const std::string &key, const std::string &value, std::int64_t revision, bool removed);
-    void postInboxEntry(const std::string &key, const std::string &value);
-    void postWorkerEntry(const std::string &key, const std::string &value);
+    void postInboxEntry(std::int64_t fence, const std::string &key, const std::string &value);
+    void postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value);
     void handleOwnershipGained(std::int64_t fence);
     void handleOwnershipLost(std::int64_t fence, const std::string &reason);
     // Reads the snapshot, starts the writer and the owner stage with it, and lets the watches of the inbox and the workers start.
@@ -398,15 +398,15 @@
     return m_closed ? std::nullopt : std::optional(m_term);
 }
 
-void FleetNode::Private::postInboxEntry(const std::string &key, const std::string &value)
+void FleetNode::Private::postInboxEntry(std::int64_t fence, const std::string &key, const std::string &value)
 {
     if (key.starts_with(StoreKeys::cancellations)) {
-        m_owner->post(JobCancelled{.m_job = key.substr(StoreKeys::cancellations.size())});
+        m_owner->post(EventOfTerm{.m_fence = fence, .m_event = JobCancelled{.m_job = key.substr(StoreKeys::cancellations.size())}});
         return;
     }
     const auto spec = decodeSubmissionAt(key, value);
     if (spec.ok()) {
-        m_owner->post(JobSubmitted{.m_spec = std::make_shared<const JobSpec>(spec.value())});
+        m_owner->post(EventOfTerm{.m_fence = fence, .m_event = JobSubmitted{.m_spec = std::make_shared<const JobSpec>(spec.value())}});
     } else {
         reportSkippedRecord(key, spec.error());
     }
@@ -417,20 +417,20 @@
     while (const auto term = waitForTerm()) {
         const WatchHandlers handlers{
             .m_listed =
-                [this](const StoreListing &listing) {
+                [&](const StoreListing &listing) {
                     // Submissions are posted first: in the order of keys, a cancellation would precede its job, which the owner would not know yet.
                     for (const auto prefix : {StoreKeys::submissions, StoreKeys::cancellations}) {
                         for (const auto &item : listing.m_items) {
                             if (item.m_key.starts_with(prefix)) {
-                                postInboxEntry(item.m_key, item.m_value);
+                                postInboxEntry(term->m_fence, item.m_key, item.m_value);
                             }
                         }
                     }
                 },
             .m_changed =
-                [this](const StoreChange &change) {
+                [&](const StoreChange &change) {
                     if (!change.m_removed) {
-                        postInboxEntry(change.m_key, change.m_value);
+                        postInboxEntry(term->m_fence, change.m_key, change.m_value);
                     }
                 },
         };
@@ -438,11 +438,11 @@
     }
 }
 
-void FleetNode::Private::postWorkerEntry(const std::string &key, const std::string &value)
+void FleetNode::Private::postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value)
 {
     const auto report = decodeWorkerReport(key.substr(workerPrefix.size()), value);
     if (report.ok()) {
-        m_owner->post(WorkerReported{.m_report = std::make_shared<const WorkerReport>(report.value())});
+        m_owner->post(EventOfTerm{.m_fence = fence, .m_event = WorkerReported{.m_report = std::make_shared<const WorkerReport>(report.value())}});
     } else {
         reportSkippedRecord(key, report.error());
     }
@@ -458,11 +458,11 @@
                     std::set<std::string> listed;
                     for (const auto &item : listing.m_items) {
                         listed.insert(item.m_key);
-                        postWorkerEntry(item.m_key, item.m_value);
+                        postWorkerEntry(term->m_fence, item.m_key, item.m_value);
                     }
                     for (const auto &key : known) {
                         if (!listed.contains(key)) {
-                            m_owner->post(WorkerEntryRemoved{.m_worker = key.substr(workerPrefix.size())});
+                            m_owner->post(EventOfTerm{.m_fence = term->m_fence, .m_event = WorkerEntryRemoved{.m_worker = key.substr(workerPrefix.size())}});
                         }
                     }
                     known = std::move(listed);
@@ -471,10 +471,11 @@
                 [&](const StoreChange &change) {
                     if (change.m_removed) {
                         known.erase(change.m_key);
-                        m_owner->post(WorkerEntryRemoved{.m_worker = change.m_key.substr(workerPrefix.size())});
+                        m_owner->post(
+                            EventOfTerm{.m_fence = term->m_fence, .m_event = WorkerEntryRemoved{.m_worker = change.m_key.substr(workerPrefix.size())}});
                     } else {
                         known.insert(change.m_key);
-                        postWorkerEntry(change.m_key, change.m_value);
+                        postWorkerEntry(term->m_fence, change.m_key, change.m_value);
                     }
                 },
         };
@@ -490,12 +491,14 @@
         = ProgressWriter::create(m_store,
                                  ProgressWriterCallbacks{
                                      .m_recorded =
-                                         [this](const DurableRecord &record) {
+                                         [this](std::int64_t fence, const DurableRecord &record) {
                                              if (record.m_job) {
-                                                 m_owner->post(ProgressRecorded{
-                                                     .m_job = record.m_job->m_spec->m_id, .m_version = record.m_version, .m_outcome = record.m_job->m_outcome});
+                                                 m_owner->post(EventOfTerm{.m_fence = fence,
+                                                                           .m_event = ProgressRecorded{.m_job = record.m_job->m_spec->m_id,
+                                                                                                       .m_version = record.m_version,
+                                                                                                       .m_outcome = record.m_job->m_outcome}});
                                              } else {
-                                                 m_owner->post(RosterRecorded{.m_version = record.m_version});
+                                                 m_owner->post(EventOfTerm{.m_fence = fence, .m_event = RosterRecorded{.m_version = record.m_version}});
                                              }
                                          },
                                      .m_ownershipLost = [this](std::int64_t fence) { m_session->requestOwnershipRelease(fence, "the store refused a write"); },
@@ -506,7 +509,7 @@
                                  .m_settings = m_settings,
                                  .m_workerClient = HttpClient::create().take(),
                                  .m_configuration = m_configuration,
-                                 .m_enqueueRecord = [this](const DurableRecord &record) { m_writer->enqueue(record); },
+                                 .m_enqueueRecord = [this](std::int64_t fence, const DurableRecord &record) { m_writer->enqueue(fence, record); },
                                  .m_leaseEnd = [this](std::int64_t fence) { return m_session ? m_session->leaseEnd(fence) : Instant(); },
                                  .m_onSuperseded = [this](std::int64_t fence, const std::string &reason) { m_session->requestOwnershipRelease(fence, reason); },
                              })
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -24,7 +24,8 @@
 void recordProgressIfChanged(const OwnerState &state, const JobPointer &job)
 {
     if (job->m_version > job->m_recordedVersion) {
-        state.m_context.m_enqueueRecord(DurableRecord{.m_key = progressKey(job->m_spec->m_id), .m_job = job, .m_value = {}, .m_version = job->m_version});
+        state.m_context.m_enqueueRecord(state.m_fence,
+                                        DurableRecord{.m_key = progressKey(job->m_spec->m_id), .m_job = job, .m_value = {}, .m_version = job->m_version});
     }
 }
 
@@ -215,7 +216,8 @@
         workers.push_back(RosterEntry{.m_worker = worker.m_report, .m_jobsIfCordoned = std::nullopt});
         worker.m_rosterVersion = worker.m_rosterVersion == 0 ? state.m_rosterVersion : worker.m_rosterVersion;
     }
-    state.m_context.m_enqueueRecord(DurableRecord{.m_key = std::string(StoreKeys::roster),
+    state.m_context.m_enqueueRecord(state.m_fence,
+                                    DurableRecord{.m_key = std::string(StoreKeys::roster),
                                                   .m_job = nullptr,
                                                   .m_value = encodeRoster(Roster{.m_version = state.m_rosterVersion, .m_workers = std::move(workers)}),
                                                   .m_version = state.m_rosterVersion});
@@ -551,6 +553,12 @@
     {
         applyOwnershipGained(m_state, *event.m_snapshot, m_now);
     }
+    void operator()(const EventOfTerm &event) const
+    {
+        if (m_state.m_fence == event.m_fence) {
+            std::visit(*this, event.m_event);
+        }
+    }
     void operator()(const OwnershipLost &event) const
     {
         if (m_state.m_fence == event.m_fence) {
--- a/service/lib/Fleetservice/progresswriter.cpp
+++ b/service/lib/Fleetservice/progresswriter.cpp
@@ -99,7 +99,7 @@
         }
         state.m_revisions[record.m_key] = revision;
     }
-    state.m_callbacks.m_recorded(record);
+    state.m_callbacks.m_recorded(batch.m_fence, record);
 }
 
 // Queues the record again unless a newer record with the same key is queued, and sets the known revision of its key, if given.
@@ -221,10 +221,13 @@
     m_private->m_queued.clear();
 }
 
-void ProgressWriter::enqueue(const DurableRecord &record)
+void ProgressWriter::enqueue(std::int64_t fence, const DurableRecord &record)
 {
     {
         const std::lock_guard lock(m_private->m_mutex);
+        if (m_private->m_fence != fence) {
+            return;
+        }
         m_private->m_queued.insert_or_assign(record.m_key, std::make_shared<const DurableRecord>(record));
     }
     m_private->m_changed.notify_all();
--- a/service/unittests/Fleetservice/formerowner.cpp
+++ b/service/unittests/Fleetservice/formerowner.cpp
@@ -225,4 +225,26 @@
     CHECK(sim.task(jobId)->m_runNumber == 1);
 }
 
+// Guards against a worker that gets no starts, or gets them before the roster names it: a watch or a write of a former term of this VM reports
+// after the snapshot of the present term.
+TEST_CASE("reports of a former term are dropped")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    const auto recordedRoster = sim.m_state.m_recordedRosterVersion;
+    sim.apply(EventOfTerm{.m_fence = Sim::fence - 1, .m_event = WorkerEntryRemoved{.m_worker = "w1"}}, Sim::at(10));
+    sim.apply(EventOfTerm{.m_fence = Sim::fence - 1, .m_event = RosterRecorded{.m_version = 1'000}}, Sim::at(10));
+    sim.apply(EventOfTerm{.m_fence = Sim::fence - 1, .m_event = JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}}, Sim::at(10));
+    CHECK(sim.m_state.m_workers.at("w1").m_entryPresent);
+    CHECK(sim.m_state.m_recordedRosterVersion == recordedRoster);
+    CHECK_FALSE(sim.jobState(jobId));
+    sim.apply(EventOfTerm{.m_fence = Sim::fence, .m_event = JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}}, Sim::at(20));
+    sim.place(Sim::at(20));
+    CHECK(sim.workerOf(jobId) == "w1");
+    sim.apply(EventOfTerm{.m_fence = Sim::fence, .m_event = WorkerEntryRemoved{.m_worker = "w1"}}, Sim::at(30));
+    CHECK_FALSE(sim.m_state.m_workers.at("w1").m_entryPresent);
+}
+
 } // namespace PrimroseBridge
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -113,7 +113,7 @@
                                          .m_settings = testSettings(),
                                          .m_workerClient = HttpClient::create().take(),
                                          .m_configuration = m_configuration,
-                                         .m_enqueueRecord = [this](const DurableRecord &record) { acknowledge(record); },
+                                         .m_enqueueRecord = [this](std::int64_t, const DurableRecord &record) { acknowledge(record); },
                                          .m_leaseEnd = [this](std::int64_t) { return fromMilliseconds(m_ownershipLeaseEndMs); },
                                          .m_onSuperseded = [this](std::int64_t, const std::string &) { m_superseded = true; },
                                      })
--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -27,7 +27,7 @@
             .m_settings = settings(),
             .m_workerClient = HttpClient::create().take(),
             .m_configuration = m_configuration,
-            .m_enqueueRecord = [this](const DurableRecord &record) { m_records.push_back(record); },
+            .m_enqueueRecord = [this](std::int64_t, const DurableRecord &record) { m_records.push_back(record); },
             .m_leaseEnd = [](std::int64_t) { return fromMilliseconds(1'000'000'000); },
             .m_onSuperseded = [](std::int64_t, const std::string &) {},
         })
--- a/service/unittests/Fleetservice/records.cpp
+++ b/service/unittests/Fleetservice/records.cpp
@@ -36,11 +36,12 @@
         m_store.put(std::string(StoreKeys::owner), "owner");
         m_writer = ProgressWriter::create(makeStoreClient(m_store),
                                           ProgressWriterCallbacks{
-                                              .m_recorded = [this](const DurableRecord &record) { m_recordedVersion = record.m_version; },
+                                              .m_recorded = [this](std::int64_t, const DurableRecord &record) { m_recordedVersion = record.m_version; },
                                               .m_ownershipLost = [this](std::int64_t) { m_lostOwnership = true; },
                                           })
                        .take();
-        m_writer->beginTerm(m_store.revisionOf(std::string(StoreKeys::owner)), {});
+        m_fence = m_store.revisionOf(std::string(StoreKeys::owner));
+        m_writer->beginTerm(m_fence, {});
     }
 
     bool waitFor(const std::function<bool()> &condition)
@@ -52,6 +53,7 @@
     }
 
     StandinStore m_store;
+    std::int64_t m_fence = 0;
     std::atomic<std::int64_t> m_recordedVersion = 0;
     std::atomic<bool> m_lostOwnership = false;
     std::unique_ptr<ProgressWriter> m_writer;
@@ -65,7 +67,7 @@
     ProgressWriterFixture fixture;
     std::atomic<int> calls = 0;
     fixture.m_store.setFaults([&](StoreCall call) { return call == StoreCall::Commit && calls++ == 0 ? StoreFault::AnswerLost : StoreFault::None; });
-    fixture.m_writer->enqueue(makePlainRecord("first", 1));
+    fixture.m_writer->enqueue(fixture.m_fence, makePlainRecord("first", 1));
     CHECK(fixture.waitFor([&] { return fixture.m_recordedVersion == 1; }));
     CHECK(fixture.m_store.value("primrosebridge/test") == "first");
     CHECK_FALSE(fixture.m_lostOwnership);
@@ -77,9 +79,9 @@
     ProgressWriterFixture fixture;
     std::atomic<int> calls = 0;
     fixture.m_store.setFaults([&](StoreCall call) { return call == StoreCall::Commit && calls++ == 0 ? StoreFault::ExecutedLate : StoreFault::None; });
-    fixture.m_writer->enqueue(makePlainRecord("first", 1));
+    fixture.m_writer->enqueue(fixture.m_fence, makePlainRecord("first", 1));
     std::this_thread::sleep_for(Duration(50));
-    fixture.m_writer->enqueue(makePlainRecord("second", 2));
+    fixture.m_writer->enqueue(fixture.m_fence, makePlainRecord("second", 2));
     CHECK(fixture.waitFor([&] { return fixture.m_recordedVersion == 2; }));
     std::this_thread::sleep_for(Duration(500));
     CHECK(fixture.m_store.value("primrosebridge/test") == "second");
@@ -90,11 +92,31 @@
 {
     ProgressWriterFixture fixture;
     fixture.m_store.put(std::string(StoreKeys::owner), "successor");
-    fixture.m_writer->enqueue(makePlainRecord("first", 1));
+    fixture.m_writer->enqueue(fixture.m_fence, makePlainRecord("first", 1));
     CHECK(fixture.waitFor([&] { return fixture.m_lostOwnership.load(); }));
     CHECK_FALSE(fixture.m_store.value("primrosebridge/test"));
 }
 
+// Guards against progress that is lost, or counted as recorded before it is: the VM owns the fleet again, another one has owned it in between
+// and recorded more, and the owner stage still applies events of the former term.
+TEST_CASE("a record that was decided in a former term is not written in a later one")
+{
+    ProgressWriterFixture fixture;
+    const auto formerFence = fixture.m_fence;
+    const std::string key = makePlainRecord("", 0).m_key;
+    fixture.m_writer->endTerm();
+    fixture.m_writer->enqueue(formerFence, makePlainRecord("former", 5));
+    fixture.m_store.put(key, "of another owner");
+    fixture.m_store.put(std::string(StoreKeys::owner), "owner again");
+    fixture.m_fence = fixture.m_store.revisionOf(std::string(StoreKeys::owner));
+    fixture.m_writer->beginTerm(fixture.m_fence, {RecordRevision{.m_key = key, .m_revision = fixture.m_store.revisionOf(key)}});
+    fixture.m_writer->enqueue(formerFence, makePlainRecord("former", 6));
+    fixture.m_writer->enqueue(fixture.m_fence, DurableRecord{.m_key = "primrosebridge/other", .m_job = nullptr, .m_value = "new", .m_version = 1});
+    CHECK(fixture.waitFor([&] { return fixture.m_store.value("primrosebridge/other") == "new"; }));
+    CHECK(fixture.m_store.value(key) == "of another owner");
+    CHECK(fixture.m_recordedVersion == 1);
+}
+
 // Guards against an acknowledged submission that is not stored, and against a refusal of one that is.
 TEST_CASE("the outcome of a submission agrees with what the store holds")
 {
