Read the lease of a new term before the first decisions of that term

Cause: since the end of the lease is bound to the fence, the owner stage reads it before it applies a batch of events; in the batch that begins a term it read the one of no term, so the first pass of a takeover waited for the next batch, at most 50 ms. Change: the stage reads the lease again when the fence has changed. Result: all 65 tests of FleetserviceTests pass; the 50 ms are read from the code, not measured.

--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -57,13 +57,17 @@
         // Check the ownership lease before sending anything, because the VM may have been suspended since the last iteration.
         // Workers that a successor cannot reach still accept orders of this VM. Without the ownership lease this VM renews no
         // task leases, because the successor relies on their expiry.
-        updateAuthority(m_state, m_state.m_context.m_leaseEnd(m_state.m_fence), now);
+        const auto fenceBefore = m_state.m_fence.load();
+        updateAuthority(m_state, m_state.m_context.m_leaseEnd(fenceBefore), now);
         for (const auto &event : events) {
             applyEvent(m_state, event, now);
         }
         if (m_state.m_fence == 0) {
             continue;
         }
+        if (m_state.m_fence != fenceBefore) {
+            updateAuthority(m_state, m_state.m_context.m_leaseEnd(m_state.m_fence), now);
+        }
         recordRosterIfChanged(m_state);
         if (now >= nextReview) {
             reviewFleet(m_state, now);
