Add a failing test of an ownership that ends during the takeover

Effect: the owner stage keeps the fence of an ownership that has ended. No second OwnershipLost follows, and Session::requestOwnershipRelease() ignores the fence, so this lasts until the VM owns the fleet again. The VM answers callers and peers from that state and not from the owner's. The ended lease forbids renewals, and no roster is recorded under that fence, so from the code it starts no task.

The test holds the answer of the progress listing back while the store names another owner. settingsOf() of the fixture also takes the address of a store. It is not mended here.

--- a/service/unittests/Fleetservice/nodefixture.h
+++ b/service/unittests/Fleetservice/nodefixture.h
@@ -17,7 +17,7 @@
     return socket.address().toString();
 }
 
-inline FleetSettings settingsOf(const std::string &vm, const StandinStore &store, double processorCores = 1.0)
+inline FleetSettings settingsOf(const std::string &vm, const std::string &storeAddress, double processorCores = 1.0)
 {
     const auto peerAddress = freeAddress();
     return FleetSettings{.m_vm = VmId::create(vm).value(),
@@ -27,7 +27,7 @@
                          .m_peerAddress = peerAddress,
                          .m_peerListenAddress = peerAddress,
                          .m_metricsAddress = {},
-                         .m_storeAddress = store.address(),
+                         .m_storeAddress = storeAddress,
                          .m_taskLease = Duration(3000),
                          .m_shortestStoreLease = Duration(1000),
                          .m_reclaimBound = Duration(3400),
@@ -38,6 +38,11 @@
                          .m_logLevel = "info"};
 }
 
+inline FleetSettings settingsOf(const std::string &vm, const StandinStore &store, double processorCores = 1.0)
+{
+    return settingsOf(vm, store.address(), processorCores);
+}
+
 inline std::string configurationText(int version, const std::string &keys)
 {
     return R"({"version":)" + std::to_string(version)
--- a/service/unittests/Fleetservice/takeoverraces.cpp
+++ b/service/unittests/Fleetservice/takeoverraces.cpp
@@ -110,4 +110,27 @@
     CHECK_FALSE(first.isSoleOwnerNow());
 }
 
+// Guards against a VM that answers callers from the state of an ended ownership until it owns the fleet again: the ownership ends while the VM
+// still reads the records of its takeover.
+TEST_CASE("an ownership that ends during the takeover does not begin afterwards")
+{
+    StandinStore store;
+    store.put("op/config", configurationText(1, R"("k1")"));
+    DelayingStore delaying(store);
+    delaying.m_mustHold = [&](const StandinCall &call) {
+        const auto prefix = call.m_query.find("prefix");
+        return call.m_path == "/kv-range" && prefix != call.m_query.end() && prefix->second == StoreKeys::progress;
+    };
+    const auto node = FleetNode::create(settingsOf("vm-1", delaying.m_server.address())).take();
+    REQUIRE(waitUntil([&] { return delaying.m_holding.load(); }));
+    REQUIRE(store.value(std::string(StoreKeys::owner)));
+    const PeerVm other{.m_vm = "vm-2", .m_address = "127.0.0.1:1", .m_incarnation = "2", .m_processorCores = 1.0};
+    store.put(std::string(StoreKeys::owner), encodePeer(other));
+    std::this_thread::sleep_for(Duration(300)); // The watch reports the successor.
+    CHECK_FALSE(node->waitingJobCount("q"));
+    delaying.m_released = true;
+    std::this_thread::sleep_for(Duration(3000)); // Longer than a store lease and half a task lease.
+    CHECK_FALSE(node->waitingJobCount("q"));
+}
+
 } // namespace PrimroseBridge
