Add a failing test of a restart after the answer to a new owner

Cause: lets a takeover await the next incarnation of a worker only if it still awaits the earlier one. An answer of the earlier incarnation ends the wait, although the next one has seen no fence and orders do not name the incarnation. So a late start order of the former owner may be executed after the restart, while the new owner counts all workers as answered and unlocks the job ("workers_answered"). The row "the worker refuses this VM once it has answered a successor" holds for one incarnation only.

Effect: two runs of one task until the list of the next incarnation arrives. It needs a late start order and a restart within a task lease of the takeover. The set that a cordoned worker locks is dropped at a restart on the same condition (m_fenceConfirmed), read from the code only. A task that was placed before the restart cannot be protected in this way.

The test lets w1 answer and restart while w2 is still awaited. It is not mended here.

--- a/service/unittests/Fleetservice/takeoverraces.cpp
+++ b/service/unittests/Fleetservice/takeoverraces.cpp
@@ -1,4 +1,5 @@
 #include "nodefixture.h"
+#include "ownersimulation.h"
 #include "session.h"
 
 #include "primrosebridge/Fleetservice/storekeys.h"
@@ -19,6 +20,10 @@
 
 namespace PrimroseBridge {
 
+using Sim = OwnerSimulation;
+
+static const std::string jobId = "5c0e7a21d94b36f8";
+
 namespace {
 
 // Holds back the answers of one VM's store calls that a test chooses. The calls are executed at once.
@@ -133,4 +138,26 @@
     CHECK_FALSE(node->waitingJobCount("q"));
 }
 
+// Guards against two runs of one task: a worker answers a new owner and then restarts under its identifier. The new incarnation has seen no fence
+// and may execute a late start order of the former owner, while the job is still locked for another worker.
+TEST_CASE("a takeover also awaits the next incarnation of a worker that restarts after it has answered")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1"), Sim::worker("w2")},
+                    {newJobState(Sim::job(jobId, "queue", Sim::policy(4)), 4, Sim::at(0))},
+                    {RosterEntry{.m_worker = Sim::worker("w1"), .m_jobsIfCordoned = std::nullopt},
+                     RosterEntry{.m_worker = Sim::worker("w2"), .m_jobsIfCordoned = std::nullopt}});
+    sim.answer("w1", std::nullopt, {}, Sim::at(50));
+    sim.apply(WorkerReported{.m_report = Sim::worker("w1", std::nullopt, 2)}, Sim::at(100));
+    sim.answer("w2", std::nullopt, {}, Sim::at(150));
+    sim.review(Sim::at(150));
+    sim.place(Sim::at(150));
+    CHECK(sim.workerOf(jobId).empty());
+    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(200));
+    sim.review(Sim::at(200));
+    sim.place(Sim::at(200));
+    CHECK(sim.workerOf(jobId) == "w1");
+}
+
 } // namespace PrimroseBridge
