Add a failing test of a takeover with a roster that cannot be read

Cause: FleetNode::Private::startTermFromStore() skips a roster that cannot be decoded and goes on with an empty one. An empty roster means that the former owner has started nothing, so no worker is awaited and the jobs are unlocked at once. decodeRoster() refuses the whole roster for one entry that lacks a member, for example one of another release.

Effect: a new owner starts tasks that still run on workers that have not answered it. It also replaces the roster, so that its successors do not wait either.

The test submits a job, damages the roster and expects that the next owner starts nothing for 2 s of the task lease of 3 s. It is not mended here.

--- a/service/unittests/Fleetservice/takeoverraces.cpp
+++ b/service/unittests/Fleetservice/takeoverraces.cpp
@@ -5,6 +5,7 @@
 #include "primrosebridge/Fleetservice/storekeys.h"
 #include "primrosebridge/Fleetstandin/loopbackhttpserver.h"
 #include "primrosebridge/Fleetstandin/standinstore.h"
+#include "primrosebridge/Fleetstandin/standinworker.h"
 #include "primrosebridge/Pipeline/bootclock.h"
 
 #include <catch2/catch.hpp>
@@ -160,4 +161,25 @@
     CHECK(sim.workerOf(jobId) == "w1");
 }
 
+// Guards against two runs of one task: a roster that this release cannot read says nothing about where the former owner has started tasks, so
+// that the jobs of the takeover have to stay locked until the longest task lease has passed.
+TEST_CASE("jobs stay locked after a takeover with a roster that cannot be read")
+{
+    StandinStore store;
+    StandinWorker worker("w2", "r1", Duration(100));
+    store.put("op/config", configurationText(1, R"("k1")"));
+    {
+        const auto former = FleetNode::create(settingsOf("vm-1", store)).take();
+        REQUIRE(waitUntil([&] { return former->ready(); }));
+        REQUIRE(answerFleetCall(*former, callOf("POST", "/q/job", oneTaskJob)).m_status == 200);
+    }
+    store.put(std::string(StoreKeys::roster), R"({"version":7,"workers":[{"worker":"w1"}]})");
+    store.put("servers/w2", worker.entry("ready"));
+    const auto node = FleetNode::create(settingsOf("vm-2", store)).take();
+    REQUIRE(waitUntil([&] { return node->waitingJobCount("q").has_value(); }));
+    std::this_thread::sleep_for(Duration(2000)); // Shorter than the task lease of 3 s.
+    CHECK(worker.runHistory().empty());
+    CHECK(waitUntil([&] { return isComplete(*node, "/q/job"); }));
+}
+
 } // namespace PrimroseBridge
