Begin an ownership only under the lease that its key was written with

The answer to the write of the ownership key may arrive after the session has ended and the next one has been opened. The VM then became the owner under a key that the store had removed, and the renewals of the next session kept that ownership alive beside the real owner. Change: beginOwnership() compares the lease with that of the session under the session's lock; both callers pass it. Result: 'an ownership key that was written under a former session gives no ownership under the next one' failed in 6 of 6 runs on (takeoverraces.cpp:115, bothOwnedAtOnce) and passes.

--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -62,7 +62,7 @@
     void renewSession(std::int64_t lease);
     void tryAcquireOwnership();
     void adoptOwnershipKey();
-    void beginOwnership(std::int64_t fence);
+    void beginOwnership(std::int64_t fence, std::int64_t lease);
     void endOwnership(const std::string &reason);
     void requestHandOverToLargerVm();
     void releaseOwnershipIfRequested();
@@ -236,7 +236,7 @@
         fence = fenceIfHeldBy(result.value().m_current.front(), m_self, lease);
     }
     if (fence) {
-        beginOwnership(*fence);
+        beginOwnership(*fence, lease);
     }
 }
 
@@ -252,15 +252,16 @@
     const auto item = m_store->get(std::string(StoreKeys::owner));
     const auto fence = item.ok() && lease != 0 ? fenceIfHeldBy(item.value(), m_self, lease) : std::nullopt;
     if (fence) {
-        beginOwnership(*fence);
+        beginOwnership(*fence, lease);
     }
 }
 
-void Session::Private::beginOwnership(std::int64_t fence)
+// Does nothing if @p lease, under which the ownership key was written, is no longer the lease of the session: the store has removed the key.
+void Session::Private::beginOwnership(std::int64_t fence, std::int64_t lease)
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (m_closed) {
+        if (m_closed || m_leaseId != lease) {
             return;
         }
         m_fence = fence;
