Do not begin a term of ownership that has already ended

If the ownership ended meanwhile, its end was handled first and dropped, and the term began afterwards; the VM answered callers from it until it owned the fleet again. An end that was reported late could also end the writer's next term. Change: the beginning and the end of a term are decided under one lock, by fence; a fence that has ended does not begin, and only the present term ends the writer. That the end of an earlier term ended a later one is read from the code, no run showed it.

--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -78,9 +78,10 @@
     std::unique_ptr<Session> m_session;
     std::unique_ptr<FleetPeerServer> m_peerServer;
     FleetPeerClient m_peers;
-    std::mutex m_termMutex; // Guards m_term.
+    std::mutex m_termMutex; // Guards m_term and m_lastEndedFence.
     std::condition_variable m_termChanged;
     OwnerTerm m_term;
+    std::int64_t m_lastEndedFence = 0; // The end of a term may be reported before its beginning, on another thread.
     std::thread m_configurationThread;
     std::thread m_controlThread;
     std::thread m_inboxThread;
@@ -344,15 +345,19 @@
             reportSkippedRecord(item->m_key, decoded.error());
         }
     }
-    m_writer->beginTerm(fence, revisions);
-    m_owner->post(OwnershipGained{.m_snapshot = std::make_shared<const FleetSnapshot>(FleetSnapshot{.m_fence = fence,
-                                                                                                    .m_jobs = std::move(jobs),
-                                                                                                    .m_cancelledJobs = std::move(cancellations),
-                                                                                                    .m_workers = std::move(reports),
-                                                                                                    .m_roster = std::move(rosterEntries),
-                                                                                                    .m_rosterVersion = rosterVersion})});
     {
+        // A term that has ended while its snapshot was read must not begin. Under the lock, its end is handled before or after this.
         const std::lock_guard lock(m_termMutex);
+        if (m_term.m_fence != fence) {
+            return true;
+        }
+        m_writer->beginTerm(fence, revisions);
+        m_owner->post(OwnershipGained{.m_snapshot = std::make_shared<const FleetSnapshot>(FleetSnapshot{.m_fence = fence,
+                                                                                                        .m_jobs = std::move(jobs),
+                                                                                                        .m_cancelledJobs = std::move(cancellations),
+                                                                                                        .m_workers = std::move(reports),
+                                                                                                        .m_roster = std::move(rosterEntries),
+                                                                                                        .m_rosterVersion = rosterVersion})});
         m_term
             = OwnerTerm{.m_fence = fence, .m_inboxRevision = inbox.m_revision, .m_workersRevision = workers.m_revision, .m_workerKeys = std::move(workerKeys)};
     }
@@ -364,6 +369,9 @@
 {
     {
         const std::lock_guard lock(m_termMutex);
+        if (fence <= m_lastEndedFence) {
+            return;
+        }
         m_term = OwnerTerm{.m_fence = fence};
     }
     while (!m_closed && isCurrentTerm(fence) && !startTermFromStore(fence)) {
@@ -375,13 +383,14 @@
 {
     {
         const std::lock_guard lock(m_termMutex);
+        m_lastEndedFence = std::max(m_lastEndedFence, fence);
         if (m_term.m_fence == fence) {
             m_term = OwnerTerm{};
+            if (m_writer) {
+                m_writer->endTerm();
+            }
         }
     }
-    if (m_writer) {
-        m_writer->endTerm();
-    }
     m_owner->post(OwnershipLost{.m_fence = fence, .m_reason = reason});
 }
 
