Await a worker again that restarts after its answer to a new owner

The answer of a worker ends the wait of a takeover for it, because it refuses the former owner's fence from then on. Its next incarnation does not, and may execute a late start order. Change: for a task lease after the takeover, the next incarnation of a worker that has answered is awaited as well. A task that the owner has placed before the restart cannot be protected in this way; the postmortem lists that as open. Result: 'a takeover also awaits the next incarnation of a worker that restarts after it has answered' failed on (takeoverraces.cpp:157, and 161 with "w2" == "w1") and passes.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -288,7 +288,9 @@
 // Starts of an earlier incarnation of a worker that the next incarnation with its identifier may have executed.
 struct UnresolvedStarts {
     std::set<TaskReference> m_tasks; // Starts of this owner that the earlier incarnation has never listed.
-    bool m_awaited = false; // A takeover awaited the earlier incarnation, so that starts of the former owner are not known.
+    // The takeover awaited the earlier incarnation, or had its answer less than a task lease ago. Starts of the former owner may still arrive,
+    // and only the earlier incarnation refuses its fence.
+    bool m_awaited = false;
     std::optional<std::set<std::string>> m_jobsIfCordoned; // The jobs of the former owner's starts, if it had cordoned the earlier incarnation.
     Instant m_leasesExpiredBy;
 };
@@ -321,7 +323,7 @@
         releaseTasks(state, worker, "worker_restarted", now, sameIdentifier);
         if (sameIdentifier) {
             unresolved = UnresolvedStarts{.m_tasks = worker.m_tasks,
-                                          .m_awaited = state.m_awaitedWorkers.contains(name),
+                                          .m_awaited = state.m_awaitedWorkers.contains(name) || (worker.m_fenceConfirmed && now < state.m_jobsLockedUntil),
                                           .m_jobsIfCordoned = worker.m_fenceConfirmed ? std::nullopt : worker.m_jobsIfCordoned,
                                           .m_leasesExpiredBy = worker.m_leasesExpiredBy};
         }
