Keep jobs locked after a takeover whose roster cannot be read

A roster that could not be decoded, for example one of another release, was taken for an empty one, which says that the former owner has started nothing: no worker was awaited and all jobs were unlocked at once.

--- a/service/include/primrosebridge/Fleetservice/ownerevents.h
+++ b/service/include/primrosebridge/Fleetservice/ownerevents.h
@@ -22,6 +22,7 @@
     const std::vector<WorkerReportPointer> m_workers; ///< Workers with an entry in the store.
     const std::vector<RosterEntry> m_roster; ///< Workers that the previous owner used, with or without an entry in the store.
     const std::int64_t m_rosterVersion;
+    const bool m_rosterReadable = true; ///< False if the store holds a roster that cannot be decoded; m_roster is then empty.
 };
 
 /// This VM has become the owner of the fleet.
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -334,6 +334,7 @@
     }
     std::vector<RosterEntry> rosterEntries;
     std::int64_t rosterVersion = 0;
+    bool rosterReadable = true;
     if (const auto &item = roster) {
         revisions.push_back(RecordRevision{.m_key = item->m_key, .m_revision = item->m_revision});
         const auto decoded = decodeRoster(item->m_value);
@@ -342,6 +343,7 @@
             rosterEntries.swap(entries);
             rosterVersion = decoded.value().m_version;
         } else {
+            rosterReadable = false;
             reportSkippedRecord(item->m_key, decoded.error());
         }
     }
@@ -357,7 +359,8 @@
                                                                                                         .m_cancelledJobs = std::move(cancellations),
                                                                                                         .m_workers = std::move(reports),
                                                                                                         .m_roster = std::move(rosterEntries),
-                                                                                                        .m_rosterVersion = rosterVersion})});
+                                                                                                        .m_rosterVersion = rosterVersion,
+                                                                                                        .m_rosterReadable = rosterReadable})});
         m_term
             = OwnerTerm{.m_fence = fence, .m_inboxRevision = inbox.m_revision, .m_workersRevision = workers.m_revision, .m_workerKeys = std::move(workerKeys)};
     }
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -478,6 +478,7 @@
         }
     }
     state.m_fence = snapshot.m_fence;
+    state.m_formerRosterUnknown = !snapshot.m_rosterReadable;
     state.m_jobsLockedUntil = taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease);
     for (const auto &entry : snapshot.m_roster) {
         applyWorkerReport(state, entry.m_worker, now);
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -374,17 +374,19 @@
 // Unlocks the jobs of the takeover once every awaited worker has answered or every task lease of the previous owner has expired.
 static void unlockJobsIfSafe(OwnerState &state, Instant now)
 {
-    if (state.m_lockedJobs.empty() || (!state.m_awaitedWorkers.empty() && !haveTaskLeasesExpired(authorityOf(state), state.m_jobsLockedUntil, now))) {
+    const bool answered = state.m_awaitedWorkers.empty() && !state.m_formerRosterUnknown;
+    if (state.m_lockedJobs.empty() || (!answered && !haveTaskLeasesExpired(authorityOf(state), state.m_jobsLockedUntil, now))) {
         return;
     }
     logEvent(LogLevel::Info,
              "jobs_unlocked",
              {{"jobs", std::to_string(state.m_lockedJobs.size())},
               {"silent_workers", std::to_string(state.m_awaitedWorkers.size())},
-              {"reason", state.m_awaitedWorkers.empty() ? "workers_answered" : "leases_lapsed"},
+              {"reason", answered ? "workers_answered" : "leases_lapsed"},
               {"sole_owner", state.m_soleOwner ? "yes" : "no"}});
     state.m_lockedJobs.clear();
     state.m_awaitedWorkers.clear();
+    state.m_formerRosterUnknown = false;
     state.m_placementNeeded = true;
 }
 
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -103,6 +103,7 @@
     std::vector<std::string> m_jobOrder; ///< Identifiers of active jobs and of jobs with tasks on workers, in order of acceptance.
     std::set<std::string> m_lockedJobs; ///< Active jobs at the takeover; their waiting tasks are not started while m_awaitedWorkers may still run them.
     std::set<std::string> m_awaitedWorkers; ///< Workers that have not answered this owner yet and that the previous owner had not cordoned.
+    bool m_formerRosterUnknown = false; ///< Any worker may run tasks of the previous owner, so that only m_jobsLockedUntil unlocks the jobs.
     Instant m_jobsLockedUntil; ///< Boot clock; by then every task lease that the previous owner gave has expired.
     std::int64_t m_rosterVersion = 0; ///< Newest roster version that was queued for the store.
     std::int64_t m_recordedRosterVersion = 0; ///< Newest roster version that the store has acknowledged.
