Answer "cancelled" and "failed" only after the record is written

Cause: the first scheduler published the final outcome of a recorded request before it wrote it. An owner without the store (degraded, or one that does not know of its successor yet) answered a cancellation with "cancelled by the caller before it started", or the loss of a worker on the last attempt with "failed". The store refuses the record of a former owner, so the successor finds the request still accepted and runs it, also one that must not run twice. It is the class of fault of: a conclusion that holds only while no other VM has the authority.

Change: a recorded request that ends as anything but "done" is published when its outcome has been written (OutcomeRecorded); until then callers see it as pending, also in explain. "Done" is published at once, as the worker's result proves it. Unrecorded requests are answered as before: no successor knows them.

--- a/recovery/include/primrosebridge/Records/lifecycle.h
+++ b/recovery/include/primrosebridge/Records/lifecycle.h
@@ -18,6 +18,7 @@
     Release, ///< m_checkpoint: the pass takes the capacity back.
     Overtime, ///< The class's longest run time has passed.
     RetryRefused, ///< No retry budget is left for the attempt that just failed.
+    OutcomeRecorded, ///< The outcome is in the store, which accepts it from the zone's owner only.
 };
 
 /// One event with the fields that its kind uses.
--- a/recovery/lib/Records/lifecycle.cpp
+++ b/recovery/lib/Records/lifecycle.cpp
@@ -50,6 +50,13 @@
     return JobTransition{.m_job = job, .m_actions = {}};
 }
 
+// A result shows that the request has run, whoever owns the zone. That it was cancelled or has failed is the owner's own conclusion, which
+// the store refuses if a successor has the job: the successor may run it, so callers must not be told otherwise before the write.
+static bool isProvenByWorkers(OutcomeKind kind)
+{
+    return kind == OutcomeKind::Done;
+}
+
 static JobTransition finish(JobDraft draft, OutcomeKind kind, const std::string &result, const std::string &reason)
 {
     draft.m_phase = JobPhase::Finished;
@@ -57,7 +64,10 @@
     draft.m_result = result;
     draft.m_reason = reason;
     draft.m_outcomeAttempt = draft.m_attempt;
-    std::vector<JobAction> actions = {JobAction::PublishOutcome};
+    std::vector<JobAction> actions;
+    if (!draft.m_recorded || isProvenByWorkers(kind)) {
+        actions.push_back(JobAction::PublishOutcome);
+    }
     if (draft.m_recorded) {
         actions.push_back(JobAction::WriteOutcome);
     }
@@ -369,6 +379,14 @@
     return finish(JobDraft(job), OutcomeKind::Failed, {}, "an attempt failed and the retry budget of its tier is spent");
 }
 
+static JobTransition onOutcomeRecorded(const Job &job)
+{
+    if (job.m_phase != JobPhase::Finished || isProvenByWorkers(job.m_outcome.m_kind)) {
+        return unchanged(job);
+    }
+    return JobTransition{.m_job = job, .m_actions = {JobAction::PublishOutcome}};
+}
+
 JobTransition stepJob(const Job &job, const JobEvent &event, Instant now)
 {
     switch (event.m_kind) {
@@ -388,6 +406,8 @@
         return onRelease(job, StopCause::Overtime, job.m_jobClass.m_checkpointable);
     case JobEventKind::RetryRefused:
         return onRetryRefused(job);
+    case JobEventKind::OutcomeRecorded:
+        return onOutcomeRecorded(job);
     }
     return unchanged(job);
 }
--- a/recovery/unittests/Records/lifecycle.cpp
+++ b/recovery/unittests/Records/lifecycle.cpp
@@ -185,6 +185,31 @@
     CHECK(again.m_outcome.m_kind == OutcomeKind::Failed);
 }
 
+// Guards against telling callers that a request has failed or was cancelled while a successor, which has the record, runs it.
+TEST_CASE("an outcome that no worker proves is published only once it is recorded")
+{
+    const Job queued = afterEvents(newJob(makeRequest(), makeClass(false)), {JobEvent{.m_kind = JobEventKind::Accepted}});
+    const auto cancelled = stepJob(queued, JobEvent{.m_kind = JobEventKind::Cancel}, start);
+    CHECK(cancelled.m_actions == std::vector<JobAction>{JobAction::WriteOutcome});
+    const auto recorded = stepJob(cancelled.m_job, JobEvent{.m_kind = JobEventKind::OutcomeRecorded}, start);
+    CHECK(recorded.m_actions == std::vector<JobAction>{JobAction::PublishOutcome});
+
+    // The first attempt is lost with its worker, and so is the second and last one, but a successor may have reached the worker.
+    const std::vector<JobEvent> attempt = {
+        JobEvent{.m_kind = JobEventKind::Placed, .m_members = makeMembers(1), .m_fence = 3},
+        JobEvent{.m_kind = JobEventKind::IntentRecorded},
+        report(0, MemberState::Running),
+    };
+    const Job again = afterEvents(afterEvents(heldJob(true, 1), {report(0, MemberState::Running), report(0, MemberState::Lost)}), attempt);
+    const auto lost = stepJob(again, report(0, MemberState::Lost), start);
+    REQUIRE(lost.m_job.m_outcome.m_kind == OutcomeKind::Failed);
+    CHECK(lost.m_actions == std::vector<JobAction>{JobAction::WriteOutcome});
+
+    const auto done = stepJob(again, report(0, MemberState::Done), start);
+    CHECK(done.m_actions == std::vector<JobAction>{JobAction::PublishOutcome, JobAction::WriteOutcome});
+    CHECK(stepJob(done.m_job, JobEvent{.m_kind = JobEventKind::OutcomeRecorded}, start).m_actions.empty());
+}
+
 TEST_CASE("a checkpointed job waits again and resumes")
 {
     const Job running = afterEvents(heldJob(false, 2, true), {report(0, MemberState::Running), report(1, MemberState::Running)});
--- a/service/lib/Runtime/schedulercollect.cpp
+++ b/service/lib/Runtime/schedulercollect.cpp
@@ -28,6 +28,7 @@
         applyEvent(core, outgoing, AddressedEvent{.m_key = key, .m_event = JobEvent{.m_kind = JobEventKind::IntentRecorded}}, now);
         return;
     case RecordKind::Outcome:
+        applyEvent(core, outgoing, AddressedEvent{.m_key = key, .m_event = JobEvent{.m_kind = JobEventKind::OutcomeRecorded}}, now);
         forgetTasks(core, job);
         eraseJob(core, key);
         return;
--- a/service/lib/Runtime/schedulersteps.cpp
+++ b/service/lib/Runtime/schedulersteps.cpp
@@ -281,6 +281,9 @@
         return;
     case JobAction::WriteOutcome:
         queueRecord(core, outgoing, RecordKind::Outcome, job);
+        // The job no longer occupies its workers, even if its outcome is published later.
+        observeRelease(core, job->m_request.m_key, now);
+        requestPass(core);
         return;
     case JobAction::SendHold:
         queueHolds(core, *job);
--- a/service/lib/Runtime/zonescheduler.cpp
+++ b/service/lib/Runtime/zonescheduler.cpp
@@ -400,9 +400,11 @@
             const auto &job = *found->second;
             const auto explained = core.m_shard.m_explanations.find(key);
             const bool known = explained != core.m_shard.m_explanations.end();
+            // The outcome of a finished job may not be published yet.
+            const auto published = core.m_outcomes.find(key);
             return JobReport{
                 .m_phase = std::string(jobPhaseName(job.m_phase)),
-                .m_outcome = job.m_outcome,
+                .m_outcome = published ? published->m_outcome : job.m_outcome,
                 .m_members = membersOf(job),
                 .m_rule = known ? std::string(decisionRuleName(explained->second->m_rule)) : std::string(),
                 .m_text = known ? explained->second->m_text : std::string(),
