Do not repeat "not run" in a later term of ownership

Cause: the first scheduler keeps final outcomes across its terms of ownership. "Not run", the refusal of a request that cannot be recorded, was among them. If the caller submitted the request again to a successor, which ran it, and the zone came back to the first VM within the ten minutes for which outcomes are kept, that VM answered "not run" from its table without reading the record.

Change: OutcomeTable::moveAll(), called at the end of a term, also marks "not run" as moved. The scheduler then does not know the key, and the node answers from the record. Done, failed and cancelled stay: the first is proven, and the others are recorded before they are answered or belong to unrecorded requests.

Tests: service/unittests/Runtime/formerowner.cpp, "an owner does not repeat the refusal of an earlier term after another owner had the zone".

--- a/service/include/primrosebridge/Runtime/outcometable.h
+++ b/service/include/primrosebridge/Runtime/outcometable.h
@@ -40,7 +40,7 @@
     /// Waits until the outcome is final or moved, at most @p timeout; returns what is known then, or null.
     [[nodiscard]] std::shared_ptr<const KnownOutcome> wait(const RequestKey &key, Duration timeout) const;
 
-    /// Marks every outcome that is not final as moved, because another process owns the zone now.
+    /// Marks every outcome that is not final, or that is "not run", as moved, because another process owns the zone now.
     void moveAll(Instant now);
 
     /// Forgets final outcomes published before @p before. Pending ones are kept.
--- a/service/lib/Runtime/outcometable.cpp
+++ b/service/lib/Runtime/outcometable.cpp
@@ -75,13 +75,19 @@
     return current();
 }
 
+// "Not run" ends with the owner's term: the next owner accepts the key if it is submitted again.
+static bool outlastsTerm(const Pointer &known)
+{
+    return isSettled(known) && known->m_outcome.m_kind != OutcomeKind::NotRun;
+}
+
 void OutcomeTable::moveAll(Instant now)
 {
     for (auto &shard : m_shards) {
         {
             const std::lock_guard lock(shard.m_mutex);
             for (auto &[key, known] : shard.m_outcomes) {
-                if (!isSettled(known)) {
+                if (!outlastsTerm(known)) {
                     known = asMoved(*known, now);
                 }
             }
--- a/service/unittests/Runtime/formerowner.cpp
+++ b/service/unittests/Runtime/formerowner.cpp
@@ -168,3 +168,20 @@
         CHECK_FALSE(bench.m_scheduler->get(SchedulerBench::key("pallet-1"), bakery, Duration(0)).ok());
     }
 }
+
+// Guards against the answer "not run" for a request that a successor has accepted and run: the answer was kept for the VM's next term.
+TEST_CASE("an owner does not repeat the refusal of an earlier term after another owner had the zone")
+{
+    SchedulerBench bench;
+    bench.m_server.stop();
+    REQUIRE(bench.submit("pallet-2", Duration(5000)).value().m_outcome.m_kind == OutcomeKind::NotRun);
+    CHECK(bench.m_scheduler->get(SchedulerBench::key("pallet-2"), bakery, Duration(0)).value().m_outcome.m_kind == OutcomeKind::NotRun);
+    bench.m_server.start();
+    bench.m_scheduler->stopOwning();
+    // The caller submits it again to the successor, which runs it and records the outcome; then this VM owns the zone again.
+    bench.own();
+    const auto again = bench.m_scheduler->get(SchedulerBench::key("pallet-2"), bakery, Duration(0));
+    // The node answers from the record if its scheduler does not know the key.
+    REQUIRE_FALSE(again.ok());
+    CHECK(again.error().kind() == ErrorKind::NotFound);
+}
