Add a failing end-to-end test of two runs after a late ownership key

Each worker is reached by one of the two VMs only, as in a cut between zones; the writes of the roster take 330 ms, as from a slow store. No VM is suspended.

--- a/service/unittests/Fleetservice/takeoverraces.cpp
+++ b/service/unittests/Fleetservice/takeoverraces.cpp
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -23,6 +24,8 @@
 
 using Sim = OwnerSimulation;
 
+// Duration of a write while the store is slow.
+static constexpr Duration slowStoreDelay(330);
 static const std::string jobId = "5c0e7a21d94b36f8";
 
 namespace {
@@ -76,22 +79,64 @@
     Session m_session;
 };
 
+// Forwards the calls of some owners to a worker and drops those of the others, as a cut between zones does.
+class PartlyReachableWorker
+{
+public:
+    explicit PartlyReachableWorker(const StandinWorker &worker)
+        : m_address(nlohmann::json::parse(worker.entry("ready")).at("addr").get<std::string>())
+        , m_server([this](const StandinCall &call) { return forward(call); })
+    {
+    }
+
+    [[nodiscard]] std::string entryOf(const StandinWorker &worker) const
+    {
+        auto entry = nlohmann::json::parse(worker.entry("ready"));
+        entry["addr"] = m_server.address();
+        return entry.dump();
+    }
+
+    // Calls with a fence outside of these limits are dropped.
+    std::atomic<std::int64_t> m_firstFence = 0;
+    std::atomic<std::int64_t> m_lastFence = std::numeric_limits<std::int64_t>::max();
+
+private:
+    StandinAnswer forward(const StandinCall &call)
+    {
+        const auto fence = nlohmann::json::parse(call.m_body).value("fence", std::int64_t(0));
+        if (fence < m_firstFence || fence > m_lastFence) {
+            return StandinAnswer{.m_status = 0, .m_body = {}};
+        }
+        const auto answer = m_client->call(HttpClientCall{
+            .m_address = m_address, .m_method = call.m_method, .m_path = call.m_path, .m_body = call.m_body, .m_headers = {}, .m_timeout = Duration(5000)});
+        return answer.ok() ? StandinAnswer{.m_status = answer.value().m_status, .m_body = answer.value().m_body} : StandinAnswer{.m_status = 0, .m_body = {}};
+    }
+
+    const std::string m_address;
+    const std::shared_ptr<HttpClient> m_client = HttpClient::create().take();
+    LoopbackHttpServer m_server;
+};
+
 } // namespace
 
+// Ends the lease of the ownership key that the call has written. Returns false if the call has written none.
+static bool endLeaseOfOwnershipKey(StandinStore &store, const StandinCall &call)
+{
+    if (call.m_path != "/kv-txn" || call.m_body.find(StoreKeys::owner) == std::string::npos) {
+        return false;
+    }
+    const auto lease = nlohmann::json::parse(call.m_body).at("setKeys").at(0).at("lease").get<std::int64_t>();
+    store.handle(StandinCall{.m_method = "DELETE", .m_path = "/kv-lease-end/" + std::to_string(lease), .m_query = {}, .m_headers = {}, .m_body = {}});
+    return true;
+}
+
 // Guards against two VMs that both renew task leases, and so against two runs of one task: the answer to the write of the ownership key arrives
 // after the session has ended, because the VM was suspended or its renewals were lost. The ownership must not live on the next session's lease.
 TEST_CASE("an ownership key that was written under a former session gives no ownership under the next one")
 {
     StandinStore store;
     DelayingStore delaying(store);
-    delaying.m_mustHold = [&](const StandinCall &call) {
-        if (call.m_path != "/kv-txn" || call.m_body.find(StoreKeys::owner) == std::string::npos || delaying.m_holding) {
-            return false;
-        }
-        const auto lease = nlohmann::json::parse(call.m_body).at("setKeys").at(0).at("lease").get<std::int64_t>();
-        store.handle(StandinCall{.m_method = "DELETE", .m_path = "/kv-lease-end/" + std::to_string(lease), .m_query = {}, .m_headers = {}, .m_body = {}});
-        return true;
-    };
+    delaying.m_mustHold = [&](const StandinCall &call) { return !delaying.m_holding && endLeaseOfOwnershipKey(store, call); };
     ElectionMember first("vm-1", delaying.m_server.address());
     ElectionMember second("vm-2", store.address());
     const std::string firstKey = std::string(StoreKeys::vms) + "vm-1";
@@ -182,4 +227,49 @@
     CHECK(waitUntil([&] { return isComplete(*node, "/q/job"); }));
 }
 
+// Guards against two runs of one task: the same delay as above, with workers that only one of the VMs reaches. The VM whose key is gone
+// renews the leases of a worker, which the successor counts as ended after its takeover.
+TEST_CASE("no task runs twice at a time if the answer to the write of the ownership key outlives the session")
+{
+    StandinStore store;
+    StandinWorker near("w1", "r1", Duration(20'000), Duration(3000));
+    StandinWorker far("w2", "r1", Duration(20'000), Duration(3000));
+    PartlyReachableWorker nearLink(near);
+    PartlyReachableWorker farLink(far);
+    store.put("op/config", configurationText(1, R"("k1")"));
+    store.put("servers/w1", nearLink.entryOf(near));
+    DelayingStore delaying(store);
+    delaying.m_mustHold = [&](const StandinCall &call) {
+        if (delaying.m_holding) {
+            if (call.m_body.find(StoreKeys::roster) != std::string::npos) {
+                std::this_thread::sleep_for(slowStoreDelay);
+            }
+            return false;
+        }
+        const auto fence = store.revisionOf(std::string(StoreKeys::owner));
+        if (!endLeaseOfOwnershipKey(store, call)) {
+            return false;
+        }
+        nearLink.m_lastFence = fence;
+        farLink.m_firstFence = fence + 1;
+        return true;
+    };
+    {
+        const auto former = FleetNode::create(settingsOf("vm-0", store)).take();
+        REQUIRE(waitUntil([&] { return former->ready(); }));
+        REQUIRE(answerFleetCall(*former, callOf("POST", "/q/job", oneTaskJob)).m_status == 200);
+        REQUIRE(waitUntil([&] { return near.runningTasks().size() == 1; }));
+        store.put("servers/w2", farLink.entryOf(far));
+        std::this_thread::sleep_for(Duration(300));
+    }
+    const auto first = FleetNode::create(settingsOf("vm-1", delaying.m_server.address())).take();
+    REQUIRE(waitUntil([&] { return delaying.m_holding.load(); }));
+    const auto second = FleetNode::create(settingsOf("vm-2", store)).take();
+    REQUIRE(waitUntil([&] { return !near.runHistory().front().m_endKind.empty() && !far.runHistory().empty(); }, 10'000));
+    const auto firstRun = near.runHistory().front();
+    CAPTURE(firstRun.m_endKind);
+    const auto overlap = firstRun.m_endedAt - far.runHistory().front().m_startedAt;
+    CHECK(std::chrono::duration_cast<Duration>(overlap).count() <= 0);
+}
+
 } // namespace PrimroseBridge
