Let the stand-in store show other addresses in each zone

Cause: the soak can't cut the path from the VMs of one zone to a worker of the other one, because all VMs read one address for it in the store.

Change: primrosebridge-fleet-standin opens a further store port for each zone (--zone_ports). It replaces addresses in the values that it answers, and puts the original ones back in the values that it stores, because a roster names workers by their addresses. A run takes N ms if its payload ends with "runMs=N", and its progress rises with time. A constant progress made the daemon stop each run of 5 s as stalled.

--- a/standins/include/primrosebridge/Fleetstandin/standinstore.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinstore.h
@@ -38,6 +38,11 @@
     StandinStore &operator=(const StandinStore &) = delete;
 
     [[nodiscard]] std::string address() const;
+    /// Opens another port, for the callers of one zone, and returns its address. Zones are numbered from 0 in the order of these calls.
+    std::string addZonePort();
+    /// At the port of @p zone, each @p address inside a stored value reads as @p addressInZone, and is stored as @p address when the
+    /// callers write it back. @p zone must have a port.
+    void replaceAddress(std::size_t zone, const std::string &address, const std::string &addressInZone);
     /// Sets the function that chooses the fault of each HTTP call. It is called under the store's lock.
     void setFaults(std::function<StoreFault(StoreCall)> faults);
     /// Executes a call without faults. A test can put its own server with its own faults in front of this function.
--- a/standins/include/primrosebridge/Fleetstandin/standinworker.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinworker.h
@@ -38,12 +38,14 @@
     const bool m_acknowledged; ///< True if a caller acknowledged the end before the lease expired.
 };
 
-/// A stand-in for a worker, over HTTP on the loopback address. All tasks have the same run time. For tests and demos only.
+/// A stand-in for a worker, over HTTP on the loopback address. All tasks have the same run time, unless their
+/// payload names another one. For tests and demos only.
 /// Thread-safe.
 class StandinWorker
 {
 public:
-    /// Every task runs for @p runTime. The worker shortens longer leases to @p maxLease; if it is not given, leases never expire.
+    /// Every task runs for @p runTime, or for N milliseconds if its payload ends with "runMs=N". The worker shortens longer leases to @p maxLease; if it is not
+    /// given, leases never expire.
     StandinWorker(std::string identifier,
                   std::string rack,
                   std::chrono::milliseconds runTime,
--- a/standins/lib/Fleetstandin/standinstore.cpp
+++ b/standins/lib/Fleetstandin/standinstore.cpp
@@ -23,6 +23,13 @@
 
 namespace {
 
+using AddressPairs = std::vector<std::pair<std::string, std::string>>;
+
+struct ZonePort {
+    AddressPairs m_replacements; // (stored address, address in the zone)
+    std::unique_ptr<LoopbackHttpServer> m_httpServer;
+};
+
 struct StoredValue {
     std::string m_value;
     std::int64_t m_revision = 0;
@@ -65,6 +72,38 @@
     return Json{{"key", key}, {"value", encodeBase64(item.m_value)}, {"rev", item.m_revision}, {"created", item.m_createRevision}, {"lease", item.m_lease}};
 }
 
+static std::string replaceAddresses(std::string text, const AddressPairs &addresses)
+{
+    for (const auto &[from, to] : addresses) {
+        const auto quoted = '"' + from + '"';
+        for (auto at = text.find(quoted); at != std::string::npos; at = text.find(quoted, at + 1)) {
+            text.replace(at, quoted.size(), '"' + to + '"');
+        }
+    }
+    return text;
+}
+
+static void replaceAddressesInValues(Json &json, const AddressPairs &addresses)
+{
+    if (json.is_object() && json.contains("value")) {
+        json["value"] = encodeBase64(replaceAddresses(decodeBase64(json["value"].get<std::string>()), addresses));
+    } else if (json.is_structured()) {
+        for (auto &element : json) {
+            replaceAddressesInValues(element, addresses);
+        }
+    }
+}
+
+static std::string withReplacedAddresses(const std::string &body, const AddressPairs &addresses)
+{
+    auto json = Json::parse(body, nullptr, false);
+    if (addresses.empty() || json.is_discarded()) {
+        return body;
+    }
+    replaceAddressesInValues(json, addresses);
+    return json.dump();
+}
+
 struct StandinStore::Private {
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -77,7 +116,9 @@
     std::function<StoreFault(StoreCall)> m_faults;
     std::vector<std::thread> m_lateCalls;
     std::unique_ptr<LoopbackHttpServer> m_httpServer;
+    std::vector<ZonePort> m_zonePorts;
 
+    StandinAnswer answerInZone(const StandinCall &call, std::size_t zone);
     StandinAnswer answerWithFaults(const StandinCall &call);
     StandinAnswer executeCall(const StandinCall &call);
     StandinAnswer get(const std::string &key);
@@ -290,6 +331,26 @@
     return executeCall(call);
 }
 
+StandinAnswer StandinStore::Private::answerInZone(const StandinCall &call, std::size_t zone)
+{
+    AddressPairs replacements;
+    {
+        const std::lock_guard lock(m_mutex);
+        replacements = m_zonePorts.at(zone).m_replacements;
+    }
+    // Writes are translated back, so that a roster that the owner of one zone has written has the addresses of the other zone there.
+    AddressPairs reversed;
+    for (const auto &[stored, inZone] : replacements) {
+        reversed.emplace_back(inZone, stored);
+    }
+    const auto answer = answerWithFaults(StandinCall{.m_method = call.m_method,
+                                                     .m_path = call.m_path,
+                                                     .m_query = call.m_query,
+                                                     .m_headers = call.m_headers,
+                                                     .m_body = withReplacedAddresses(call.m_body, reversed)});
+    return StandinAnswer{.m_status = answer.m_status, .m_body = withReplacedAddresses(answer.m_body, replacements)};
+}
+
 StandinStore::StandinStore()
     : m_private(std::make_unique<Private>())
 {
@@ -304,6 +365,9 @@
     }
     m_private->m_changed.notify_all();
     m_private->m_httpServer.reset();
+    for (auto &port : m_private->m_zonePorts) {
+        port.m_httpServer.reset();
+    }
     for (auto &thread : m_private->m_lateCalls) {
         thread.join();
     }
@@ -314,6 +378,21 @@
     return m_private->m_httpServer->address();
 }
 
+std::string StandinStore::addZonePort()
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    const auto zone = m_private->m_zonePorts.size();
+    auto server = std::make_unique<LoopbackHttpServer>([this, zone](const StandinCall &call) { return m_private->answerInZone(call, zone); });
+    m_private->m_zonePorts.push_back(ZonePort{.m_replacements = {}, .m_httpServer = std::move(server)});
+    return m_private->m_zonePorts.back().m_httpServer->address();
+}
+
+void StandinStore::replaceAddress(std::size_t zone, const std::string &address, const std::string &addressInZone)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->m_zonePorts.at(zone).m_replacements.emplace_back(address, addressInZone);
+}
+
 StandinAnswer StandinStore::handle(const StandinCall &call)
 {
     return m_private->executeCall(call);
--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -23,6 +23,7 @@
     std::int64_t m_number = 0;
     Clock::time_point m_endsAt;
     bool m_fails = false;
+    std::chrono::milliseconds m_ownRunTime{0}; // 0 if the payload names no run time.
     std::size_t m_historyIndex = 0;
 };
 
@@ -124,6 +125,14 @@
     }
 }
 
+// Returns the number of milliseconds N if the payload ends with "runMs=N".
+static std::optional<std::chrono::milliseconds> runTimeInPayload(const std::string &payload)
+{
+    static const std::string name = "runMs=";
+    const auto at = payload.rfind(name);
+    return at == std::string::npos ? std::nullopt : std::optional(std::chrono::milliseconds(std::stoll(payload.substr(at + name.size()))));
+}
+
 StandinAnswer StandinWorker::Private::startRun(const Json &body)
 {
     const auto task = body.at("task").get<std::string>();
@@ -139,7 +148,12 @@
         return reply(409, Json{{"reason", "late"}});
     }
     const bool fails = !m_failingPrefix.empty() && task.starts_with(m_failingPrefix);
-    m_running[task] = Run{.m_number = number, .m_endsAt = Clock::now() + m_runTime, .m_fails = fails, .m_historyIndex = m_history.size()};
+    const auto ownRunTime = runTimeInPayload(body.value("spec", std::string()));
+    m_running[task] = Run{.m_number = number,
+                          .m_endsAt = Clock::now() + ownRunTime.value_or(m_runTime),
+                          .m_fails = fails,
+                          .m_ownRunTime = ownRunTime.value_or(std::chrono::milliseconds(0)),
+                          .m_historyIndex = m_history.size()};
     m_history.push_back(HistoryEntry{.m_task = task,
                                      .m_run = number,
                                      .m_incarnation = m_currentIncarnation,
@@ -167,7 +181,10 @@
 {
     Json runningTasks = Json::array();
     for (const auto &[task, run] : m_running) {
-        runningTasks.push_back(Json::array({task, run.m_number, "", 50, 0.0}));
+        // An owner stops a run as stalled if its progress stays the same for a few seconds.
+        const auto left = std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(run.m_endsAt - Clock::now()));
+        const auto percent = run.m_ownRunTime.count() > 0 ? 100 - 100 * left.count() / run.m_ownRunTime.count() : 50;
+        runningTasks.push_back(Json::array({task, run.m_number, "", percent, 0.0}));
     }
     Json ended = Json::array();
     for (const auto &entry : m_unacknowledgedEnds) {
--- a/standins/tools/primrosebridge-fleet-standin/main.cpp
+++ b/standins/tools/primrosebridge-fleet-standin/main.cpp
@@ -16,6 +16,7 @@
 ABSL_FLAG(int, workers, 12, "Number of workers; each rack has four.");
 ABSL_FLAG(int, run_ms, 1500, "Run time of each task, in milliseconds.");
 ABSL_FLAG(int, lease_ms, 6000, "Longest lease that a worker grants, in milliseconds.");
+ABSL_FLAG(int, zone_ports, 0, "Number of further store ports, each with worker and VM addresses of its own.");
 ABSL_FLAG(unsigned, seed, 1, "Seed of the random generators that choose which calls get a fault.");
 
 namespace PrimroseBridge {
@@ -83,6 +84,9 @@
             slot.m_worker->setFaults([faults = slot.m_faults.get()](WorkerCall) { return faults->drawFault(); });
             m_slots.push_back(std::move(slot));
         }
+        for (int zone = 0; zone < absl::GetFlag(FLAGS_zone_ports); ++zone) {
+            m_zoneStores.push_back(m_store.addZonePort());
+        }
         m_control = std::make_unique<LoopbackHttpServer>([this](const StandinCall &call) { return answerControlCall(call); });
     }
 
@@ -92,7 +96,7 @@
         for (const auto &slot : m_slots) {
             workers.push_back(Json::parse(slot.m_worker->entry("ready")).at("addr"));
         }
-        return Json{{"store", m_store.address()}, {"control", m_control->address()}, {"workers", workers}};
+        return Json{{"store", m_store.address()}, {"control", m_control->address()}, {"workers", workers}, {"zoneStores", m_zoneStores}};
     }
 
 private:
@@ -115,6 +119,10 @@
             m_store.put(body.at("key").get<std::string>(), body.at("value").get<std::string>());
         } else if (path == "/remove") {
             m_store.remove(body.at("key").get<std::string>());
+        } else if (path == "/replace-address") {
+            m_store.replaceAddress(body.at("zone").get<std::size_t>(), body.at("address").get<std::string>(), body.at("addressInZone").get<std::string>());
+        } else if (path == "/value") {
+            return Json{{"value", m_store.value(body.at("key").get<std::string>()).value_or("")}};
         } else if (path == "/store-faults") {
             m_storeFaults.setFault(storeFaultOf(body.at("fault").get<std::string>()), body.value("share", 1.0));
         } else if (path == "/worker-faults") {
@@ -176,6 +184,7 @@
     const Clock::time_point m_startedAt = Clock::now();
     FaultSource<StoreFault> m_storeFaults;
     StandinStore m_store;
+    std::vector<std::string> m_zoneStores;
     std::vector<WorkerSlot> m_slots;
     std::unique_ptr<LoopbackHttpServer> m_control;
 };
--- a/standins/unittests/Standin/soak_test.py
+++ b/standins/unittests/Standin/soak_test.py
@@ -1,11 +1,15 @@
 """Tests of the soak's checks: a violation that they do not see would make every soak pass."""
 
+import base64
+import json
 import random
 import sys
+import time
 import unittest
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[3] / "scripts"))
+import harness  # noqa: E402
 from fleetsoak.checks import find_violations  # noqa: E402
 from fleetsoak.load import SoakJob  # noqa: E402
 
@@ -70,5 +74,47 @@
         self.assertEqual(found([gang], [run(1000, 2000), run(2001, 2003, task="aa.0.0.1")]), [])
 
 
+class ZonePorts(unittest.TestCase):
+    def setUp(self):
+        self.processes = harness.Processes()
+        self.addCleanup(self.processes._remove_folder)
+        self.addCleanup(self.processes.end_all)
+        arguments = [harness.binary_path("primrosebridge-fleet-standin"), "--workers=1", "--run_ms=100", "--zone_ports=2"]
+        standin = self.processes.start("standin", arguments)
+        harness.wait_until(lambda: standin.log().endswith("\n"), 10, "the stand-in starts")
+        self.addresses = json.loads(standin.log())
+
+    def call(self, server, method, path, **body):
+        answer = harness.call(int(server.rsplit(":", 1)[1]), method, path, body or None)
+        self.assertEqual(answer.status, 200, answer.text)
+        return answer.body
+
+    def value(self, address, key):
+        return base64.b64decode(self.call(address, "GET", f"/kv-key?key={key}")["value"]).decode()
+
+    def test_each_zone_reads_its_own_address_and_stores_the_original(self):
+        """Guards against VMs of both zones that share a path, and against a roster with an address of the wrong zone."""
+        control, stores = self.addresses["control"], self.addresses["zoneStores"]
+        for zone in range(2):
+            self.call(control, "POST", "/replace-address", zone=zone, address="a:1", addressInZone=f"zone-{zone}:1")
+        self.call(control, "POST", "/put", key="servers/w0", value='{"addr":"a:1","other":"a:12"}')
+        for zone in range(2):
+            self.assertEqual(self.value(stores[zone], "servers/w0"), f'{{"addr":"zone-{zone}:1","other":"a:12"}}')
+        written = base64.b64encode(b'["zone-0:1"]').decode()
+        self.call(stores[0], "POST", "/kv-txn", expected=[], setKeys=[{"key": "roster", "value": written}], remove=[])
+        self.assertEqual(self.value(self.addresses["store"], "roster"), '["a:1"]')
+        self.assertEqual(self.value(stores[1], "roster"), '["zone-1:1"]')
+
+    def test_a_run_lasts_as_long_as_its_payload_says(self):
+        """Guards against a soak without runs that outlast a lease."""
+        worker = self.addresses["workers"][0]
+        for task, spec in (("short.0.0.0", "job 1"), ("long.0.0.0", "job 2 runMs=60000")):
+            self.call(worker, "POST", "/run-start", task=task, runId=1, spec=spec, fence=1, deadlineMs=5000)
+        time.sleep(0.3)
+        report = self.call(worker, "POST", "/hold", fence=1, deadlineMs=5000, lastSeen=0, waitMs=0)
+        self.assertEqual([row[1] for row in report["ended"]], ["short.0.0.0"])
+        self.assertEqual([row[0] for row in report["running"]], ["long.0.0.0"])
+
+
 if __name__ == "__main__":
     unittest.main()
