Play two zones and long pauses in the soak

A quarter of the jobs runs for 5 s. With one zone the threads of the fault injector get the same seeds and faults as before; compared for the seeds in REGRESSIONS.

--- a/scripts/fleetsoak/__main__.py
+++ b/scripts/fleetsoak/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the real programs under random faults and checks their guarantees: scripts/soak [--seed N] [--seeds N] [--seconds N] [--vms N]."""
+"""Runs the real programs under random faults and checks their guarantees: scripts/soak [--seed N] [--seeds N] [--seconds N] [--vms N] [--zones N]."""
 
 import argparse
 import random
@@ -12,25 +12,26 @@
 from fleetsoak.load import FINAL_STATES, LoadGenerator
 from fleetsoak.proxy import ProxyLoop
 
-# Seeds that have exposed faults, each with the cause of its violation.
+# Seeds that have exposed faults, each with the number of its zones and the cause of its violation.
 REGRESSIONS = (
-    302,  # A restarted worker executed a start order before the store listed its new incarnation; the owner also sent the task to another worker.
-    200009,  # The stand-in worker counted an end as acknowledged after the lease had expired, and detected expired leases late.
-    401,  # A new owner started tasks while runs that it had ordered to stop were still running.
+    (302, 1),  # A restarted worker executed a start order before the store listed its new incarnation; the owner also sent the task to another worker.
+    (200009, 1),  # The stand-in worker counted an end as acknowledged after the lease had expired, and detected expired leases late.
+    (401, 1),  # A new owner started tasks while runs that it had ordered to stop were still running.
 )
 # Allows for a takeover, the longest task lease and the execution of queued jobs after the last fault.
 SETTLE_TIMEOUT_S = 40.0
 
 
-def run_soak(seed, seconds, vms, workers):
+def run_soak(seed, seconds, vms, workers, zones):
     """Runs one soak, prints a summary line and returns the violations as texts."""
     rng = random.Random(seed)
+    workers = workers or (12 if zones == 1 else 16)
     with harness.Processes() as processes, ProxyLoop() as proxy_loop:
-        fleet = SoakFleet(processes, proxy_loop, seed, vms, workers)
+        fleet = SoakFleet(processes, proxy_loop, seed, vms, workers, zones)
         before = time.monotonic()
         clock_origin_s = (before + time.monotonic()) / 2 - fleet.run_history()["now"] / 1000
-        with LoadGenerator(fleet, seed, per_second=8.0) as load_generator:
-            with FaultInjector(fleet, rng) as faults:
+        with LoadGenerator(fleet, seed, per_second=8.0, thread_count=6 if zones == 1 else 16) as load_generator:
+            with FaultInjector(fleet, rng, thread_count=2 if zones == 1 else 1) as faults:
                 time.sleep(seconds)
             last_fault_at = time.monotonic()
             time.sleep(2)  # Jobs that are submitted after the last fault must succeed as well.
@@ -41,8 +42,8 @@
         count_by_state = {state: sum(job.last_state() == state for job in accepted) for state in sorted(FINAL_STATES)}
         state_counts = " ".join(f"{name}={count}" for name, count in count_by_state.items())
         print(
-            f"seed={seed}: {'ok' if not violations else 'VIOLATED'} jobs={len(load_generator.jobs)} accepted={len(accepted)} {state_counts}"
-            f" faults={len(faults.log)} settled_s={settle_s:.1f}",
+            f"seed={seed}{f' zones={zones}' if zones > 1 else ''}: {'ok' if not violations else 'VIOLATED'}"
+            f" jobs={len(load_generator.jobs)} accepted={len(accepted)} {state_counts} faults={len(faults.log)} settled_s={settle_s:.1f}",
             flush=True,
         )
         for violation in violations[:10]:
@@ -74,12 +75,14 @@
     parser.add_argument("--seeds", type=int, default=1, help="the number of consecutive seeds to run")
     parser.add_argument("--seconds", type=float, default=25, help="duration of the fault injection, in seconds")
     parser.add_argument("--vms", type=int, default=5)
-    parser.add_argument("--workers", type=int, default=12)
+    parser.add_argument("--workers", type=int, help="a multiple of 4 is a number of whole racks; 12 if omitted, 16 with two zones")
+    parser.add_argument("--zones", type=int, default=1, choices=(1, 2), help="zones of VMs and workers; 2 adds cuts of a zone and long pauses")
     parser.add_argument("--regressions", action="store_true", help="also run the seeds that have failed before")
     arguments = parser.parse_args()
     first_seed = arguments.seed if arguments.seed is not None else random.SystemRandom().randrange(1, 1_000_000_000)
-    seeds = (list(REGRESSIONS) if arguments.regressions else []) + list(range(first_seed, first_seed + arguments.seeds))
-    failed_seeds = [seed for seed in seeds if run_soak(seed, arguments.seconds, arguments.vms, arguments.workers)]
+    seeds = list(REGRESSIONS) if arguments.regressions else []
+    seeds += [(seed, arguments.zones) for seed in range(first_seed, first_seed + arguments.seeds)]
+    failed_seeds = [seed for seed, zones in seeds if run_soak(seed, arguments.seconds, arguments.vms, arguments.workers, zones)]
     print(f"{len(seeds) - len(failed_seeds)} of {len(seeds)} seeds hold" + (f"; not: {' '.join(map(str, failed_seeds))}" if failed_seeds else ""))
     return 1 if failed_seeds else 0
 
--- a/scripts/fleetsoak/faults.py
+++ b/scripts/fleetsoak/faults.py
@@ -10,12 +10,12 @@
 class FaultInjector:
     """Injects random faults until stop(), which also removes every fault. Use as a context manager."""
 
-    def __init__(self, fleet, rng, thread_count=2):
+    def __init__(self, fleet, rng, thread_count):
         self._fleet = fleet
         self._rng = rng
         self._stop = threading.Event()
         self._lock = threading.Lock()  # Guards _reserved_vms.
-        self._reserved_vms = set()  # The VMs with an active fault; at least one VM never has any.
+        self._reserved_vms = set()  # The VMs with an active fault of their own; at least one VM never has any. Cuts of a zone don't count.
         self.log = []  # (monotonic time in seconds, text)
         self.violations = []
         fault_functions = (
@@ -26,6 +26,14 @@
         # Peer faults have a thread of their own and draw nothing from rng, so that the seeds in REGRESSIONS still give the same faults.
         thread_arguments = [(f"{rng.random()}", fault_functions) for _ in range(thread_count)]
         thread_arguments.append((f"{thread_arguments[0][0]}-peers", (self._disrupt_peer_connections,)))
+        if fleet.zones > 1:
+            # Zone faults and long pauses have threads of their own for the same reason. Two threads let pauses overlap.
+            zone_faults = (
+                self._cut_zone, self._cut_zone_from_store, self._cut_off_workers, self._cut_off_workers_then_owner_zone,
+                self._cut_off_workers_then_owner_zone, self._cut_off_workers_then_owner_zone, self._change_owner_twice
+            )  # fmt: skip
+            thread_arguments.append((f"{thread_arguments[0][0]}-zones", zone_faults))
+            thread_arguments += [(f"{thread_arguments[0][0]}-pauses-{index}", (self._pause_vm_long,)) for index in range(2)]
         self._threads = [threading.Thread(target=self._inject_until_stopped, args=arguments, daemon=True) for arguments in thread_arguments]
 
     def __enter__(self):
@@ -44,6 +52,7 @@
         for index, worker in enumerate(self._fleet.worker_proxies):
             worker.set_mode(proxy.PASS)
             self._fleet.call_control("/worker-faults", worker=index, fault="none")
+        self._set_modes(self._fleet.zone_paths, proxy.PASS)
         for vm in self._fleet.vms:
             vm.store_proxy.set_mode(proxy.PASS)
             vm.peer_proxy.set_mode(proxy.PASS)
@@ -61,12 +70,12 @@
     def _wait_unless_stopping(self, seconds):
         self._stop.wait(seconds)
 
-    def _reserve_vm(self, rng):
+    def _reserve_vm(self, rng, wanted=None):
         with self._lock:
             unreserved = [vm for vm in self._fleet.vms if vm not in self._reserved_vms]
-            if len(unreserved) < 2:
+            if len(unreserved) < 2 or wanted in self._reserved_vms:
                 return None
-            vm = rng.choice(unreserved)
+            vm = wanted or rng.choice(unreserved)
             if not vm.process.running():
                 self.violations.append(f"{vm.name} exited unexpectedly; see its log")
                 vm.start()
@@ -74,8 +83,8 @@
             self._reserved_vms.add(vm)
             return vm
 
-    def _run_on_reserved_vm(self, rng, action):
-        vm = self._reserve_vm(rng)
+    def _run_on_reserved_vm(self, rng, action, wanted=None):
+        vm = self._reserve_vm(rng, wanted)
         if vm is None:
             return
         try:
@@ -104,16 +113,20 @@
 
         self._run_on_reserved_vm(rng, action)
 
-    def _pause_vm(self, rng):
+    def _pause_vm(self, rng, shortest_s=0.3, longest_s=4.0):
         def action(vm):
             self._log_fault(f"{vm.name} paused")
             vm.process.pause()
-            self._wait_unless_stopping(rng.uniform(0.3, 4.0))
+            self._wait_unless_stopping(rng.uniform(shortest_s, longest_s))
             vm.process.resume()
             self._log_fault(f"{vm.name} resumed")
 
         self._run_on_reserved_vm(rng, action)
 
+    def _pause_vm_long(self, rng):
+        self._wait_unless_stopping(rng.uniform(0.0, 15.0))
+        self._pause_vm(rng, 2.0, 15.0)
+
     def _reload_vm(self, rng):
         def action(vm):
             self._log_fault(f"{vm.name} reloading")
@@ -184,3 +197,78 @@
     def _change_configuration(self, _rng):
         self._fleet.change_configuration()
         self._log_fault(f"configuration {self._fleet.version}")
+
+    @staticmethod
+    def _set_modes(paths, mode):
+        for path in paths:
+            path.set_mode(mode)
+
+    def _cut(self, rng, name, paths, reopened=(), reopen_after_s=0.0):
+        """Cuts paths for 2 to 6 s, and opens others after a part of this time."""
+        mode = rng.choice((proxy.RESET, proxy.SILENT))
+        self._log_fault(f"{name} cut {mode}")
+        self._set_modes(paths, mode)
+        self._wait_unless_stopping(reopen_after_s)
+        self._set_modes(reopened, proxy.PASS)
+        self._wait_unless_stopping(rng.uniform(2.0, 6.0) - reopen_after_s)
+        self._set_modes(paths, proxy.PASS)
+        self._log_fault(f"{name} restored")
+
+    def _cut_zone(self, rng):
+        zone = rng.randrange(self._fleet.zones)
+        self._cut(rng, f"zone {zone}", self._fleet.paths_across(zone))
+
+    def _cut_zone_from_store(self, rng):
+        zone = rng.randrange(self._fleet.zones)
+        self._cut(rng, f"store of zone {zone}", [self._fleet.store_paths[zone]])
+
+    def _cut_workers(self, rng, workers):
+        mode = rng.choice((proxy.RESET, proxy.SILENT))
+        for worker in workers:
+            self._log_fault(f"w{worker} cut from every VM {mode}")
+            self._set_modes(self._fleet.paths_of_worker(worker), mode)
+
+    def _cut_off_workers(self, rng):
+        workers = rng.sample(range(len(self._fleet.worker_proxies)), rng.randint(1, 3))
+        without_entry = rng.random() < 0.5
+        self._cut_workers(rng, workers)
+        for worker in workers if without_entry else ():
+            self._fleet.call_control("/remove", key=f"servers/w{worker}")
+        self._wait_unless_stopping(rng.uniform(1.0, 4.0))
+        for worker in workers:
+            self._set_modes(self._fleet.paths_of_worker(worker), proxy.PASS)
+            if without_entry:
+                self._fleet.publish_worker(worker)
+            self._log_fault(f"w{worker} back")
+
+    def _cut_off_workers_then_owner_zone(self, rng):
+        """A successor renews the leases of runs that the former owner, which is cut off from their workers as well, still counts."""
+
+        def action(owner):
+            others = [worker for worker in range(len(self._fleet.worker_proxies)) if self._fleet.worker_zone(worker) != owner.zone]
+            workers = rng.sample(others, rng.randint(1, len(others)))
+            self._cut_workers(rng, workers)
+            self._wait_unless_stopping(rng.uniform(0.8, 2.5))
+            # The workers come back before the leases of 3 s that were renewed last before the cut have ended.
+            cut_paths = self._fleet.paths_across(owner.zone)
+            reopened = [path for worker in workers for path in self._fleet.paths_of_worker(worker) if path not in cut_paths]
+            self._cut(rng, f"zone {owner.zone} of the owner {owner.name}", cut_paths, reopened, rng.uniform(0.0, 0.4))
+
+        owner = self._fleet.owner()
+        if owner is not None:
+            self._run_on_reserved_vm(rng, action, owner)
+
+    def _change_owner_twice(self, rng):
+        """Cuts the owner's zone from the store until a VM of the other zone owns the fleet, then does the same with that zone."""
+        for _ in range(2):
+            owner = self._fleet.owner()
+            if owner is None:
+                return
+            path = self._fleet.store_paths[owner.zone]
+            self._log_fault(f"zone {owner.zone} of the owner {owner.name} cut from the store")
+            path.set_mode(rng.choice((proxy.RESET, proxy.SILENT)))
+            deadline = time.monotonic() + 4.0
+            while time.monotonic() < deadline and not self._stop.is_set() and self._fleet.owner() in (None, owner):
+                self._wait_unless_stopping(0.05)
+            path.set_mode(proxy.PASS)
+            self._log_fault(f"zone {owner.zone} has the store again")
--- a/scripts/fleetsoak/fleet.py
+++ b/scripts/fleetsoak/fleet.py
@@ -1,4 +1,7 @@
-"""The processes of a soak: a stand-in for the platform, and entry VMs. Each VM has a proxy in front of the store and one in front of its peer port."""
+"""The processes of a soak: a stand-in for the platform, and entry VMs. Each VM has a proxy in front of the store and one in front of its peer port.
+
+With several zones, further proxies carry what the VMs of one zone send to the store, to each worker, and to the VMs of the other zones.
+"""
 
 import json
 import random
@@ -11,6 +14,8 @@
 HOST_NAME = "soak.example"
 # (name, path prefix, priority) of each queue.
 QUEUES = (("urgent", "/urgent/", 0), ("normal", "/normal/", 1), ("background", "/background/", 2))
+OWNER_KEY = "primrosebridge/control/owner"
+WORKERS_PER_RACK = 4  # As in the stand-in. A rack lies in one zone.
 MAX_ATTEMPTS = 4  # Restarted workers lose runs, and each lost run uses up an attempt although the job has not failed.
 
 
@@ -26,14 +31,19 @@
     return {"version": version, "routes": routes, "services": [{"name": "pool", "enforceCapacity": True}], "limits": {}, "tenants": tenants}
 
 
+def zone_name(zone):
+    return f"zone-{'abcd'[zone]}"
+
+
 class SoakVm:
     """An entry VM, which can be started again after its process has ended."""
 
     def __init__(self, fleet, number):
         ports = fleet.processes.ports
+        self.zone = number % fleet.zones
         self.name = f"vm-{number}"
         self.front_port, self.ready_port, self.metrics_port, self.peer_port = (ports.allocate() for _ in range(4))
-        self.store_proxy = Proxy(fleet.proxy_loop, ports.allocate(), fleet.addresses["store"])
+        self.store_proxy = Proxy(fleet.proxy_loop, ports.allocate(), fleet.store_addresses[self.zone])
         self.peer_proxy = Proxy(fleet.proxy_loop, ports.allocate(), f"{harness.HOST}:{self.peer_port}")
         self.process = None
         self.start_count = 0
@@ -44,7 +54,7 @@
             f"{self.name}.json",
             {
                 "vm": self.name,
-                "zone": "zone-a",
+                "zone": zone_name(self.zone),
                 "frontAddress": f"{harness.HOST}:{self.front_port}",
                 "readinessAddress": f"{harness.HOST}:{self.ready_port}",
                 "peerAddress": self.peer_proxy.address,
@@ -67,25 +77,61 @@
 class SoakFleet:
     """All processes and proxies of one soak except the load generator. They end together with @p processes and @p proxy_loop."""
 
-    def __init__(self, processes, proxy_loop, seed, vms, workers):
+    def __init__(self, processes, proxy_loop, seed, vms, workers, zones=1):
+        self.zones = zones
         self.processes = processes
         self.proxy_loop = proxy_loop
-        self.standin = processes.start(
-            "standin", [harness.binary_path("primrosebridge-fleet-standin"), f"--workers={workers}", f"--lease_ms={LEASE_MS}", f"--seed={seed}", "--run_ms=900"]
-        )
+        flags = [f"--workers={workers}", f"--lease_ms={LEASE_MS}", f"--seed={seed}", "--run_ms=900"]
+        zone_ports = f"--zone_ports={zones if zones > 1 else 0}"
+        self.standin = processes.start("standin", [harness.binary_path("primrosebridge-fleet-standin"), *flags, zone_ports])
         harness.wait_until(lambda: self.standin.log().endswith("\n"), 10, "the stand-in starts")
         self.addresses = json.loads(self.standin.log())
         self._control_port = int(self.addresses["control"].rsplit(":", 1)[1])
         self.worker_proxies = [Proxy(proxy_loop, processes.ports.allocate(), address) for address in self.addresses["workers"]]
+        self.store_paths = [Proxy(proxy_loop, processes.ports.allocate(), address) for address in self.addresses["zoneStores"]]
+        self.zone_paths = list(self.store_paths)  # Every proxy that a cut of a zone closes.
+        self.store_addresses = [path.address for path in self.store_paths] or [self.addresses["store"]]
+        # From the VMs of a zone to each worker; empty in a soak with one zone.
+        self.worker_paths = [[self._add_path(zone, worker.address) for worker in self.worker_proxies] for zone in range(len(self.store_paths))]
         self.version = 0
         self.change_configuration()
         for worker in range(workers):
             self.publish_worker(worker)
         self.vms = [SoakVm(self, number) for number in range(vms)]
+        # From the VMs of a zone to each VM of another zone.
+        self.peer_paths = [
+            {vm: self._add_path(zone, vm.peer_proxy.address) for vm in self.vms if vm.zone != zone} for zone in range(len(self.store_paths))
+        ]
         for vm in self.vms:
             vm.start()
         harness.wait_until(lambda: all(vm.ready() for vm in self.vms), 20, "every VM is ready")
 
+    def _add_path(self, zone, address):
+        path = Proxy(self.proxy_loop, self.processes.ports.allocate(), address)
+        self.call_control("/replace-address", zone=zone, address=address, addressInZone=path.address)
+        self.zone_paths.append(path)
+        return path
+
+    def worker_zone(self, worker):
+        return worker // WORKERS_PER_RACK % self.zones
+
+    def paths_of_worker(self, worker):
+        return [paths[worker] for paths in self.worker_paths]
+
+    def paths_across(self, zone):
+        """The paths that a cut of @p zone closes: from its VMs to the store, and those to workers and VMs that cross its border."""
+        paths = [self.store_paths[zone]]
+        for source in range(self.zones):
+            paths += [path for worker, path in enumerate(self.worker_paths[source]) if (source == zone) != (self.worker_zone(worker) == zone)]
+            paths += [path for vm, path in self.peer_paths[source].items() if (source == zone) != (vm.zone == zone)]
+        return paths
+
+    def owner(self):
+        """The VM that the store names as the owner, or None."""
+        value = self.call_control("/value", key=OWNER_KEY)["value"]
+        name = json.loads(value)["vm"] if value else None
+        return next((vm for vm in self.vms if vm.name == name), None)
+
     def call_control(self, path, **body):
         answer = harness.call(self._control_port, "POST", path, body)
         if answer.status != 200:
@@ -99,6 +145,7 @@
     def publish_worker(self, worker, state="ready"):
         entry = self.call_control("/entry", worker=worker, state=state)
         entry["addr"] = self.worker_proxies[worker].address
+        entry["zone"] = zone_name(self.worker_zone(worker))
         self.call_control("/put", key=f"servers/w{worker}", value=json.dumps(entry))
 
     def restart_worker(self, worker):
--- a/scripts/fleetsoak/load.py
+++ b/scripts/fleetsoak/load.py
@@ -9,6 +9,8 @@
 import harness
 from fleetsoak.fleet import HOST_NAME, KEY, QUEUES
 
+RUN_MS = 900
+LONG_RUN_MS = 5000  # Outlasts a task lease, so that a successor can renew the lease of a run that the former owner still counts.
 MAX_TRIES = 6
 CALL_TIMEOUT_S = 4.0
 HEADERS = {"Host": HOST_NAME, "Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
@@ -18,7 +20,7 @@
 class SoakJob:
     """A job and what the VMs have answered about it. Times are from time.monotonic(), in seconds."""
 
-    def __init__(self, rng, number):
+    def __init__(self, rng, number, with_long_runs=False):
         self.id = f"{rng.getrandbits(64):016x}"
         self.path = rng.choice(QUEUES)[1] + self.id
         self.tasks_per_step = rng.choice((1, 1, 2, 3, 4))
@@ -27,6 +29,7 @@
         self.accelerators = rng.choice((1, 1, 2, 4))
         self.will_cancel = rng.random() < 0.12
         self.number = number
+        self.run_ms = LONG_RUN_MS if with_long_runs and int(self.id, 16) % 4 == 0 else RUN_MS
         self.sent = False
         self.accepted_at = None
         self.only_refused = True  # True as long as every attempt to submit the job was refused with status 429 or 503.
@@ -36,8 +39,9 @@
         self.unknown_at = []  # The times of state queries that were answered with status 410, which means that the job does not exist.
 
     def submission_body(self):
-        step = {"count": self.tasks_per_step, "cpu": 1000, "memMb": 100, "gpu": self.accelerators, "estimateMs": 900, "gang": self.gang}
-        return {"spec": f"job {self.number}", "phases": [step] + [{**step, "after": [index]} for index in range(self.step_count - 1)]}
+        step = {"count": self.tasks_per_step, "cpu": 1000, "memMb": 100, "gpu": self.accelerators, "estimateMs": self.run_ms, "gang": self.gang}
+        spec = f"job {self.number}" + ("" if self.run_ms == RUN_MS else f" runMs={self.run_ms}")
+        return {"spec": spec, "phases": [step] + [{**step, "after": [index]} for index in range(self.step_count - 1)]}
 
     def last_state(self):
         return self.states[-1][1] if self.states else ""
@@ -46,7 +50,7 @@
 class LoadGenerator:
     """Submits about @p per_second jobs a second until stop(). Use as a context manager."""
 
-    def __init__(self, fleet, seed, per_second, thread_count=6):
+    def __init__(self, fleet, seed, per_second, thread_count):
         self._fleet = fleet
         self._rng = random.Random(seed)
         self._submission_period_s = thread_count / per_second
@@ -76,7 +80,7 @@
         connections = {}
         while not self._stop.wait(rng.uniform(0.5, 1.5) * self._submission_period_s):
             with self._lock:
-                job = SoakJob(rng, len(self.jobs))
+                job = SoakJob(rng, len(self.jobs), with_long_runs=self._fleet.zones > 1)
                 self.jobs.append(job)
             self._submit_job(rng, connections, job)
 
