--- a/scripts/fleetsoak/__main__.py
+++ b/scripts/fleetsoak/__main__.py
@@ -17,6 +17,10 @@
     (302, 1),  # A restarted worker executed a start order before the store listed its new incarnation; the owner also sent the task to another worker.
     (200009, 1),  # The stand-in worker counted an end as acknowledged after the lease had expired, and detected expired leases late.
     (401, 1),  # A new owner started tasks while runs that it had ordered to stop were still running.
+    # A former owner took the leases of runs that its successor had adopted for ended, and started the tasks again (issue 33). Timing decides:
+    # the first seed failed in 1 of 4 runs of 30 s on the daemon before the change, the second in its only one.
+    (740007, 2),
+    (760002, 2),
 )
 # Allows for a takeover, the longest task lease and the execution of queued jobs after the last fault.
 SETTLE_TIMEOUT_S = 40.0
