--- a/service/include/primrosebridge/Fleetservice/fleetowner.h
+++ b/service/include/primrosebridge/Fleetservice/fleetowner.h
@@ -5,7 +5,6 @@
 #include "primrosebridge/Fleetservice/ownerevents.h"
 #include "primrosebridge/Fleetservice/progresswriter.h"
 #include "primrosebridge/Fleetwire/messages.h"
-#include "primrosebridge/Http/httpclient.h"
 #include "primrosebridge/Model/result.h"
 
 #include <functional>
@@ -18,13 +17,15 @@
 /// Dependencies of a FleetOwner. The functions are called on the owner's thread.
 struct OwnerContext {
     const FleetSettings m_settings;
-    const std::shared_ptr<HttpClient> m_workerClient; ///< Client for the calls to the workers.
+    const WorkerCalls m_workerCalls;
     const CurrentConfiguration &m_configuration; ///< Must outlive the owner.
     /// Queues a record to be written to the store if the term @p fence is still running; must not block.
     const std::function<void(std::int64_t fence, const DurableRecord &record)> m_enqueueRecord;
     /// Returns the time, on the boot clock, from which on another VM may be the owner in place of this one under @p fence.
     const std::function<Instant(std::int64_t fence)> m_leaseEnd;
     const std::function<void(std::int64_t fence, const std::string &reason)> m_onSuperseded; ///< Called when a worker reports a higher fence; must not block.
+    const std::function<Instant()> m_bootClock; ///< Returns the time of the boot clock.
+    const std::function<Instant()> m_wallClock; ///< Returns the wall clock time.
 };
 
 /// Status of a job in the memory of a VM that may own the fleet.
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -1,6 +1,7 @@
 #include "primrosebridge/Fleetservice/fleetnode.h"
 
 #include "session.h"
+#include "snapshot.h"
 #include "storewatch.h"
 
 #include "primrosebridge/Fleetservice/fleetmetrics.h"
@@ -222,35 +223,6 @@
         SuccessionView{.m_processorCores = m_self.m_processorCores, .m_peerCores = std::move(peerCores), .m_uptime = bootClockNow() - m_startedAt});
 }
 
-// Decodes the submission under @p key. A copy of a record under another key would make one job appear twice.
-static Result<JobSpec> decodeSubmissionAt(const std::string &key, const std::string &value)
-{
-    auto spec = decodeSubmission(value);
-    if (spec.ok() && key != submissionKey(spec.value().m_id)) {
-        return Error(ErrorKind::Internal, "the record belongs to job '" + spec.value().m_id + "'", "check which program wrote the record");
-    }
-    return spec;
-}
-
-static void reportSkippedRecord(const std::string &key, const Error &error)
-{
-    FleetMetrics::instance().increment(FleetCounter::RecordsSkipped);
-    logEvent(LogLevel::Warn, "record_skipped", {{"key", key}, {"reason", error.message()}});
-}
-
-namespace {
-
-// What the store holds for a new owner. The progress records and the roster cannot change while it is read, because they are written on
-// condition of the ownership.
-struct StoreSnapshot {
-    const StoreListing m_inbox;
-    const StoreListing m_progress;
-    const StoreListing m_workers;
-    const std::optional<StoreItem> m_roster;
-};
-
-} // namespace
-
 // Reads the listings at the same time, so that a slow store or link delays the takeover once and not four times.
 static Result<StoreSnapshot> readStoreSnapshot(PlatformStore &store)
 {
@@ -280,89 +252,24 @@
 
 bool FleetNode::Private::startTermFromStore(std::int64_t fence)
 {
-    auto snapshot = readStoreSnapshot(*m_store);
+    const auto snapshot = readStoreSnapshot(*m_store);
     if (!snapshot.ok()) {
         logEvent(LogLevel::Warn, "snapshot_not_read", {{"fence", std::to_string(fence)}, {"error", snapshot.error().message()}});
         return false;
     }
-    const auto &[inbox, progress, workers, roster] = snapshot.value();
-    const auto now = bootClockNow();
-    const auto configuration = m_configuration.current();
-    std::map<std::string, const StoreItem *> records;
-    std::vector<RecordRevision> revisions;
-    for (const auto &item : progress.m_items) {
-        const auto job = item.m_key.substr(StoreKeys::progress.size());
-        records[job] = &item;
-        revisions.push_back(RecordRevision{.m_key = item.m_key, .m_revision = item.m_revision});
-    }
-    std::vector<JobPointer> jobs;
-    std::vector<std::string> cancellations;
-    for (const auto &item : inbox.m_items) {
-        if (item.m_key.starts_with(StoreKeys::cancellations)) {
-            cancellations.push_back(item.m_key.substr(StoreKeys::cancellations.size()));
-            continue;
-        }
-        const auto spec = decodeSubmissionAt(item.m_key, item.m_value);
-        if (!spec.ok()) {
-            reportSkippedRecord(item.m_key, spec.error());
-            continue;
-        }
-        const auto pointer = std::make_shared<const JobSpec>(spec.value());
-        const auto record = records.find(pointer->m_id);
-        const auto maxAttempts = findMaxAttempts(*pointer, configuration);
-        if (record == records.end()) {
-            jobs.push_back(newJobState(pointer, maxAttempts, now));
-            continue;
-        }
-        const auto restored = restoreJob(pointer, maxAttempts, record->second->m_value, now);
-        if (!restored.ok()) {
-            reportSkippedRecord(record->second->m_key, restored.error());
-            continue;
-        }
-        jobs.push_back(restored.value());
-    }
-    std::vector<WorkerReportPointer> reports;
-    std::set<std::string> workerKeys;
-    for (const auto &item : workers.m_items) {
-        workerKeys.insert(item.m_key);
-        const auto report = decodeWorkerReport(item.m_key.substr(workerPrefix.size()), item.m_value);
-        if (report.ok()) {
-            reports.push_back(std::make_shared<const WorkerReport>(report.value()));
-        } else {
-            reportSkippedRecord(item.m_key, report.error());
-        }
-    }
-    std::vector<RosterEntry> rosterEntries;
-    std::int64_t rosterVersion = 0;
-    bool rosterReadable = true;
-    if (const auto &item = roster) {
-        revisions.push_back(RecordRevision{.m_key = item->m_key, .m_revision = item->m_revision});
-        const auto decoded = decodeRoster(item->m_value);
-        if (decoded.ok()) {
-            auto entries = decoded.value().m_workers;
-            rosterEntries.swap(entries);
-            rosterVersion = decoded.value().m_version;
-        } else {
-            rosterReadable = false;
-            reportSkippedRecord(item->m_key, decoded.error());
-        }
-    }
+    const auto decoded = decodeSnapshot(snapshot.value(), fence, m_configuration.current(), bootClockNow());
     {
         // A term that has ended while its snapshot was read must not begin. Under the lock, its end is handled before or after this.
         const std::lock_guard lock(m_termMutex);
         if (m_term.m_fence != fence) {
             return true;
         }
-        m_writer->beginTerm(fence, revisions);
-        m_owner->post(OwnershipGained{.m_snapshot = std::make_shared<const FleetSnapshot>(FleetSnapshot{.m_fence = fence,
-                                                                                                        .m_jobs = std::move(jobs),
-                                                                                                        .m_cancelledJobs = std::move(cancellations),
-                                                                                                        .m_workers = std::move(reports),
-                                                                                                        .m_roster = std::move(rosterEntries),
-                                                                                                        .m_rosterVersion = rosterVersion,
-                                                                                                        .m_rosterReadable = rosterReadable})});
-        m_term
-            = OwnerTerm{.m_fence = fence, .m_inboxRevision = inbox.m_revision, .m_workersRevision = workers.m_revision, .m_workerKeys = std::move(workerKeys)};
+        m_writer->beginTerm(fence, decoded.m_revisions);
+        m_owner->post(OwnershipGained{.m_snapshot = decoded.m_fleet});
+        m_term = OwnerTerm{.m_fence = fence,
+                           .m_inboxRevision = snapshot.value().m_inbox.m_revision,
+                           .m_workersRevision = snapshot.value().m_workers.m_revision,
+                           .m_workerKeys = decoded.m_workerKeys};
     }
     m_termChanged.notify_all();
     return true;
@@ -519,11 +426,13 @@
     m_owner
         = FleetOwner::create(OwnerContext{
                                  .m_settings = m_settings,
-                                 .m_workerClient = HttpClient::create().take(),
+                                 .m_workerCalls = workerCallsOver(HttpClient::create().take()),
                                  .m_configuration = m_configuration,
                                  .m_enqueueRecord = [this](std::int64_t fence, const DurableRecord &record) { m_writer->enqueue(fence, record); },
                                  .m_leaseEnd = [this](std::int64_t fence) { return m_session ? m_session->leaseEnd(fence) : Instant(); },
                                  .m_onSuperseded = [this](std::int64_t fence, const std::string &reason) { m_session->requestOwnershipRelease(fence, reason); },
+                                 .m_bootClock = bootClockNow,
+                                 .m_wallClock = TimerService::wallClockNow,
                              })
               .take();
     m_session
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -41,52 +41,59 @@
     void run();
 };
 
+Duration maxWaitForEvents(const OwnerState &state, const OwnerPacing &pacing, Instant now)
+{
+    const auto gap = state.m_placementNeeded ? minPassInterval : (state.m_capacityFreed ? capacityPassInterval : maxPassInterval);
+    const auto nextPassAt = pacing.m_lastPassAt + std::max(gap, pacing.m_passPause);
+    const bool mayPlace = state.m_fence != 0 && mayScheduleKnownJobs(authorityOf(state), now);
+    return mayPlace ? std::clamp(nextPassAt - now, Duration(1), maxEventWait) : maxEventWait;
+}
+
+void runOwnerIteration(OwnerState &state, OwnerPacing &pacing, const std::vector<OwnerEvent> &events, Instant now)
+{
+    const auto &bootClock = state.m_context.m_bootClock;
+    // Check the ownership lease before sending anything, because the VM may have been suspended since the last iteration.
+    // Workers that a successor cannot reach still accept orders of this VM. Without the ownership lease this VM renews no
+    // task leases, because the successor relies on their expiry.
+    const auto fenceBefore = state.m_fence.load();
+    updateAuthority(state, state.m_context.m_leaseEnd(fenceBefore), now);
+    for (const auto &event : events) {
+        applyEvent(state, event, now);
+    }
+    if (state.m_fence == 0) {
+        return;
+    }
+    if (state.m_fence != fenceBefore) {
+        updateAuthority(state, state.m_context.m_leaseEnd(state.m_fence), now);
+    }
+    recordRosterIfChanged(state);
+    if (now >= pacing.m_nextReview) {
+        reviewFleet(state, now);
+        pacing.m_nextReview = now + std::max(maxEventWait, (bootClock() - now) * pauseFactor);
+    }
+    if (!mayScheduleKnownJobs(authorityOf(state), now)) {
+        return;
+    }
+    const auto sinceLastPass = now - pacing.m_lastPassAt;
+    const bool due = (state.m_placementNeeded && sinceLastPass >= minPassInterval) || (state.m_capacityFreed && sinceLastPass >= capacityPassInterval)
+                     || sinceLastPass >= maxPassInterval;
+    if (due && sinceLastPass >= pacing.m_passPause) {
+        state.m_placementNeeded = false;
+        state.m_capacityFreed = false;
+        pacing.m_lastPassAt = now;
+        const auto passStart = bootClock();
+        runPlacementPass(state, now);
+        pacing.m_passPause = (bootClock() - passStart) * pauseFactor;
+    }
+}
+
 void FleetOwner::Private::run()
 {
-    Instant nextReview;
-    Instant lastPassAt;
-    Duration passPause(0);
+    OwnerPacing pacing;
     while (!m_state.m_events->closed()) {
-        const auto startedAt = bootClockNow();
-        const auto gap = m_state.m_placementNeeded ? minPassInterval : (m_state.m_capacityFreed ? capacityPassInterval : maxPassInterval);
-        const auto nextPassAt = lastPassAt + std::max(gap, passPause);
-        const bool mayPlace = m_state.m_fence != 0 && mayScheduleKnownJobs(authorityOf(m_state), startedAt);
-        const auto wait = mayPlace ? std::clamp(nextPassAt - startedAt, Duration(1), maxEventWait) : maxEventWait;
+        const auto wait = maxWaitForEvents(m_state, pacing, bootClockNow());
         const auto events = m_state.m_events->popBatchFor(maxEventBatch, wait);
-        const auto now = bootClockNow();
-        // Check the ownership lease before sending anything, because the VM may have been suspended since the last iteration.
-        // Workers that a successor cannot reach still accept orders of this VM. Without the ownership lease this VM renews no
-        // task leases, because the successor relies on their expiry.
-        const auto fenceBefore = m_state.m_fence.load();
-        updateAuthority(m_state, m_state.m_context.m_leaseEnd(fenceBefore), now);
-        for (const auto &event : events) {
-            applyEvent(m_state, event, now);
-        }
-        if (m_state.m_fence == 0) {
-            continue;
-        }
-        if (m_state.m_fence != fenceBefore) {
-            updateAuthority(m_state, m_state.m_context.m_leaseEnd(m_state.m_fence), now);
-        }
-        recordRosterIfChanged(m_state);
-        if (now >= nextReview) {
-            reviewFleet(m_state, now);
-            nextReview = now + std::max(maxEventWait, (bootClockNow() - now) * pauseFactor);
-        }
-        if (!mayScheduleKnownJobs(authorityOf(m_state), now)) {
-            continue;
-        }
-        const auto sinceLastPass = now - lastPassAt;
-        const bool due = (m_state.m_placementNeeded && sinceLastPass >= minPassInterval) || (m_state.m_capacityFreed && sinceLastPass >= capacityPassInterval)
-                         || sinceLastPass >= maxPassInterval;
-        if (due && sinceLastPass >= passPause) {
-            m_state.m_placementNeeded = false;
-            m_state.m_capacityFreed = false;
-            lastPassAt = now;
-            const auto passStart = bootClockNow();
-            runPlacementPass(m_state, now);
-            passPause = (bootClockNow() - passStart) * pauseFactor;
-        }
+        runOwnerIteration(m_state, pacing, events, bootClockNow());
     }
 }
 
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -5,7 +5,6 @@
 #include "primrosebridge/Fleetservice/storekeys.h"
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Ownership/authority.h"
-#include "primrosebridge/Pipeline/timerservice.h"
 
 #include <algorithm>
 
@@ -427,7 +426,7 @@
     if (state.m_jobs.find(spec->m_id)) {
         return;
     }
-    const auto age = TimerService::wallClockNow() - spec->m_acceptedAt;
+    const auto age = state.m_context.m_wallClock() - spec->m_acceptedAt;
     const auto configuration = state.m_context.m_configuration.current();
     const auto maxAttempts = findMaxAttempts(*spec, configuration);
     FleetMetrics::instance().observe(FleetHistogram::SubmissionDelaySeconds, std::chrono::duration<double>(age).count());
@@ -531,7 +530,7 @@
     auto changed = withRecordedVersion(*job, event.m_version, event.m_outcome);
     state.m_jobs.update(event.m_job, [&](const auto &) { return changed; });
     if (event.m_outcome != JobOutcome::Active && job->m_recordedOutcome == JobOutcome::Active) {
-        const auto age = TimerService::wallClockNow() - job->m_spec->m_acceptedAt;
+        const auto age = state.m_context.m_wallClock() - job->m_spec->m_acceptedAt;
         FleetMetrics::instance().increment(FleetCounter::JobsEnded, outcomeName(event.m_outcome));
         FleetMetrics::instance().observe(FleetHistogram::JobSeconds, std::chrono::duration<double>(age).count());
         logEvent(LogLevel::Info,
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -81,8 +81,7 @@
     }
     const bool mayRetryEarly = !worker.m_fenceConfirmed && worker.m_missedPolls < shortTakeoverPolls;
     const auto fence = state.m_fence.load();
-    requestRunReport(
-        *state.m_context.m_workerClient,
+    state.m_context.m_workerCalls.m_requestRunReport(
         OrderTarget{.m_worker = worker.m_incarnation->m_worker,
                     .m_address = worker.m_report->m_address,
                     .m_fence = fence,
@@ -106,8 +105,7 @@
 {
     extendLeasesExpiredBy(state, worker, now);
     const auto fence = state.m_fence.load();
-    sendStartOrder(
-        *state.m_context.m_workerClient,
+    state.m_context.m_workerCalls.m_sendStartOrder(
         OrderTarget{.m_worker = worker.m_incarnation->m_worker, .m_address = worker.m_report->m_address, .m_fence = fence, .m_timeout = orderTimeout},
         StartOrder{.m_task = reference,
                    .m_runNumber = runNumber,
@@ -180,14 +178,14 @@
               {"worker", incarnation.m_worker},
               {"reason", std::string(stopReasonName(reason))}});
     const auto fence = state.m_fence.load();
-    sendStopOrder(*state.m_context.m_workerClient,
-                  OrderTarget{.m_worker = incarnation.m_worker, .m_address = worker->m_report->m_address, .m_fence = fence, .m_timeout = orderTimeout},
-                  reference,
-                  runNumber,
-                  [events = state.m_events, reference, runNumber, incarnation, fence](const OrderReply &reply) {
-                      events->tryPush(
-                          StopOrderCompleted{.m_task = reference, .m_runNumber = runNumber, .m_incarnation = incarnation, .m_fence = fence, .m_reply = reply});
-                  });
+    state.m_context.m_workerCalls.m_sendStopOrder(
+        OrderTarget{.m_worker = incarnation.m_worker, .m_address = worker->m_report->m_address, .m_fence = fence, .m_timeout = orderTimeout},
+        reference,
+        runNumber,
+        [events = state.m_events, reference, runNumber, incarnation, fence](const OrderReply &reply) {
+            events->tryPush(
+                StopOrderCompleted{.m_task = reference, .m_runNumber = runNumber, .m_incarnation = incarnation, .m_fence = fence, .m_reply = reply});
+        });
 }
 
 static std::string_view startAnswerName(OrderAnswer answer)
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -3,7 +3,6 @@
 #include "primrosebridge/Fleet/release.h"
 #include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Observe/log.h"
-#include "primrosebridge/Pipeline/timerservice.h"
 
 #include <algorithm>
 #include <chrono>
@@ -55,7 +54,7 @@
 static std::vector<JobPointer> collectJobsToPlace(OwnerState &state, const FleetConfigurationPointer &configuration, Instant now)
 {
     std::vector<JobPointer> jobs;
-    const auto wallNow = TimerService::wallClockNow();
+    const auto wallNow = state.m_context.m_wallClock();
     std::erase_if(state.m_jobOrder, [&](const std::string &name) {
         auto job = state.m_jobs.find(name);
         if (!job) {
@@ -83,7 +82,7 @@
     for (const auto &[name, worker] : state.m_workers) {
         reports.push_back(worker.m_report);
     }
-    const auto outdated = outdatedWorkers(reports, TimerService::wallClockNow());
+    const auto outdated = outdatedWorkers(reports, state.m_context.m_wallClock());
     std::vector<PlacementWorker> workers;
     workers.reserve(reports.size());
     for (const auto &[name, worker] : state.m_workers) {
@@ -109,7 +108,7 @@
     }
     const PlacementInput input{
         .m_now = now,
-        .m_wallNow = TimerService::wallClockNow(),
+        .m_wallNow = state.m_context.m_wallClock(),
         .m_configuration = configuration,
         .m_jobs = collectJobsToPlace(state, configuration, now),
         .m_workers = placementWorkers(state, now),
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -121,8 +121,21 @@
     std::set<std::string> m_jobsLearntWithoutLease; ///< Jobs first seen while m_soleOwner was false; a successor may already run them.
 };
 
+/// When the owner's thread last reviewed the fleet and ran a placement pass.
+struct OwnerPacing {
+    Instant m_nextReview; ///< Boot clock.
+    Instant m_lastPassAt; ///< Boot clock.
+    Duration m_passPause{0}; ///< Minimum time between passes that follows from the duration of the last one.
+};
+
 // The functions below are called only on the owner's thread.
 
+/// Returns how long the owner's thread may wait for events before its next iteration.
+Duration maxWaitForEvents(const OwnerState &state, const OwnerPacing &pacing, Instant now);
+/// Applies the events, reviews the fleet and runs a placement pass, if they are due. @p now is the time of the boot clock after the events
+/// were taken from the queue.
+void runOwnerIteration(OwnerState &state, OwnerPacing &pacing, const std::vector<OwnerEvent> &events, Instant now);
+
 void applyEvent(OwnerState &state, const OwnerEvent &event, Instant now);
 void applyPollResult(OwnerState &state, const PollCompleted &event, Instant now);
 void applyStartResult(OwnerState &state, const StartOrderCompleted &event, Instant now);
--- /dev/null
+++ b/service/lib/Fleetservice/snapshot.cpp
@@ -0,0 +1,102 @@
+#include "snapshot.h"
+
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
+#include "primrosebridge/Fleetservice/roster.h"
+#include "primrosebridge/Fleetservice/storekeys.h"
+#include "primrosebridge/Fleetwire/messages.h"
+#include "primrosebridge/Observe/log.h"
+#include "primrosebridge/Progress/jobrecord.h"
+
+#include <map>
+
+namespace PrimroseBridge {
+
+Result<JobSpec> decodeSubmissionAt(const std::string &key, const std::string &value)
+{
+    auto spec = decodeSubmission(value);
+    if (spec.ok() && key != submissionKey(spec.value().m_id)) {
+        return Error(ErrorKind::Internal, "the record belongs to job '" + spec.value().m_id + "'", "check which program wrote the record");
+    }
+    return spec;
+}
+
+void reportSkippedRecord(const std::string &key, const Error &error)
+{
+    FleetMetrics::instance().increment(FleetCounter::RecordsSkipped);
+    logEvent(LogLevel::Warn, "record_skipped", {{"key", key}, {"reason", error.message()}});
+}
+
+DecodedSnapshot decodeSnapshot(const StoreSnapshot &snapshot, std::int64_t fence, const FleetConfigurationPointer &configuration, Instant now)
+{
+    const auto &[inbox, progress, workers, roster] = snapshot;
+    std::map<std::string, const StoreItem *> records;
+    std::vector<RecordRevision> revisions;
+    for (const auto &item : progress.m_items) {
+        const auto job = item.m_key.substr(StoreKeys::progress.size());
+        records[job] = &item;
+        revisions.push_back(RecordRevision{.m_key = item.m_key, .m_revision = item.m_revision});
+    }
+    std::vector<JobPointer> jobs;
+    std::vector<std::string> cancellations;
+    for (const auto &item : inbox.m_items) {
+        if (item.m_key.starts_with(StoreKeys::cancellations)) {
+            cancellations.push_back(item.m_key.substr(StoreKeys::cancellations.size()));
+            continue;
+        }
+        const auto spec = decodeSubmissionAt(item.m_key, item.m_value);
+        if (!spec.ok()) {
+            reportSkippedRecord(item.m_key, spec.error());
+            continue;
+        }
+        const auto pointer = std::make_shared<const JobSpec>(spec.value());
+        const auto record = records.find(pointer->m_id);
+        const auto maxAttempts = findMaxAttempts(*pointer, configuration);
+        if (record == records.end()) {
+            jobs.push_back(newJobState(pointer, maxAttempts, now));
+            continue;
+        }
+        const auto restored = restoreJob(pointer, maxAttempts, record->second->m_value, now);
+        if (!restored.ok()) {
+            reportSkippedRecord(record->second->m_key, restored.error());
+            continue;
+        }
+        jobs.push_back(restored.value());
+    }
+    std::vector<WorkerReportPointer> reports;
+    std::set<std::string> workerKeys;
+    for (const auto &item : workers.m_items) {
+        workerKeys.insert(item.m_key);
+        const auto report = decodeWorkerReport(item.m_key.substr(workerPrefix.size()), item.m_value);
+        if (report.ok()) {
+            reports.push_back(std::make_shared<const WorkerReport>(report.value()));
+        } else {
+            reportSkippedRecord(item.m_key, report.error());
+        }
+    }
+    std::vector<RosterEntry> rosterEntries;
+    std::int64_t rosterVersion = 0;
+    bool rosterReadable = true;
+    if (const auto &item = roster) {
+        revisions.push_back(RecordRevision{.m_key = item->m_key, .m_revision = item->m_revision});
+        const auto decoded = decodeRoster(item->m_value);
+        if (decoded.ok()) {
+            auto entries = decoded.value().m_workers;
+            rosterEntries.swap(entries);
+            rosterVersion = decoded.value().m_version;
+        } else {
+            rosterReadable = false;
+            reportSkippedRecord(item->m_key, decoded.error());
+        }
+    }
+    return DecodedSnapshot{.m_fleet = std::make_shared<const FleetSnapshot>(FleetSnapshot{.m_fence = fence,
+                                                                                          .m_jobs = std::move(jobs),
+                                                                                          .m_cancelledJobs = std::move(cancellations),
+                                                                                          .m_workers = std::move(reports),
+                                                                                          .m_roster = std::move(rosterEntries),
+                                                                                          .m_rosterVersion = rosterVersion,
+                                                                                          .m_rosterReadable = rosterReadable}),
+                           .m_revisions = std::move(revisions),
+                           .m_workerKeys = std::move(workerKeys)};
+}
+
+} // namespace PrimroseBridge
--- /dev/null
+++ b/service/lib/Fleetservice/snapshot.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "primrosebridge/Fleetservice/currentconfiguration.h"
+#include "primrosebridge/Fleetservice/ownerevents.h"
+#include "primrosebridge/Fleetservice/progresswriter.h"
+#include "primrosebridge/Kv/platformstore.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace PrimroseBridge {
+
+/// What the store holds for a new owner. The progress records and the roster cannot change while it is read, because they are written on
+/// condition of the ownership.
+struct StoreSnapshot {
+    const StoreListing m_inbox;
+    const StoreListing m_progress;
+    const StoreListing m_workers;
+    const std::optional<StoreItem> m_roster;
+};
+
+/// A decoded snapshot.
+struct DecodedSnapshot {
+    const std::shared_ptr<const FleetSnapshot> m_fleet;
+    const std::vector<RecordRevision> m_revisions; ///< Revisions of the records that only the owner writes.
+    const std::set<std::string> m_workerKeys; ///< Keys of the workers' entries, readable or not.
+};
+
+/// Decodes the snapshot for the term @p fence that begins at @p now on the boot clock. Records that cannot be read are skipped, logged and
+/// counted. Thread-safe.
+DecodedSnapshot decodeSnapshot(const StoreSnapshot &snapshot, std::int64_t fence, const FleetConfigurationPointer &configuration, Instant now);
+
+/// Decodes the submission under @p key. Fails with Internal if it cannot be read or belongs to another key: a copy of a record under another
+/// key would make one job appear twice. Thread-safe.
+Result<JobSpec> decodeSubmissionAt(const std::string &key, const std::string &value);
+
+/// Logs and counts a record of the store that cannot be used. Thread-safe.
+void reportSkippedRecord(const std::string &key, const Error &error);
+
+} // namespace PrimroseBridge
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -111,11 +111,13 @@
         m_configuration.installIfNewer(testConfiguration());
         m_owner = FleetOwner::create(OwnerContext{
                                          .m_settings = testSettings(),
-                                         .m_workerClient = HttpClient::create().take(),
+                                         .m_workerCalls = workerCallsOver(HttpClient::create().take()),
                                          .m_configuration = m_configuration,
                                          .m_enqueueRecord = [this](std::int64_t, const DurableRecord &record) { acknowledge(record); },
                                          .m_leaseEnd = [this](std::int64_t) { return fromMilliseconds(m_ownershipLeaseEndMs); },
                                          .m_onSuperseded = [this](std::int64_t, const std::string &) { m_superseded = true; },
+                                         .m_bootClock = bootClockNow,
+                                         .m_wallClock = TimerService::wallClockNow,
                                      })
                       .take();
     }
--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -3,6 +3,7 @@
 #include "ownerstate.h"
 
 #include "primrosebridge/Fleetservice/fleetowner.h"
+#include "primrosebridge/Pipeline/bootclock.h"
 #include "primrosebridge/Pipeline/timerservice.h"
 
 #include <algorithm>
@@ -25,11 +26,13 @@
     OwnerSimulation()
         : m_state(OwnerContext{
             .m_settings = settings(),
-            .m_workerClient = HttpClient::create().take(),
+            .m_workerCalls = workerCallsOver(HttpClient::create().take()),
             .m_configuration = m_configuration,
             .m_enqueueRecord = [this](std::int64_t, const DurableRecord &record) { m_records.push_back(record); },
             .m_leaseEnd = [](std::int64_t) { return fromMilliseconds(1'000'000'000); },
             .m_onSuperseded = [](std::int64_t, const std::string &) {},
+            .m_bootClock = bootClockNow,
+            .m_wallClock = TimerService::wallClockNow,
         })
     {
         m_state.m_events = std::make_shared<BoundedQueue<OwnerEvent>>(1000);
