Keep the capacity of a gang's newer run until its stop is confirmed

Cause: the completion of any run of a gang marks all members as done and takes them off their workers, whatever run each of them is executing. If a worker that could not be reached reports the end of run 1 as done while run 2 goes on, the owner counts the capacity of run 2 as free and starts other tasks beside it, before the stop is even sent. Change: TrackedWorker lists the runs that have lost their task and are not known to be over (m_supersededRuns). Runs with another number are stopped at once, members of the completed run only if their ends are late by 700 ms. The worker gets no starts until it lists the end of such a run, until a list that was requested later does not show it, or until its leases are over; stops are repeated meanwhile. The end of a long-running task's former run no longer stops its present one.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -238,7 +238,7 @@
 {
     const bool recorded = !worker.m_jobsIfCordoned && worker.m_rosterVersion > 0 && worker.m_rosterVersion <= state.m_recordedRosterVersion;
     const bool answers = worker.m_entryPresent && worker.m_fenceConfirmed && worker.m_missedPolls == 0;
-    return recorded && answers && !worker.m_report->m_draining && worker.m_unknownRuns == 0 && worker.m_noStartsUntil <= now;
+    return recorded && answers && !worker.m_report->m_draining && worker.m_unknownRuns == 0 && worker.m_supersededRuns.empty() && worker.m_noStartsUntil <= now;
 }
 
 static TrackedWorker newTrackedWorker(const WorkerReportPointer &report, Instant now)
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -293,6 +293,9 @@
         state.m_context.m_onSuperseded(event.m_fence, "worker " + event.m_incarnation.m_worker + " has seen a higher fence");
         return;
     }
+    if (auto *worker = findWorker(state, event.m_incarnation); worker && event.m_reply.m_answer == OrderAnswer::Accepted) {
+        applyStopOfSupersededRun(state, *worker, RunReference{.m_task = event.m_task, .m_runNumber = event.m_runNumber}, now);
+    }
     const auto job = state.m_jobs.find(event.m_task.m_job);
     const auto task = job ? findTask(*job, event.m_task) : nullptr;
     const bool current = task && task->m_assignedWorker && *task->m_assignedWorker == event.m_incarnation && task->m_runNumber == event.m_runNumber;
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -15,8 +15,6 @@
 static constexpr int failuresBeforeIsolation = 2;
 // Longer than most periods in which a worker fails all its runs, but short enough that a healthy worker is not isolated for long.
 static constexpr Duration isolationDuration(6000);
-// The time-out of an order plus the transit time of a late answer. Stop orders are idempotent.
-static constexpr Duration stopRepeatDelay(700);
 // Time to order a stop and to learn of its end, in addition to the time that the stop takes: a review, a round trip, and one late answer.
 static constexpr Duration stopConfirmationSlack(600);
 static constexpr Duration speedReviewPeriod(300);
@@ -70,16 +68,31 @@
     }
 }
 
-// Stops the current run of a task if @p end reports that another run has completed the task.
-static void stopSupersededRun(OwnerState &state, const JobPointer &before, const RunEnd &end, const std::string &worker, Instant now)
+// Tracks the runs of the step that have lost their task because @p end reports that another run has completed it. Runs of the same number as
+// the reported one, which are members of its gang, end with it, so they are stopped only if their ends are late; others are stopped at once.
+static void supersedeReplacedRuns(OwnerState &state, const JobState &before, const RunEnd &end, const WorkerIncarnation &reportedBy, Instant now)
 {
-    if (end.m_kind != RunEndKind::Done) {
+    const auto step = findStep(before, end.m_task.m_occurrence, end.m_task.m_step);
+    const auto job = state.m_jobs.find(end.m_task.m_job);
+    const auto stepAfter = findStep(*job, end.m_task.m_occurrence, end.m_task.m_step); // Null once a repeated job has completed the occurrence.
+    if (end.m_kind != RunEndKind::Done || !step || step == stepAfter) {
         return;
     }
-    const auto step = findStep(*before, end.m_task.m_occurrence, end.m_task.m_step);
-    const auto task = findTask(*before, end.m_task);
-    if (step && task && task->m_assignedWorker && (task->m_assignedWorker->m_worker != worker || task->m_runNumber != end.m_runNumber)) {
-        orderStop(state, *task->m_assignedWorker, end.m_task, task->m_runNumber, StopReason::Superseded, now);
+    for (std::size_t index = 0; index < step->m_tasks.size(); ++index) {
+        const auto &task = *step->m_tasks[index];
+        const bool assignedAfter = stepAfter && stepAfter->m_tasks[index]->m_assignedWorker;
+        if (!task.m_assignedWorker || assignedAfter) {
+            continue;
+        }
+        const TaskReference reference{
+            .m_job = end.m_task.m_job, .m_occurrence = end.m_task.m_occurrence, .m_step = end.m_task.m_step, .m_index = static_cast<int>(index)};
+        if (reference == end.m_task && task.m_runNumber == end.m_runNumber && *task.m_assignedWorker == reportedBy) {
+            continue; // The reported run itself.
+        }
+        supersedeRun(state, reference, task, now);
+        if (task.m_runNumber != end.m_runNumber || reference == end.m_task) {
+            orderStopOfSupersededRun(state, *task.m_assignedWorker, RunReference{.m_task = reference, .m_runNumber = task.m_runNumber}, now);
+        }
     }
 }
 
@@ -87,6 +100,7 @@
 {
     worker.m_lastHandledEnd = end.m_number;
     worker.m_listedRuns.erase(end.m_task);
+    removeSupersededRun(state, worker, RunReference{.m_task = end.m_task, .m_runNumber = end.m_runNumber});
     const auto job = state.m_jobs.find(end.m_task.m_job);
     logEvent(LogLevel::Info,
              "run_ended",
@@ -111,7 +125,7 @@
     if (effect.m_mustRecord) {
         recordProgressIfChanged(state, effect.m_job);
     }
-    stopSupersededRun(state, job, end, worker.m_incarnation->m_worker, now);
+    supersedeReplacedRuns(state, *job, end, *worker.m_incarnation, now);
     if (job->m_outcome == JobOutcome::Active && effect.m_job->m_outcome == JobOutcome::Failed) {
         const auto step = findStep(*effect.m_job, end.m_task.m_occurrence, end.m_task.m_step);
         logEvent(LogLevel::Warn,
@@ -167,6 +181,11 @@
     const auto task = job ? findTask(*job, runningTask.m_task) : nullptr;
     const bool here = task && task->m_assignedWorker && *task->m_assignedWorker == *worker.m_incarnation && task->m_runNumber == runningTask.m_runNumber;
     worker.m_listedRuns.insert_or_assign(runningTask.m_task, runningTask.m_runNumber);
+    const RunReference run{.m_task = runningTask.m_task, .m_runNumber = runningTask.m_runNumber};
+    if (const auto superseded = worker.m_supersededRuns.find(run); superseded != worker.m_supersededRuns.end()) {
+        superseded->second.m_executedOrRefused = true;
+        superseded->second.m_lastSeenAt = now;
+    }
     if (here && task->m_phase == TaskPhase::Stopping) {
         confirmRun(state, worker, runningTask, *task, sentAt, now);
         return;
@@ -299,6 +318,7 @@
     recordPollAnswer(state, *worker, runReport, now);
     handleRunEnds(state, *worker, runReport, now);
     worker->m_unknownRuns = 0;
+    removeUnlistedSupersededRuns(state, *worker, runReport, event.m_sentAt);
     for (const auto &runningTask : runReport.m_running) {
         handleRunningTask(state, *worker, runningTask, event.m_sentAt, now);
         const auto job = state.m_jobs.find(runningTask.m_task.m_job);
@@ -358,10 +378,14 @@
             updateCordon(state, worker);
         }
         const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now);
-        const bool idle = worker.m_missedPolls > 0 && worker.m_fenceConfirmed && worker.m_tasks.empty();
+        const bool idle = worker.m_missedPolls > 0 && worker.m_fenceConfirmed && worker.m_tasks.empty() && worker.m_supersededRuns.empty();
         if (leasesExpired && !worker.m_tasks.empty()) {
             releaseTasks(state, worker, "leases_lapsed", now);
         }
+        if (leasesExpired && !worker.m_supersededRuns.empty()) {
+            worker.m_supersededRuns.clear();
+            state.m_placementNeeded = true;
+        }
         if ((leasesExpired || idle) && !worker.m_entryPresent) {
             logEvent(LogLevel::Info, "worker_forgotten", {{"worker", entry->first}});
             entry = forgetWorker(state, entry);
@@ -588,6 +612,7 @@
         return;
     }
     unlockJobsIfSafe(state, now);
+    repeatStopsOfSupersededRuns(state, now);
     markSlowWorkers(state, now);
     const auto lockedJobIds = lockedJobs(state, now);
     for (const auto &name : state.m_jobOrder) {
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -21,6 +21,10 @@
 /// TrackedWorker::m_leasesExpiredBy stops moving forward.
 constexpr int missedPollsToStopRenewal = 2;
 
+/// Pause before an unanswered stop order is sent again: the time-out of an order plus the transit time of a late answer. Stop orders are
+/// idempotent.
+constexpr Duration stopRepeatDelay(700);
+
 using JobShards = ShardedMap<std::string, JobState>;
 
 /// The end of a run that the worker must keep listing until the job's progress is in the store.
@@ -37,6 +41,23 @@
     int m_repeats = 0; ///< How often the order has been sent again.
 };
 
+/// One run of a task.
+struct RunReference {
+    const TaskReference m_task;
+    const std::int64_t m_runNumber;
+
+    bool operator==(const RunReference &) const = default;
+    auto operator<=>(const RunReference &) const = default; // NOLINT(modernize-use-nullptr): false alarm on the generated comparison with zero.
+};
+
+/// A run on a worker that is not, or no longer, the present run of its task, and that is not known to be over. It must stop.
+struct SupersededRun {
+    bool m_executedOrRefused = false; ///< The worker has listed the run or answered its start or stop, so that it does not start the run later.
+    bool m_stopAccepted = false;
+    Instant m_stopOrderedAt; ///< Boot clock; or when the run was superseded, if it is expected to end by itself.
+    Instant m_lastSeenAt; ///< Boot clock. Only a run report that was requested later shows that the run is over.
+};
+
 /// The owner's state of one incarnation of a worker.
 struct TrackedWorker {
     WorkerReportPointer m_report;
@@ -66,6 +87,7 @@
     std::optional<std::set<std::string>> m_jobsIfCordoned;
     std::set<TaskReference> m_tasks; ///< Tasks that the owner assigns to this incarnation: starting, running or stopping.
     std::map<TaskReference, UnansweredStart> m_unansweredStarts; ///< Start orders of the runs in m_tasks that were left unanswered at least once.
+    std::map<RunReference, SupersededRun> m_supersededRuns; ///< They use capacity that is not accounted for, so the worker gets no starts meanwhile.
     std::map<TaskReference, std::int64_t> m_listedRuns; ///< Newest run of each task that this incarnation has reported as running and not yet as ended.
 };
 
@@ -163,6 +185,18 @@
 void orderStop(OwnerState &state, const WorkerIncarnation &incarnation, const TaskReference &task, std::int64_t runNumber, StopReason reason, Instant now);
 /// Marks the task as starting and sends the start order. Does nothing if the worker or the task is no longer known.
 void orderStart(OwnerState &state, const StartDecision &decision, const PlacementWorker &worker, const JobPointer &job, Instant now);
+/// Tracks the present run of a task that has been replaced or is no longer needed. Does nothing if @p task is assigned to no tracked worker.
+void supersedeRun(OwnerState &state, const TaskReference &reference, const TaskState &task, Instant now);
+/// Orders the stop of a superseded run. Does nothing if the run is not tracked as superseded.
+void orderStopOfSupersededRun(OwnerState &state, const WorkerIncarnation &incarnation, const RunReference &run, Instant now);
+/// Handles the answer to the stop order of a superseded run.
+void applyStopOfSupersededRun(OwnerState &state, TrackedWorker &worker, const RunReference &run, Instant now);
+/// Removes the superseded runs that are over because a run report that was requested at @p sentAt does not list them.
+void removeUnlistedSupersededRuns(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant sentAt);
+/// Ends the tracking of a superseded run that is over. Does nothing if the run is not tracked as superseded.
+void removeSupersededRun(OwnerState &state, TrackedWorker &worker, const RunReference &run);
+/// Orders the stop of superseded runs again whose stop orders have not been accepted.
+void repeatStopsOfSupersededRuns(OwnerState &state, Instant now);
 /// Sends the start order of a task again that the worker has left unanswered and does not list. A worker executes a run number once, so
 /// the repetition starts no second run. Returns false if the order may not be repeated; the run has to be stopped then.
 bool repeatStart(OwnerState &state, TrackedWorker &worker, const TaskReference &reference, const JobPointer &job, const TaskState &task, Instant now);
--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -14,8 +14,8 @@
 
 namespace PrimroseBridge {
 
-/// Applies events to the state of an owner with time as a value: no thread decides, no store answers and no worker exists. The owner's
-/// orders go to an address where nothing listens, and their results are dropped; a test applies the results that it wants.
+/// Applies events to the state of an owner with time as a value: no thread decides, no store answers and no worker exists. The owner's start
+/// and stop orders are recorded and get no answer; a test applies the answers that it wants.
 class OwnerSimulation
 {
 public:
@@ -26,13 +26,13 @@
     OwnerSimulation()
         : m_state(OwnerContext{
             .m_settings = settings(),
-            .m_workerCalls = workerCallsOver(HttpClient::create().take()),
+            .m_workerCalls = recordingCalls(),
             .m_configuration = m_configuration,
             .m_enqueueRecord = [this](std::int64_t, const DurableRecord &record) { m_records.push_back(record); },
             .m_leaseEnd = [](std::int64_t) { return fromMilliseconds(1'000'000'000); },
             .m_onSuperseded = [](std::int64_t, const std::string &) {},
             .m_bootClock = bootClockNow,
-            .m_wallClock = TimerService::wallClockNow,
+            .m_wallClock = [this] { return TimerService::wallClockNow() + m_wallClockOffset; },
         })
     {
         m_state.m_events = std::make_shared<BoundedQueue<OwnerEvent>>(1000);
@@ -231,11 +231,44 @@
         return found->m_assignedWorker ? found->m_assignedWorker->m_worker : std::string();
     }
 
+    /// Returns how often the owner has ordered the stop of that run on that worker.
+    [[nodiscard]] std::ptrdiff_t stopCount(const std::string &worker, const TaskReference &task, std::int64_t runNumber) const
+    {
+        return std::count(m_stopOrders.begin(), m_stopOrders.end(), RecordedOrder{.m_worker = worker, .m_task = task, .m_runNumber = runNumber});
+    }
+
+    /// An order to a worker, in the order in which the owner has sent them.
+    struct RecordedOrder {
+        std::string m_worker;
+        TaskReference m_task;
+        std::int64_t m_runNumber;
+
+        bool operator==(const RecordedOrder &) const = default;
+    };
+
     CurrentConfiguration m_configuration;
     std::vector<DurableRecord> m_records;
+    std::vector<RecordedOrder> m_startOrders;
+    std::vector<RecordedOrder> m_stopOrders;
+    Duration m_wallClockOffset{0}; ///< Added to the wall clock of the owner.
     OwnerState m_state;
 
 private:
+    WorkerCalls recordingCalls()
+    {
+        return WorkerCalls{
+            .m_sendStartOrder =
+                [this](const OrderTarget &target, const StartOrder &order, const auto &) {
+                    m_startOrders.push_back(RecordedOrder{.m_worker = target.m_worker, .m_task = order.m_task, .m_runNumber = order.m_runNumber});
+                },
+            .m_sendStopOrder =
+                [this](const OrderTarget &target, const TaskReference &task, std::int64_t runNumber, const auto &) {
+                    m_stopOrders.push_back(RecordedOrder{.m_worker = target.m_worker, .m_task = task, .m_runNumber = runNumber});
+                },
+            .m_requestRunReport = [](const auto &...) {},
+        };
+    }
+
     static FleetSettings settings()
     {
         return FleetSettings{.m_vm = VmId::create("vm").value(),
--- /dev/null
+++ b/service/unittests/Fleetservice/supersededruns.cpp
@@ -0,0 +1,172 @@
+#include "ownersimulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace PrimroseBridge {
+
+using Sim = OwnerSimulation;
+
+static const std::string jobId = "5c0e7a21d94b36f8";
+static const std::string otherJobId = "81b6f3c2a7d04e95";
+
+static JobSpecPointer gangJob(const std::string &name, int members)
+{
+    const auto plain = Sim::job(name, "queue", Sim::policy(4));
+    const auto &step = plain->m_steps.front();
+    return std::make_shared<const JobSpec>(JobSpec{
+        .m_id = plain->m_id,
+        .m_queue = plain->m_queue,
+        .m_acceptedPolicy = plain->m_acceptedPolicy,
+        .m_organisation = plain->m_organisation,
+        .m_acceptedAt = plain->m_acceptedAt,
+        .m_payload = plain->m_payload,
+        .m_steps = {JobStep{.m_taskCount = members,
+                            .m_taskResources = step.m_taskResources,
+                            .m_estimate = step.m_estimate,
+                            .m_after = {},
+                            .m_gang = true,
+                            .m_sameRack = false,
+                            .m_requiredLabel = {},
+                            .m_dataRack = {},
+                            .m_maxPerWorker = 0,
+                            .m_speculative = false,
+                            .m_checkpointing = false,
+                            .m_longRunning = false,
+                            .m_image = {},
+                            .m_tailLatencyTarget = Duration(0),
+                            .m_filler = false,
+                            .m_maxUnavailable = 0}},
+        .m_schedule = plain->m_schedule,
+    });
+}
+
+static RosterEntry cordoned(const std::string &worker, std::vector<std::string> jobs)
+{
+    return RosterEntry{.m_worker = Sim::worker(worker, Duration(60'000)), .m_jobsIfCordoned = std::move(jobs)};
+}
+
+static RosterEntry listed(const std::string &worker)
+{
+    return RosterEntry{.m_worker = Sim::worker(worker), .m_jobsIfCordoned = std::nullopt};
+}
+
+static RunEnd endOf(const TaskReference &task, std::int64_t number, std::int64_t runNumber, RunEndKind kind)
+{
+    return RunEnd{.m_number = number, .m_task = task, .m_runNumber = runNumber, .m_kind = kind, .m_checkpoint = {}};
+}
+
+static StopOrderCompleted acceptedStop(const Sim &sim, const std::string &worker, const TaskReference &task, std::int64_t runNumber)
+{
+    return StopOrderCompleted{.m_task = task,
+                              .m_runNumber = runNumber,
+                              .m_incarnation = *sim.m_state.m_workers.at(worker).m_incarnation,
+                              .m_fence = Sim::fence,
+                              .m_reply = OrderReply{.m_answer = OrderAnswer::Accepted, .m_workerClockMs = std::nullopt}};
+}
+
+static bool isStarted(const Sim &sim, const std::string &job)
+{
+    return std::any_of(sim.m_startOrders.begin(), sim.m_startOrders.end(), [&](const auto &order) { return order.m_task.m_job == job; });
+}
+
+// Starts run 2 of a gang on w1 and w2; run 1 was on w0, which drains and answers nobody since.
+static void startSecondRunOfGang(Sim &sim)
+{
+    sim.configure(1, {"queue"});
+    auto job = newJobState(gangJob(jobId, 2), 4, Sim::at(0));
+    for (int index = 0; index < 2; ++index) {
+        job = applyRunEnd(job, endOf(Sim::reference(jobId, index), 1, 1, RunEndKind::LeaseExpired), "w0", Sim::at(0)).m_job;
+    }
+    sim.becomeOwner({Sim::worker("w0", Duration(60'000)), Sim::worker("w1"), Sim::worker("w2")}, {job}, {cordoned("w0", {}), listed("w1"), listed("w2")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.answer("w2", std::nullopt, {}, Sim::at(5));
+    sim.review(Sim::at(10));
+    sim.place(Sim::at(20));
+    sim.acceptStart(jobId, Sim::at(30), 0);
+    sim.acceptStart(jobId, Sim::at(30), 1);
+    REQUIRE(sim.m_startOrders.size() == 2);
+    REQUIRE(sim.m_startOrders.front().m_runNumber == 2);
+}
+
+// Guards against work beyond the capacity of a worker (LIMIT, soak seeds 750007 and 750013): an earlier run of a gang is reported as done while
+// a newer one goes on, and other tasks are started beside the newer one.
+TEST_CASE("the completion of an earlier run of a gang does not free the capacity of its newer run")
+{
+    Sim sim;
+    startSecondRunOfGang(sim);
+    sim.answer("w0", std::nullopt, {endOf(Sim::reference(jobId, 0), 1, 1, RunEndKind::Done)}, Sim::at(100));
+    CHECK(sim.jobState(jobId)->m_outcome == JobOutcome::Complete);
+    // Both runs are stopped at once; the worker of a run gets nothing before it has listed the end of the run.
+    for (int index = 0; index < 2; ++index) {
+        const auto start = sim.m_startOrders.at(static_cast<std::size_t>(index));
+        CHECK(sim.stopCount(start.m_worker, start.m_task, 2) == 1);
+    }
+    sim.apply(JobSubmitted{.m_spec = Sim::job(otherJobId, "queue", Sim::policy(4))}, Sim::at(110));
+    sim.place(Sim::at(120));
+    CHECK_FALSE(isStarted(sim, otherJobId));
+    for (const auto *name : {"w1", "w2"}) {
+        const auto start = *std::find_if(sim.m_startOrders.begin(), sim.m_startOrders.end(), [&](const auto &order) { return order.m_worker == name; });
+        const RunningTask run{.m_task = start.m_task, .m_runNumber = 2, .m_checkpoint = {}, .m_percent = 50, .m_load = 0.0};
+        sim.answer(name, run, {}, Sim::at(130));
+    }
+    sim.place(Sim::at(140));
+    CHECK_FALSE(isStarted(sim, otherJobId));
+    const auto first = sim.m_startOrders.front();
+    sim.answer(first.m_worker, std::nullopt, {endOf(first.m_task, 1, 2, RunEndKind::Stopped)}, Sim::at(200));
+    sim.place(Sim::at(210));
+    CHECK(sim.workerOf(otherJobId) == first.m_worker);
+    // The gang itself is done, so that no member is started a second time.
+    CHECK(sim.m_startOrders.size() == 3);
+}
+
+// Guards against capacity that stays unused for ever: the stop order of a superseded run or its answer is lost, or its worker falls silent.
+TEST_CASE("the stop of a superseded run is repeated until the run is over")
+{
+    Sim sim;
+    startSecondRunOfGang(sim);
+    const auto first = sim.m_startOrders.front();
+    sim.answer("w0", std::nullopt, {endOf(Sim::reference(jobId, 0), 1, 1, RunEndKind::Done)}, Sim::at(100));
+    sim.review(Sim::at(1000));
+    CHECK(sim.stopCount(first.m_worker, first.m_task, 2) == 2);
+    sim.apply(acceptedStop(sim, first.m_worker, first.m_task, 2), Sim::at(1010));
+    sim.review(Sim::at(2000));
+    CHECK(sim.stopCount(first.m_worker, first.m_task, 2) == 2);
+    sim.apply(JobSubmitted{.m_spec = Sim::job(otherJobId, "queue", Sim::policy(4))}, Sim::at(2000));
+    // A list that was requested before the answer to the stop may have been made before the stop.
+    sim.answer(first.m_worker, std::nullopt, {}, Sim::at(1010));
+    sim.place(Sim::at(2010));
+    CHECK_FALSE(isStarted(sim, otherJobId));
+    sim.answer(first.m_worker, std::nullopt, {}, Sim::at(2020));
+    sim.place(Sim::at(2030));
+    CHECK(sim.workerOf(otherJobId) == first.m_worker);
+    // The worker of the other member is silent until its leases have ended.
+    const auto second = sim.m_startOrders.at(1);
+    sim.missPoll(second.m_worker, Sim::at(2100));
+    sim.missPoll(second.m_worker, Sim::at(2100)); // The first poll without an answer may still have renewed the leases.
+    sim.review(Sim::at(10'000));
+    CHECK(sim.m_state.m_workers.at(second.m_worker).m_supersededRuns.empty());
+}
+
+// Guards against capacity that stays unused after each gang: its members end at the same time, and their workers report it one after the other.
+TEST_CASE("the members of a completed run of a gang are not stopped before their workers can have reported their ends")
+{
+    Sim sim;
+    startSecondRunOfGang(sim);
+    const auto first = sim.m_startOrders.front();
+    const auto second = sim.m_startOrders.at(1);
+    sim.answer(first.m_worker, std::nullopt, {endOf(first.m_task, 1, 2, RunEndKind::Done)}, Sim::at(100));
+    sim.review(Sim::at(200));
+    CHECK(sim.m_stopOrders.empty());
+    sim.apply(JobSubmitted{.m_spec = Sim::job(otherJobId, "queue", Sim::policy(4), false, 2)}, Sim::at(210));
+    sim.place(Sim::at(220));
+    CHECK(sim.m_startOrders.size() == 3);
+    sim.answer(second.m_worker, std::nullopt, {endOf(second.m_task, 1, 2, RunEndKind::Done)}, Sim::at(230));
+    sim.place(Sim::at(240));
+    CHECK(sim.m_startOrders.size() == 4);
+}
+
+} // namespace PrimroseBridge
