--- a/service/unittests/Fleetsimulation/simulatedworkers.h
+++ b/service/unittests/Fleetsimulation/simulatedworkers.h
@@ -20,6 +20,8 @@
     std::string m_machine;
     std::string m_zone;
     std::string m_rack;
+    std::string m_pool = "pool";
+    std::string m_address; ///< Empty for an address of the worker's own.
     Resources m_capacity{.m_milliCores = 32000, .m_memoryMb = 131072, .m_accelerators = 8};
     Duration m_longestLease{3000}; ///< A longer task lease is shortened to this.
     Duration m_stopTime{300}; ///< From a stop order to the end of the run; at most 900 ms on the platform.
