--- a/service/unittests/Fleetsimulation/simulatedworkers.h
+++ b/service/unittests/Fleetsimulation/simulatedworkers.h
@@ -20,7 +20,7 @@
     std::string m_machine;
     std::string m_zone;
     std::string m_rack;
-    std::string m_pool = "pool";
+    std::string m_pool = "pool"; ///< Name of the worker pool.
     std::string m_address; ///< Empty for an address of the worker's own.
     Resources m_capacity{.m_milliCores = 32000, .m_memoryMb = 131072, .m_accelerators = 8};
     Duration m_longestLease{3000}; ///< A longer task lease is shortened to this.
@@ -44,10 +44,15 @@
     std::optional<Instant> m_acknowledgedAt; ///< When a report request acknowledged the end, while the lease still held.
 };
 
-/// The workers of a simulated fleet, as the platform's protocol describes them, with time as a value.
+/// The workers of a simulated fleet, as the platform's protocol describes them, with time as a value. Not thread-safe.
 ///
 /// Every call first brings the workers to @p now, which must not decrease. A gang runs across workers, so one object holds them all. Calls do
 /// not fail by themselves: loss, delay and late execution of orders are up to the caller, which may make a call long after it was sent.
+///
+/// Where the protocol leaves a choice, the workers do what is harder for the scheduler: a run that is ordered to stop still ends as done or failed if
+/// its work ends first; a worker starts a run although another run of the same task, which was not ordered to stop, goes on there; and a
+/// restarted worker executes orders that were sent to its earlier incarnation. A start of a run that is there, or that has
+/// ended, is answered Accepted or Outdated even if its lease end has passed. Leases lapse before runs end at the same time. Checkpoints are always empty.
 class SimulatedWorkers
 {
 public:
@@ -65,11 +70,14 @@
     /// The worker's entry and reports say from now on that it drains; it goes on until the caller ends it.
     void drainWorker(const std::string &worker, Duration remaining, Instant now);
     [[nodiscard]] bool isUp(const std::string &worker) const;
-    /// Makes a run of @p task take @p runTime and end as @p kind (Done or Failed); by default, runs take their step's estimate and are done.
+    /// Makes each later run of @p task take @p runTime and end as @p kind (Done or Failed). By default, runs take their step's estimate and are
+    /// done, and long-running ones do not end by themselves. A gang that is not failed by a member ends when the slowest member is done.
     void setRunResult(const TaskReference &task, Duration runTime, RunEndKind kind);
 
-    /// The worker's entry in the store. Precondition: the worker is up.
+    /// The worker's entry in the store as of the last call. Precondition: the worker is up.
     [[nodiscard]] WorkerReportPointer entry(const std::string &worker) const;
+    /// Orders go to the worker at the address of @p target, or by identifier if no worker has had that address; NotSent if that worker is down.
+    /// Malformed if no job has the task.
     OrderReply startOrder(const OrderTarget &target, const StartOrder &order, const std::string &sender, bool late, Instant now);
     OrderReply stopOrder(const OrderTarget &target, const TaskReference &task, std::int64_t runNumber, Instant now);
     /// Applies the fence, the lease end and the acknowledgement of a request and returns the report as of now; RunReportRequest::m_wait is up to
@@ -93,12 +101,18 @@
 
 /// A broken rule in a history of runs.
 struct RuleViolation {
-    std::string m_rule; ///< TWICE, BUDGET, ORDER, GANG or LIMIT.
+    std::string m_rule; ///< TWICE, BUDGET, ORDER or GANG.
     Instant m_at;
     std::string m_text;
 };
 
 /// Returns the violations in @p history up to @p now, in the order of time. Thread-safe.
+///
+/// TWICE and BUDGET are reported at the start that breaks them, although an end that is acknowledged later may decide, so a later call may
+/// return violations at earlier times. Not checked, because a history does not tell which VMs were in touch: the time bounds of TWICE and
+/// BUDGET, among them all of these rules for speculative steps, and ORDER's due times, which are on a wall clock. For the same reason GANG is reported
+/// for every member that waited in vain; the caller drops those near a disruption or after the job's cancellation. LIMIT cannot be broken,
+/// because the workers enforce their capacity. Jobs without an entry in @p maxAttemptsByJob are not checked for BUDGET.
 std::vector<RuleViolation> findViolations(const std::vector<SimulatedRun> &history,
                                           const std::vector<JobSpecPointer> &jobs,
                                           const std::map<std::string, int> &maxAttemptsByJob,
