--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -105,11 +105,12 @@
     }
 
     /// The entry of a worker; @p leavesIn is set for a draining worker only.
-    static WorkerReportPointer worker(const std::string &name, std::optional<Duration> leavesIn = std::nullopt, std::int64_t startedAtMs = 1)
+    static WorkerReportPointer
+    worker(const std::string &name, std::optional<Duration> leavesIn = std::nullopt, std::int64_t startedAtMs = 1, const std::string &machine = {})
     {
         return std::make_shared<const WorkerReport>(WorkerReport{
             .m_incarnation = WorkerIncarnation{.m_worker = name, .m_startedAtMs = startedAtMs},
-            .m_machine = {},
+            .m_machine = machine,
             .m_address = "127.0.0.1:1",
             .m_pool = "pool",
             .m_zone = "zone-a",
@@ -162,6 +163,22 @@
               now);
     }
 
+    /// The worker answers a poll that was sent at @p now, but says that it started at @p startedAtMs.
+    void answerWithStart(const std::string &name, std::int64_t startedAtMs, std::vector<RunningTask> running, Instant now)
+    {
+        apply(PollCompleted{.m_incarnation = incarnation(name),
+                            .m_fence = fence,
+                            .m_sentAt = now,
+                            .m_leaseRenewed = false,
+                            .m_immediate = false,
+                            .m_reply = RunReportReply{.m_answer = OrderAnswer::Accepted,
+                                                      .m_runReport = WorkerRunReport{.m_startedAtMs = startedAtMs,
+                                                                                     .m_clockMs = toMilliseconds(now) - bootTimeMs,
+                                                                                     .m_running = std::move(running),
+                                                                                     .m_ends = {}}}},
+              now);
+    }
+
     void missPoll(const std::string &name, Instant now, bool immediate = false)
     {
         apply(PollCompleted{.m_incarnation = incarnation(name),
