Warn when a task is started without its worker's word on the former run

Every path on which the owner takes a run for over without the word of the run's worker logged at Info or not at all: the end of leases, a later start of the worker, a later worker on its machine, an answer under another start time, a takeover that waits in vain. At the level that users keep, the second start looked like a first one.

Change: the owner keeps, beside the task and until its next start, which run it has released and why (ReleasedRun). The next start logs task_placed_again at Warn with both runs, both workers, the belief, the time since the former worker's last answer, and the successor. The entry is dropped when the worker lists the run or its end after all. The counter primrosebridge_fleet_tasks_placed_again_total{belief} stands beside it. A poll that is answered under another start time logs worker_start_differs at Warn, once for each start time. worker_life_over, worker_forgotten, ownership_acquired and ownership_taken say what they rest on. task_released names successor_on_machine and other_start_answered, both of which were worker_restarted before.

A line says that the owner relied on a belief, not that the belief was wrong.

--- a/service/include/primrosebridge/Fleetservice/fleetmetrics.h
+++ b/service/include/primrosebridge/Fleetservice/fleetmetrics.h
@@ -14,6 +14,7 @@
     RunsEnded, ///< Label: how the run ended.
     StopsOrdered, ///< Label: reason.
     TasksReleased, ///< Counts tasks that the owner places again without an end of their run. Label: reason.
+    TasksPlacedAgain, ///< Counts starts of tasks whose former run was released without the word of its worker. Label: belief.
     JobsEnded, ///< Label: outcome.
     Takeovers,
     RecordsSkipped, ///< Counts entries of the store that cannot be decoded.
--- a/service/lib/Fleetservice/fleetmetrics.cpp
+++ b/service/lib/Fleetservice/fleetmetrics.cpp
@@ -23,12 +23,16 @@
 
 } // namespace
 
-static constexpr std::array<FleetMetricInfo<FleetCounter>, 9> counterInfos = {{
+static constexpr std::array<FleetMetricInfo<FleetCounter>, 10> counterInfos = {{
     {FleetCounter::CallsAnswered, "primrosebridge_fleet_calls_total", "Calls of callers answered", {"status"}},
     {FleetCounter::StartOrdersAnswered, "primrosebridge_fleet_start_orders_total", "Start orders by the worker's answer", {"answer"}},
     {FleetCounter::RunsEnded, "primrosebridge_fleet_runs_ended_total", "Runs by how they ended", {"how"}},
     {FleetCounter::StopsOrdered, "primrosebridge_fleet_stops_total", "Stop orders by reason", {"reason"}},
     {FleetCounter::TasksReleased, "primrosebridge_fleet_tasks_released_total", "Tasks placed again without an end of their run", {"reason"}},
+    {FleetCounter::TasksPlacedAgain,
+     "primrosebridge_fleet_tasks_placed_again_total",
+     "Starts of tasks whose former run was released without the word of its worker",
+     {"belief"}},
     {FleetCounter::JobsEnded, "primrosebridge_fleet_jobs_ended_total", "Jobs by recorded outcome", {"outcome"}},
     {FleetCounter::Takeovers, "primrosebridge_fleet_takeovers_total", "Times that this VM became the owner"},
     {FleetCounter::RecordsSkipped, "primrosebridge_fleet_records_skipped_total", "Entries of the store that could not be read"},
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -13,6 +13,8 @@
 // A draining worker that does not announce its remaining time stays available at least this long. This is the platform's minimum on its
 // smallest deployments.
 static constexpr Duration minDrainTime(2000);
+// Limits the length of a log line on fleets of thousands of workers.
+static constexpr std::size_t maxLoggedNames = 20;
 
 TrackedWorker *findWorker(OwnerState &state, const WorkerIncarnation &incarnation)
 {
@@ -151,9 +153,10 @@
     return found != worker.m_listedRuns.end() && found->second == runNumber;
 }
 
-static void logReleasedTask(
-    const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference, const TaskState &task, std::string_view reason, Instant now)
+static void
+logReleasedTask(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference, const TaskState &task, ReleaseBelief belief, Instant now)
 {
+    const auto reason = releaseBeliefName(belief);
     FleetMetrics::instance().increment(FleetCounter::TasksReleased, reason);
     logEvent(LogLevel::Info,
              "task_released",
@@ -163,11 +166,11 @@
               {"worker", worker.m_incarnation->m_worker},
               {"reason", std::string(reason)},
               {"sole_owner", state.m_soleOwner ? "yes" : "no"},
-              {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())},
+              {"answered_ms_ago", answeredMsAgo(worker, now)},
               {"leases_over_ms_ago", std::to_string((now - worker.m_leasesExpiredBy).count())}});
 }
 
-void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now, bool onlyListedRuns)
+void releaseTasks(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now, bool onlyListedRuns, const std::string &successor)
 {
     const auto tasks = worker.m_tasks;
     std::size_t released = 0;
@@ -183,7 +186,8 @@
         ++released;
         worker.m_tasks.erase(reference);
         if (here) {
-            logReleasedTask(state, worker, reference, *task, reason, now);
+            logReleasedTask(state, worker, reference, *task, belief, now);
+            rememberReleasedRun(state, worker, reference, task->m_runNumber, belief, successor);
             setTask(state, reference, waitingTask(*task, now));
         }
     }
@@ -193,7 +197,7 @@
                  {{"worker", worker.m_incarnation->m_worker},
                   {"tasks", std::to_string(released)},
                   {"kept", std::to_string(worker.m_tasks.size())},
-                  {"reason", std::string(reason)}});
+                  {"reason", std::string(releaseBeliefName(belief))}});
     }
     state.m_placementNeeded = true;
 }
@@ -296,6 +300,15 @@
 
 } // namespace
 
+// Remembers a start that the earlier incarnation may have executed although it has never listed the run.
+static void rememberUnresolvedStart(OwnerState &state, const TrackedWorker &worker, const TaskReference &reference)
+{
+    const auto job = state.m_jobs.find(reference.m_job);
+    if (const auto task = job ? findTask(*job, reference) : nullptr) {
+        rememberReleasedRun(state, worker, reference, task->m_runNumber, ReleaseBelief::WorkerRestarted, worker.m_incarnation->m_worker);
+    }
+}
+
 // Removes the workers with the same identifier or on the same machine that started before the reported one.
 //
 // Orders carry only the identifier, and the store's entry of a new incarnation appears after the incarnation has started. A start
@@ -318,9 +331,24 @@
         if (!sameIdentifier && worker.m_report->m_machine != report.m_machine) {
             continue; // The worker reported another machine when it was first known.
         }
-        logEvent(LogLevel::Info, "worker_life_over", {{"worker", name}, {"successor", report.m_incarnation.m_worker}});
-        releaseTasks(state, worker, "worker_restarted", now, sameIdentifier);
+        logEvent(LogLevel::Info,
+                 "worker_life_over",
+                 {{"worker", name},
+                  {"successor", report.m_incarnation.m_worker},
+                  {"reason", sameIdentifier ? "identifier" : "machine"},
+                  {"machine", report.m_machine.empty() ? "none" : report.m_machine},
+                  {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+                  {"successor_started_ms", std::to_string(report.m_incarnation.m_startedAtMs)},
+                  {"answered_ms_ago", answeredMsAgo(worker, now)},
+                  {"entry_present", worker.m_entryPresent ? "yes" : "no"},
+                  {"tasks", std::to_string(worker.m_tasks.size())}});
+        const auto belief = sameIdentifier ? ReleaseBelief::WorkerRestarted : ReleaseBelief::SuccessorOnMachine;
+        releaseTasks(state, worker, belief, now, sameIdentifier, report.m_incarnation.m_worker);
+        giveUpFormerRuns(state, worker, belief, report.m_incarnation.m_worker);
         if (sameIdentifier) {
+            for (const auto &reference : worker.m_tasks) {
+                rememberUnresolvedStart(state, worker, reference);
+            }
             unresolved = UnresolvedStarts{.m_tasks = worker.m_tasks,
                                           .m_awaited = state.m_awaitedWorkers.contains(name) || (worker.m_fenceConfirmed && now < state.m_jobsLockedUntil),
                                           .m_jobsIfCordoned = worker.m_fenceConfirmed ? std::nullopt : worker.m_jobsIfCordoned,
@@ -339,6 +367,7 @@
     if (unresolved.m_awaited) {
         state.m_awaitedWorkers.insert(worker.m_incarnation->m_worker);
     }
+    worker.m_formerRunsUnknown = unresolved.m_awaited || unresolved.m_jobsIfCordoned;
     for (const auto &reference : unresolved.m_tasks) {
         const auto job = state.m_jobs.find(reference.m_job);
         const auto task = job ? findTask(*job, reference) : nullptr;
@@ -411,7 +440,7 @@
               {"tasks", std::to_string(worker.m_tasks.size())},
               {"draining", worker.m_report->m_draining ? "yes" : "no"},
               {"announced_time_over", worker.m_report->m_draining && worker.m_leavesAt <= now ? "yes" : "no"},
-              {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())}});
+              {"answered_ms_ago", answeredMsAgo(worker, now)}});
 }
 
 static void addJob(OwnerState &state, const JobPointer &job)
@@ -458,6 +487,20 @@
     state.m_placementNeeded = true;
 }
 
+// Returns the names separated by commas; of many, the first ones and an ellipsis.
+static std::string firstNames(const std::set<std::string> &names)
+{
+    std::string text;
+    std::size_t count = 0;
+    for (const auto &name : names) {
+        if (count++ == maxLoggedNames) {
+            return text + ",...";
+        }
+        text += (text.empty() ? "" : ",") + name;
+    }
+    return text.empty() ? "none" : text;
+}
+
 static void applyOwnershipGained(OwnerState &state, const FleetSnapshot &snapshot, Instant now)
 {
     for (const auto &job : state.m_jobs.values()) {
@@ -468,6 +511,7 @@
     state.m_lockedJobs.clear();
     state.m_jobsLearntWithoutLease.clear();
     state.m_waits.clear();
+    state.m_releasedRuns.clear();
     auto jobs = snapshot.m_jobs;
     std::stable_sort(jobs.begin(), jobs.end(), [](const auto &left, const auto &right) { return left->m_spec->m_acceptedAt < right->m_spec->m_acceptedAt; });
     for (const auto &job : jobs) {
@@ -485,6 +529,9 @@
         if (worker && entry.m_jobsIfCordoned) {
             worker->m_jobsIfCordoned = std::set<std::string>(entry.m_jobsIfCordoned->begin(), entry.m_jobsIfCordoned->end());
         }
+        if (worker) {
+            worker->m_formerRunsUnknown = true;
+        }
     }
     for (const auto &report : snapshot.m_workers) {
         applyWorkerReport(state, report, now);
@@ -497,7 +544,8 @@
         const auto &present = snapshot.m_workers;
         // The previous owner started nothing on a worker that its recorded roster does not list. Orders name the identifier only, so a
         // listed worker may have restarted.
-        if (!worker.m_jobsIfCordoned && inRoster.contains(name)) {
+        worker.m_formerRunsUnknown = inRoster.contains(name);
+        if (!worker.m_jobsIfCordoned && worker.m_formerRunsUnknown) {
             state.m_awaitedWorkers.insert(name);
         }
         worker.m_entryPresent = std::any_of(
@@ -511,14 +559,25 @@
     for (const auto &job : snapshot.m_cancelledJobs) {
         applyCancellation(state, job, now);
     }
+    const auto cordoned
+        = std::count_if(state.m_workers.begin(), state.m_workers.end(), [](const auto &entry) { return entry.second.m_jobsIfCordoned.has_value(); });
+    const auto notInRoster = std::count_if(state.m_workers.begin(), state.m_workers.end(), [&](const auto &entry) { return !inRoster.contains(entry.first); });
+    const auto configuration = state.m_context.m_configuration.current();
     FleetMetrics::instance().increment(FleetCounter::Takeovers);
     logEvent(LogLevel::Info,
              "ownership_taken",
              {{"fence", std::to_string(snapshot.m_fence)},
               {"jobs", std::to_string(jobs.size())},
               {"workers", std::to_string(snapshot.m_workers.size())},
+              {"cancelled", std::to_string(snapshot.m_cancelledJobs.size())},
+              {"configuration", std::to_string(configuration ? configuration->m_version : 0)},
               {"roster", std::to_string(snapshot.m_roster.size())},
-              {"awaited", std::to_string(state.m_awaitedWorkers.size())}});
+              {"roster_version", std::to_string(snapshot.m_rosterVersion)},
+              {"roster_readable", snapshot.m_rosterReadable ? "yes" : "no"},
+              {"awaited", std::to_string(state.m_awaitedWorkers.size())},
+              {"awaited_workers", firstNames(state.m_awaitedWorkers)},
+              {"cordoned", std::to_string(cordoned)},
+              {"not_in_roster", std::to_string(notInRoster)}});
 }
 
 static void applyProgressRecorded(OwnerState &state, const ProgressRecorded &event, Instant now)
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -130,6 +130,7 @@
     if (!worker || !task) {
         return;
     }
+    reportPlacedAgain(state, decision.m_task, decision.m_runNumber, *worker->m_incarnation, now);
     setTask(state, decision.m_task, startingTask(*task, worker->m_incarnation, decision.m_runNumber, now));
     worker->m_unansweredStarts.erase(decision.m_task);
     sendStart(state, *worker, decision.m_task, decision.m_runNumber, decision.m_checkpoint, *job->m_spec, now);
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -67,6 +67,7 @@
             job = due;
         }
         if (job->m_outcome != JobOutcome::Active && !hasRuns(*job)) {
+            forgetReleasedRuns(state, name);
             return true;
         }
         jobs.push_back(std::move(job));
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -87,6 +87,7 @@
 {
     worker.m_lastHandledEnd = end.m_number;
     worker.m_listedRuns.erase(end.m_task);
+    forgetReleasedRun(state, end.m_task, worker.m_incarnation->m_worker, end.m_runNumber);
     const auto job = state.m_jobs.find(end.m_task.m_job);
     logEvent(LogLevel::Info,
              "run_ended",
@@ -104,6 +105,9 @@
     }
     const auto effect = applyRunEnd(job, end, worker.m_incarnation->m_worker, now);
     setJob(state, effect.m_job);
+    if (end.m_kind == RunEndKind::Done) {
+        state.m_releasedRuns.erase(end.m_task); // Nothing starts a task that is done.
+    }
     // An end that changes nothing also waits for the job's newest version, because the end of another member of its gang may have settled the
     // job in that version.
     const bool counts = end.m_kind == RunEndKind::Done || end.m_kind == RunEndKind::Failed;
@@ -167,11 +171,17 @@
     const auto task = job ? findTask(*job, runningTask.m_task) : nullptr;
     const bool here = task && task->m_assignedWorker && *task->m_assignedWorker == *worker.m_incarnation && task->m_runNumber == runningTask.m_runNumber;
     worker.m_listedRuns.insert_or_assign(runningTask.m_task, runningTask.m_runNumber);
+    if (here) {
+        forgetReleasedRun(state, runningTask.m_task, worker.m_incarnation->m_worker, runningTask.m_runNumber);
+    }
     if (here && task->m_phase == TaskPhase::Stopping) {
         confirmRun(state, worker, runningTask, *task, sentAt, now);
         return;
     }
     if (!needsRun(job, task) || runningTask.m_runNumber < task->m_runNumber) {
+        if (needsRun(job, task)) {
+            rememberRunToStop(state, worker, runningTask.m_task, runningTask.m_runNumber);
+        }
         orderStop(state, *worker.m_incarnation, runningTask.m_task, runningTask.m_runNumber, StopReason::Superseded, now);
         return;
     }
@@ -180,10 +190,15 @@
         return;
     }
     if (task->m_assignedWorker && runningTask.m_runNumber == task->m_runNumber) {
+        rememberRunToStop(state, worker, runningTask.m_task, runningTask.m_runNumber);
         orderStop(state, *worker.m_incarnation, runningTask.m_task, runningTask.m_runNumber, StopReason::Superseded, now);
         return;
     }
+    forgetAdoptedRun(state, runningTask.m_task, worker.m_incarnation->m_worker, runningTask.m_runNumber);
     if (task->m_assignedWorker) {
+        if (const auto *former = findWorker(state, *task->m_assignedWorker)) {
+            rememberRunToStop(state, *former, runningTask.m_task, task->m_runNumber);
+        }
         orderStop(state, *task->m_assignedWorker, runningTask.m_task, task->m_runNumber, StopReason::Superseded, now);
     }
     logEvent(LogLevel::Info,
@@ -237,6 +252,7 @@
                       {"task", taskName(reference)},
                       {"run", std::to_string(task->m_runNumber)},
                       {"worker", worker.m_incarnation->m_worker}});
+            rememberReleasedRun(state, worker, reference, task->m_runNumber, ReleaseBelief::RunVanished);
         }
         setTask(state, reference, waitingTask(*task, now));
         state.m_placementNeeded = true;
@@ -250,6 +266,11 @@
         logEvent(level, "worker_answers", {{"worker", worker.m_incarnation->m_worker}, {"missed", std::to_string(worker.m_missedPolls)}});
         state.m_placementNeeded = true;
     }
+    if (!worker.m_fenceConfirmed) {
+        forgetFormerRuns(state, *worker.m_incarnation);
+    }
+    worker.m_formerRunsUnknown = false;
+    worker.m_otherStartMs.reset();
     worker.m_fenceConfirmed = true;
     worker.m_missedPolls = 0;
     worker.m_answeredAt = now;
@@ -272,6 +293,23 @@
     }
 }
 
+// Logs the first of several answers under the same other start time.
+static void reportOtherStart(TrackedWorker &worker, std::int64_t startedAtMs, Instant now)
+{
+    if (worker.m_otherStartMs == startedAtMs) {
+        return;
+    }
+    worker.m_otherStartMs = startedAtMs;
+    logEvent(LogLevel::Warn,
+             "worker_start_differs",
+             {{"worker", worker.m_incarnation->m_worker},
+              {"address", worker.m_report->m_address},
+              {"expected_started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+              {"started_ms", std::to_string(startedAtMs)},
+              {"answered_ms_ago", answeredMsAgo(worker, now)},
+              {"tasks", std::to_string(worker.m_tasks.size())}});
+}
+
 void applyPollResult(OwnerState &state, const PollCompleted &event, Instant now)
 {
     auto *worker = findWorker(state, event.m_incarnation);
@@ -291,7 +329,8 @@
         // The worker has restarted, and the store's entry of the new incarnation follows. Until then nothing is started on the
         // worker and no lease is renewed. Starts that the new incarnation may have executed stay assigned until that entry
         // arrives or their leases have expired.
-        releaseTasks(state, *worker, "worker_restarted", now, true);
+        reportOtherStart(*worker, runReport.m_startedAtMs, now);
+        releaseTasks(state, *worker, ReleaseBelief::OtherStartAnswered, now, true, event.m_incarnation.m_worker);
         worker->m_missedPolls += worker->m_missedPolls == 0 ? missedPollsToStopRenewal : 1;
         worker->m_nextPollAt = now + pollRetryPause;
         return;
@@ -358,12 +397,23 @@
             updateCordon(state, worker);
         }
         const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now);
+        const auto tasks = worker.m_tasks.size();
         const bool idle = worker.m_missedPolls > 0 && worker.m_fenceConfirmed && worker.m_tasks.empty();
         if (leasesExpired && !worker.m_tasks.empty()) {
-            releaseTasks(state, worker, "leases_lapsed", now);
+            releaseTasks(state, worker, ReleaseBelief::LeasesExpired, now);
+        }
+        if (worker.m_formerRunsUnknown && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now)) {
+            giveUpFormerRuns(state, worker, ReleaseBelief::Takeover);
         }
         if ((leasesExpired || idle) && !worker.m_entryPresent) {
-            logEvent(LogLevel::Info, "worker_forgotten", {{"worker", entry->first}});
+            logEvent(LogLevel::Info,
+                     "worker_forgotten",
+                     {{"worker", entry->first},
+                      {"reason", leasesExpired ? "leases_lapsed" : "idle"},
+                      {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+                      {"answered_ms_ago", answeredMsAgo(worker, now)},
+                      {"missed", std::to_string(worker.m_missedPolls)},
+                      {"tasks", std::to_string(tasks)}});
             entry = forgetWorker(state, entry);
         } else {
             ++entry;
@@ -384,6 +434,12 @@
               {"silent_workers", std::to_string(state.m_awaitedWorkers.size())},
               {"reason", answered ? "workers_answered" : "leases_lapsed"},
               {"sole_owner", state.m_soleOwner ? "yes" : "no"}});
+    for (const auto &name : state.m_awaitedWorkers) {
+        if (const auto worker = state.m_workers.find(name); worker != state.m_workers.end()) {
+            giveUpFormerRuns(state, worker->second, ReleaseBelief::Takeover);
+        }
+    }
+    giveUpRunsOfUnknownRoster(state);
     state.m_lockedJobs.clear();
     state.m_awaitedWorkers.clear();
     state.m_formerRosterUnknown = false;
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -37,12 +37,40 @@
     int m_repeats = 0; ///< How often the order has been sent again.
 };
 
+/// Why the owner takes a run for over although the run's worker has not said so.
+enum class ReleaseBelief {
+    LeasesExpired, ///< Every lease of the worker's runs has expired by this VM's boot clock.
+    WorkerRestarted, ///< The store's entry of the worker names a later start.
+    OtherStartAnswered, ///< A poll of the worker was answered under another start time.
+    SuccessorOnMachine, ///< The store's entry of another worker names the same machine and a later start.
+    RunVanished, ///< A list of the worker lacks the run, and no stop of the run was answered before.
+    StopUnconfirmed, ///< Another run replaces this one, whose stop was ordered and is not confirmed.
+    Takeover, ///< The worker has not told this owner which runs of the previous owner it executes, and their leases have expired.
+};
+
+/// Returns the belief's name in lower_snake_case, for logs and metrics. Thread-safe.
+std::string_view releaseBeliefName(ReleaseBelief belief);
+
+/// A run that the owner takes for over without the word of the run's worker. The task's next start is logged with it, because the run may
+/// still be executed.
+struct ReleasedRun {
+    const std::optional<std::int64_t> m_runNumber; ///< Empty if the previous owner may have started the run.
+    const WorkerIncarnation m_worker;
+    const ReleaseBelief m_belief;
+    const std::optional<Instant> m_answeredAt; ///< Boot clock at the last poll that the worker has answered to this owner; empty if there is none.
+    const std::string m_successor; ///< Identifier of the worker whose later start shows that this one is over; empty if there is none.
+
+    bool operator==(const ReleasedRun &) const = default;
+};
+
 /// The owner's state of one incarnation of a worker.
 struct TrackedWorker {
     WorkerReportPointer m_report;
     std::shared_ptr<const WorkerIncarnation> m_incarnation;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
     bool m_fenceConfirmed = false; ///< The worker has answered a poll under the current fence.
+    bool m_formerRunsUnknown = false; ///< The previous owner may have started runs on the worker, which has not answered this owner since.
+    std::optional<std::int64_t> m_otherStartMs; ///< The other start time, in Unix milliseconds, under which the last poll was answered.
     Instant m_answeredAt; ///< Boot clock at the last answered poll.
     std::int64_t m_workerClockAtAnswerMs = 0; ///< The worker's own clock in the answer of m_answeredAt.
     Instant m_leasesExpiredBy; ///< Boot clock; by then every lease given to the worker's runs has expired, unless it is renewed by this VM or by a successor.
@@ -100,6 +128,7 @@
     std::atomic<std::int64_t> m_fence = 0; ///< 0 while another VM owns the fleet.
     std::map<std::string, TrackedWorker> m_workers; ///< By identifier; changed only by trackWorker(), forgetWorker() and forgetAllWorkers().
     std::map<std::string, std::set<std::string>> m_workersByMachine; ///< Identifiers of the tracked workers that report a machine.
+    std::map<TaskReference, ReleasedRun> m_releasedRuns; ///< Runs of tasks that have not been started since; a run is removed when its worker lists it.
     std::vector<std::string> m_jobOrder; ///< Identifiers of active jobs and of jobs with tasks on workers, in order of acceptance.
     std::set<std::string> m_lockedJobs; ///< Active jobs at the takeover; their waiting tasks are not started while m_awaitedWorkers may still run them.
     std::set<std::string> m_awaitedWorkers; ///< Workers that have not answered this owner yet and that the previous owner had not cordoned.
@@ -156,8 +185,37 @@
 /// Adds or replaces a job and updates TrackedWorker::m_tasks.
 void setJob(OwnerState &state, const JobPointer &job);
 /// Moves the tasks of a worker that no longer runs them back to the waiting phase. With @p onlyListedRuns, keeps the tasks whose
-/// current run the worker has never listed.
-void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now, bool onlyListedRuns = false);
+/// current run the worker has never listed. @p successor as in ReleasedRun.
+void releaseTasks(
+    OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now, bool onlyListedRuns = false, const std::string &successor = std::string());
+/// Remembers a run that the owner takes for over without the word of @p worker, until the task's next start. A run with an unconfirmed stop
+/// stays remembered in its place.
+void rememberReleasedRun(OwnerState &state,
+                         const TrackedWorker &worker,
+                         const TaskReference &reference,
+                         std::int64_t runNumber,
+                         ReleaseBelief belief,
+                         const std::string &successor = std::string());
+/// Remembers that @p worker may execute runs of the previous owner that are no longer waited for: of any task that is ready to start in the
+/// jobs that the worker locks. Does nothing unless TrackedWorker::m_formerRunsUnknown is set, and resets it.
+void giveUpFormerRuns(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, const std::string &successor = std::string());
+/// The same for the locked jobs, if the roster of the previous owner is unknown.
+void giveUpRunsOfUnknownRoster(OwnerState &state);
+/// Remembers a run beside the task's present one, whose stop is ordered. A later run that was released stays remembered in its place.
+void rememberRunToStop(OwnerState &state, const TrackedWorker &worker, const TaskReference &reference, std::int64_t runNumber);
+/// Forgets the released run of a task if @p worker lists it, as running or as ended.
+void forgetReleasedRun(OwnerState &state, const TaskReference &reference, const std::string &worker, std::int64_t runNumber);
+/// The same for a run that @p worker lists as running and that becomes the task's present one. It is the run of the previous owner whose
+/// worker was not known.
+void forgetAdoptedRun(OwnerState &state, const TaskReference &reference, const std::string &worker, std::int64_t runNumber);
+/// Forgets all released runs of a job that is settled.
+void forgetReleasedRuns(OwnerState &state, const std::string &job);
+/// Forgets the released runs of the previous owner on a worker that now lists all its runs.
+void forgetFormerRuns(OwnerState &state, const WorkerIncarnation &worker);
+/// Logs and counts the start of a task whose former run was released without the word of its worker, and forgets that run.
+void reportPlacedAgain(OwnerState &state, const TaskReference &reference, std::int64_t runNumber, const WorkerIncarnation &worker, Instant now);
+/// Returns the time in milliseconds since the worker's last answer to this owner, or "never", for logs.
+std::string answeredMsAgo(const TrackedWorker &worker, Instant now);
 /// Sends a stop order. The task keeps its worker until the worker lists the run's end or no longer lists the run.
 /// Does nothing if the worker is no longer tracked.
 void orderStop(OwnerState &state, const WorkerIncarnation &incarnation, const TaskReference &task, std::int64_t runNumber, StopReason reason, Instant now);
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -259,15 +259,23 @@
 // Does nothing if @p lease, under which the ownership key was written, is no longer the lease of the session: the store has removed the key.
 void Session::Private::beginOwnership(std::int64_t fence, std::int64_t lease)
 {
+    std::int64_t formerFence = 0; // Of the last ownership of this process.
     {
         const std::lock_guard lock(m_mutex);
         if (m_closed || m_leaseId != lease) {
             return;
         }
+        formerFence = m_endedFence;
         m_fence = fence;
         m_ownerSince = bootClockNow();
     }
-    logEvent(LogLevel::Info, "ownership_acquired", {{"fence", std::to_string(fence)}});
+    logEvent(LogLevel::Info,
+             "ownership_acquired",
+             {{"fence", std::to_string(fence)},
+              {"former_fence", std::to_string(formerFence)},
+              {"lease", std::to_string(lease)},
+              {"lease_left_ms", std::to_string(m_leaseEndMs - toMilliseconds(bootClockNow()))},
+              {"incarnation", m_self.m_incarnation}});
     m_callbacks.m_onOwnershipGained(fence);
 }
 
