Do not renumber the present run by the end of another one

Cause: TaskState had one number for two facts, the present run and the highest number used. The end of a run of a former owner with a higher number (its worker was unreachable at the takeover) raised the number of the present run. The list of the present run's worker then showed a run that counted as an earlier one, which was stopped, and lacked the present one: the task was taken for vanished and started elsewhere before the stop was answered. While the start or a stop of the present run was unanswered, its end did not match and the task stayed assigned. Change: m_highestRunNumber is kept apart from m_runNumber; starts and progress records use the former. Records keep their layout.

--- a/recovery/include/primrosebridge/Progress/jobstate.h
+++ b/recovery/include/primrosebridge/Progress/jobstate.h
@@ -36,7 +36,10 @@
 struct TaskState {
     const TaskPhase m_phase;
     const std::shared_ptr<const WorkerIncarnation> m_assignedWorker; ///< Null unless starting, running or stopping.
-    const std::int64_t m_runNumber; ///< Highest run number used so far; each start of the task gets a new one.
+    const std::int64_t m_runNumber; ///< Number of the present run; while the task has none, m_highestRunNumber.
+    /// Highest number of any known run; each start gets a higher one. It is above m_runNumber if a worker has reported the end of a run of a
+    /// former owner that had got further.
+    const std::int64_t m_highestRunNumber;
     /// Numbers of the runs that failed. A worker may report a run end to a new owner although the previous owner has already counted it;
     /// the numbers prevent counting a failure twice.
     const std::vector<std::int64_t> m_failedRuns;
--- a/recovery/lib/Progress/jobrecord.cpp
+++ b/recovery/lib/Progress/jobrecord.cpp
@@ -170,8 +170,8 @@
     Json entries = Json::array();
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
         const auto &task = *step.m_tasks[index];
-        if (task.m_phase != TaskPhase::Done && (task.m_runNumber > 0 || !task.m_failedRuns.empty())) {
-            entries.push_back(Json::array({index, task.m_runNumber, task.m_failedRuns, task.m_checkpoint}));
+        if (task.m_phase != TaskPhase::Done && (task.m_highestRunNumber > 0 || !task.m_failedRuns.empty())) {
+            entries.push_back(Json::array({index, task.m_highestRunNumber, task.m_failedRuns, task.m_checkpoint}));
         }
     }
     return entries;
@@ -232,6 +232,7 @@
             .m_phase = isDone ? TaskPhase::Done : TaskPhase::Waiting,
             .m_assignedWorker = nullptr,
             .m_runNumber = runNumbers[index],
+            .m_highestRunNumber = runNumbers[index],
             .m_failedRuns = failures[index],
             .m_checkpoint = checkpoints[index],
             .m_percent = isDone ? 100 : 0,
--- a/recovery/lib/Progress/jobstate.cpp
+++ b/recovery/lib/Progress/jobstate.cpp
@@ -27,6 +27,7 @@
         .m_phase = TaskPhase::Waiting,
         .m_assignedWorker = nullptr,
         .m_runNumber = 0,
+        .m_highestRunNumber = 0,
         .m_failedRuns = {},
         .m_checkpoint = {},
         .m_percent = 0,
@@ -183,6 +184,7 @@
     TaskPhase m_phase;
     std::shared_ptr<const WorkerIncarnation> m_assignedWorker;
     std::int64_t m_runNumber;
+    std::int64_t m_highestRunNumber;
     std::vector<std::int64_t> m_failedRuns;
     std::string m_checkpoint;
     int m_percent;
@@ -198,6 +200,7 @@
         .m_phase = task.m_phase,
         .m_assignedWorker = task.m_assignedWorker,
         .m_runNumber = task.m_runNumber,
+        .m_highestRunNumber = task.m_highestRunNumber,
         .m_failedRuns = task.m_failedRuns,
         .m_checkpoint = task.m_checkpoint,
         .m_percent = task.m_percent,
@@ -208,12 +211,15 @@
     };
 }
 
+// Keeps the two run numbers consistent.
 static TaskPointer taskFrom(TaskUpdate update)
 {
+    const auto highest = std::max(update.m_highestRunNumber, update.m_runNumber);
     return std::make_shared<const TaskState>(TaskState{
         .m_phase = update.m_phase,
-        .m_assignedWorker = std::move(update.m_assignedWorker),
-        .m_runNumber = update.m_runNumber,
+        .m_assignedWorker = update.m_assignedWorker,
+        .m_runNumber = update.m_assignedWorker ? update.m_runNumber : highest,
+        .m_highestRunNumber = highest,
         .m_failedRuns = std::move(update.m_failedRuns),
         .m_checkpoint = std::move(update.m_checkpoint),
         .m_percent = update.m_percent,
@@ -291,7 +297,7 @@
     auto update = updateFrom(task);
     update.m_phase = TaskPhase::Done;
     update.m_assignedWorker = nullptr;
-    update.m_runNumber = std::max(update.m_runNumber, runNumber);
+    update.m_highestRunNumber = std::max(update.m_highestRunNumber, runNumber);
     update.m_percent = 100;
     update.m_phaseSince = now;
     update.m_orderUnanswered = false;
@@ -368,7 +374,7 @@
         update.m_phaseSince = now;
         update.m_orderUnanswered = false;
     }
-    update.m_runNumber = std::max(update.m_runNumber, end.m_runNumber);
+    update.m_highestRunNumber = std::max(update.m_highestRunNumber, end.m_runNumber);
     if (end.m_kind == RunEndKind::Failed) {
         if (!containsRun(update.m_failedRuns, end.m_runNumber)) {
             update.m_failedRuns.push_back(end.m_runNumber);
--- a/recovery/unittests/Progress/progress.cpp
+++ b/recovery/unittests/Progress/progress.cpp
@@ -126,6 +126,23 @@
     CHECK(after->m_checkpoint == "saved");
 }
 
+// Guards against a present run that is taken for an earlier one, and against a number that is used twice, also by the next owner: a worker reports
+// the end of a predecessor's run that has a higher number than the present run.
+TEST_CASE("the end of another run with a higher number does not renumber the current run")
+{
+    for (const auto kind : {RunEndKind::Failed, RunEndKind::Stopped}) {
+        auto job = runningOn(newJobState(specOf({stepOf(2, false)}), 3, start), task(0, 0), "second", 1);
+        job = applyRunEnd(job, endOf(task(0, 0), 2, kind), "first", start).m_job;
+        CHECK(findTask(*job, task(0, 0))->m_runNumber == 1);
+        CHECK(findTask(*job, task(0, 0))->m_phase == TaskPhase::Running);
+        CHECK(findTask(*restoreJob(job->m_spec, 3, encodeProgress(*job), start).value(), task(0, 0))->m_runNumber == 2);
+        job = applyRunEnd(job, endOf(task(0, 0), 1, RunEndKind::Stopped), "second", start).m_job;
+        CHECK(findTask(*job, task(0, 0))->m_phase == TaskPhase::Waiting);
+        CHECK(findTask(*job, task(0, 0))->m_runNumber == 2);
+        CHECK(waitingTask(*findTask(*job, task(0, 0)), start)->m_runNumber == 2);
+    }
+}
+
 // Guards against a step that starts before all tasks of a step that it depends on are done.
 TEST_CASE("a step is ready once all tasks of the steps that it depends on are done")
 {
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -466,7 +466,7 @@
     std::int64_t run = 0;
     for (std::size_t index = 0; index < state.m_tasks.size(); ++index) {
         if (gang || std::find(tasks.begin(), tasks.end(), static_cast<int>(index)) != tasks.end()) {
-            run = std::max(run, state.m_tasks[index]->m_runNumber);
+            run = std::max(run, state.m_tasks[index]->m_highestRunNumber);
         }
     }
     return run + 1;
@@ -497,7 +497,7 @@
                                     .m_step = candidate.m_step,
                                     .m_index = index},
             .m_worker = placement.m_workers[position],
-            .m_runNumber = step.m_gang ? gangRun : task.m_runNumber + 1,
+            .m_runNumber = step.m_gang ? gangRun : task.m_highestRunNumber + 1,
             .m_checkpoint = step.m_gang ? shared : (step.m_checkpointing ? task.m_checkpoint : std::string()),
         });
     }
--- a/scheduling/unittests/Fleet/taskprogress.cpp
+++ b/scheduling/unittests/Fleet/taskprogress.cpp
@@ -12,6 +12,7 @@
         .m_phase = TaskPhase::Running,
         .m_assignedWorker = nullptr,
         .m_runNumber = 1,
+        .m_highestRunNumber = 1,
         .m_failedRuns = {},
         .m_checkpoint = {},
         .m_percent = percent,
--- a/service/unittests/Fleetservice/supersededruns.cpp
+++ b/service/unittests/Fleetservice/supersededruns.cpp
@@ -169,4 +169,36 @@
     CHECK(sim.m_startOrders.size() == 4);
 }
 
+// Guards against two runs of one task (TWICE), and against a task that stays assigned for ever (soak seed 740009): a new owner has started run 1
+// when a worker that it could not reach reports the end of its predecessor's run 2. Run 1 must go on, and later runs have higher numbers than both.
+TEST_CASE("the end of a predecessor's run with a higher number leaves the present run alone")
+{
+    const auto kind = GENERATE(RunEndKind::LeaseExpired, RunEndKind::Failed);
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w0", Duration(60'000)), Sim::worker("w1"), Sim::worker("w2")},
+                    {newJobState(Sim::job(jobId, "queue", Sim::policy(4)), 4, Sim::at(0))},
+                    {cordoned("w0", {}), listed("w1"), listed("w2")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.answer("w2", std::nullopt, {}, Sim::at(5));
+    sim.review(Sim::at(10));
+    sim.place(Sim::at(20));
+    sim.acceptStart(jobId, Sim::at(30));
+    REQUIRE(sim.m_startOrders.size() == 1);
+    const auto first = sim.m_startOrders.front();
+    REQUIRE(first.m_runNumber == 1);
+    sim.answer("w0", std::nullopt, {endOf(first.m_task, 1, 2, kind)}, Sim::at(100));
+    sim.answer(first.m_worker, Sim::running(jobId, 1), {}, Sim::at(200));
+    sim.review(Sim::at(210));
+    sim.place(Sim::at(210));
+    CHECK(sim.m_stopOrders.empty());
+    CHECK(sim.m_startOrders.size() == 1);
+    CHECK(sim.workerOf(jobId) == first.m_worker);
+    sim.answer(first.m_worker, std::nullopt, {endOf(first.m_task, 1, 1, RunEndKind::Stopped)}, Sim::at(300));
+    CHECK(sim.task(jobId)->m_phase == TaskPhase::Waiting);
+    sim.place(Sim::at(310));
+    REQUIRE(sim.m_startOrders.size() == 2);
+    CHECK(sim.m_startOrders.back().m_runNumber == 3);
+}
+
 } // namespace PrimroseBridge
