Hand a listing of the store to the owner as one event

Cause: watchInbox() and watchWorkers() posted the entries of a listing one by one. The owner's thread could decide between two of them: it started a job whose cancellation was in the rest of the listing, or used workers before it knew whose entries were missing. The workers of a listing are applied in the order of their starts, because the order of keys does not say which of two workers of one machine is the later one. A takeover was one event already: its jobs and progress records, and its workers and roster, are applied before any decision. What callers saw: a cancelled job that ran. Two runs of one task do not follow from it: a listing names each job and each worker once, and the owner takes no task from a worker because of a missing entry. The test "a job and its cancellation that are listed together run nothing" relied on a pause for its precondition and found the fault in some runs. It is replaced by one that answers the watches of the inbox itself and lists 40 jobs with their cancellations; it asks for the same, that only the first job runs.

--- a/service/include/primrosebridge/Fleetservice/ownerevents.h
+++ b/service/include/primrosebridge/Fleetservice/ownerevents.h
@@ -54,6 +54,18 @@
     const std::string m_worker;
 };
 
+/// The inbox was listed. The entries are applied together, because a decision on some of them could start a job that others cancel.
+struct InboxListed {
+    const std::vector<JobSpecPointer> m_jobs;
+    const std::vector<std::string> m_cancelledJobs;
+};
+
+/// The workers' entries were listed. They are applied together, because a decision on some of them could use a worker that has left.
+struct WorkersListed {
+    const std::vector<WorkerReportPointer> m_workers;
+    const std::vector<std::string> m_removedWorkers; ///< Workers that had an entry before and have none in the listing.
+};
+
 /// A poll of a worker has ended with an answer or without one.
 struct PollCompleted {
     const WorkerIncarnation m_incarnation;
@@ -100,7 +112,7 @@
 /// watch may be older than the snapshot of the present term.
 struct EventOfTerm {
     const std::int64_t m_fence;
-    const std::variant<JobSubmitted, JobCancelled, WorkerReported, WorkerEntryRemoved, ProgressRecorded, RosterRecorded> m_event;
+    const std::variant<JobSubmitted, JobCancelled, InboxListed, WorkerReported, WorkerEntryRemoved, WorkersListed, ProgressRecorded, RosterRecorded> m_event;
 };
 
 using OwnerEvent = std::variant<OwnershipGained,
@@ -108,8 +120,10 @@
                                 OwnershipLost,
                                 JobSubmitted,
                                 JobCancelled,
+                                InboxListed,
                                 WorkerReported,
                                 WorkerEntryRemoved,
+                                WorkersListed,
                                 PollCompleted,
                                 StartOrderCompleted,
                                 StopOrderCompleted,
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -335,17 +335,7 @@
 {
     while (const auto term = waitForTerm()) {
         const WatchHandlers handlers{
-            .m_listed =
-                [&](const StoreListing &listing) {
-                    // Submissions are posted first: in the order of keys, a cancellation would precede its job, which the owner would not know yet.
-                    for (const auto prefix : {StoreKeys::submissions, StoreKeys::cancellations}) {
-                        for (const auto &item : listing.m_items) {
-                            if (item.m_key.starts_with(prefix)) {
-                                postInboxEntry(term->m_fence, item.m_key, item.m_value);
-                            }
-                        }
-                    }
-                },
+            .m_listed = [&](const StoreListing &listing) { m_owner->post(EventOfTerm{.m_fence = term->m_fence, .m_event = decodeInboxListing(listing)}); },
             .m_changed =
                 [&](const StoreChange &change) {
                     if (!change.m_removed) {
@@ -374,17 +364,8 @@
         const WatchHandlers handlers{
             .m_listed =
                 [&](const StoreListing &listing) {
-                    std::set<std::string> listed;
-                    for (const auto &item : listing.m_items) {
-                        listed.insert(item.m_key);
-                        postWorkerEntry(term->m_fence, item.m_key, item.m_value);
-                    }
-                    for (const auto &key : known) {
-                        if (!listed.contains(key)) {
-                            m_owner->post(EventOfTerm{.m_fence = term->m_fence, .m_event = WorkerEntryRemoved{.m_worker = key.substr(workerPrefix.size())}});
-                        }
-                    }
-                    known = std::move(listed);
+                    m_owner->post(EventOfTerm{.m_fence = term->m_fence, .m_event = decodeWorkersListing(listing, known)});
+                    known = keysOf(listing);
                 },
             .m_changed =
                 [&](const StoreChange &change) {
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -434,6 +434,22 @@
               {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())}});
 }
 
+// Applies the entries in the order in which the workers have started: the keys, by which a listing is ordered, say nothing about which of two
+// workers of one machine is the later one.
+static void applyListedWorkers(OwnerState &state, const WorkersListed &listing, Instant now)
+{
+    auto reports = listing.m_workers;
+    std::stable_sort(reports.begin(), reports.end(), [](const auto &left, const auto &right) {
+        return left->m_incarnation.m_startedAtMs < right->m_incarnation.m_startedAtMs;
+    });
+    for (const auto &report : reports) {
+        applyReportedWorker(state, report, now);
+    }
+    for (const auto &worker : listing.m_removedWorkers) {
+        applyWorkerEntryRemoved(state, worker, now);
+    }
+}
+
 static void addJob(OwnerState &state, const JobPointer &job)
 {
     setJob(state, job);
@@ -600,6 +616,24 @@
             applyCancellation(m_state, event.m_job, m_now);
         }
     }
+    void operator()(const InboxListed &event) const
+    {
+        if (m_state.m_fence == 0) {
+            return;
+        }
+        for (const auto &spec : event.m_jobs) {
+            applySubmission(m_state, spec, m_now);
+        }
+        for (const auto &job : event.m_cancelledJobs) {
+            applyCancellation(m_state, job, m_now);
+        }
+    }
+    void operator()(const WorkersListed &event) const
+    {
+        if (m_state.m_fence != 0) {
+            applyListedWorkers(m_state, event, m_now);
+        }
+    }
     void operator()(const WorkerReported &event) const
     {
         if (m_state.m_fence != 0) {
--- a/service/lib/Fleetservice/snapshot.cpp
+++ b/service/lib/Fleetservice/snapshot.cpp
@@ -26,6 +26,55 @@
     logEvent(LogLevel::Warn, "record_skipped", {{"key", key}, {"reason", error.message()}});
 }
 
+InboxListed decodeInboxListing(const StoreListing &listing)
+{
+    std::vector<JobSpecPointer> jobs;
+    std::vector<std::string> cancelledJobs;
+    for (const auto &item : listing.m_items) {
+        if (item.m_key.starts_with(StoreKeys::cancellations)) {
+            cancelledJobs.push_back(item.m_key.substr(StoreKeys::cancellations.size()));
+            continue;
+        }
+        const auto spec = decodeSubmissionAt(item.m_key, item.m_value);
+        if (spec.ok()) {
+            jobs.push_back(std::make_shared<const JobSpec>(spec.value()));
+        } else {
+            reportSkippedRecord(item.m_key, spec.error());
+        }
+    }
+    return InboxListed{.m_jobs = std::move(jobs), .m_cancelledJobs = std::move(cancelledJobs)};
+}
+
+std::set<std::string> keysOf(const StoreListing &listing)
+{
+    std::set<std::string> keys;
+    for (const auto &item : listing.m_items) {
+        keys.insert(item.m_key);
+    }
+    return keys;
+}
+
+WorkersListed decodeWorkersListing(const StoreListing &listing, const std::set<std::string> &knownKeys)
+{
+    std::vector<WorkerReportPointer> workers;
+    for (const auto &item : listing.m_items) {
+        const auto report = decodeWorkerReport(item.m_key.substr(workerPrefix.size()), item.m_value);
+        if (report.ok()) {
+            workers.push_back(std::make_shared<const WorkerReport>(report.value()));
+        } else {
+            reportSkippedRecord(item.m_key, report.error());
+        }
+    }
+    std::vector<std::string> removed;
+    const auto listed = keysOf(listing);
+    for (const auto &key : knownKeys) {
+        if (!listed.contains(key)) {
+            removed.push_back(key.substr(workerPrefix.size()));
+        }
+    }
+    return WorkersListed{.m_workers = std::move(workers), .m_removedWorkers = std::move(removed)};
+}
+
 DecodedSnapshot decodeSnapshot(const StoreSnapshot &snapshot, std::int64_t fence, const FleetConfigurationPointer &configuration, Instant now)
 {
     const auto &[inbox, progress, workers, roster] = snapshot;
@@ -36,19 +85,9 @@
         records[job] = &item;
         revisions.push_back(RecordRevision{.m_key = item.m_key, .m_revision = item.m_revision});
     }
+    const auto listedInbox = decodeInboxListing(inbox);
     std::vector<JobPointer> jobs;
-    std::vector<std::string> cancellations;
-    for (const auto &item : inbox.m_items) {
-        if (item.m_key.starts_with(StoreKeys::cancellations)) {
-            cancellations.push_back(item.m_key.substr(StoreKeys::cancellations.size()));
-            continue;
-        }
-        const auto spec = decodeSubmissionAt(item.m_key, item.m_value);
-        if (!spec.ok()) {
-            reportSkippedRecord(item.m_key, spec.error());
-            continue;
-        }
-        const auto pointer = std::make_shared<const JobSpec>(spec.value());
+    for (const auto &pointer : listedInbox.m_jobs) {
         const auto record = records.find(pointer->m_id);
         const auto maxAttempts = findMaxAttempts(*pointer, configuration);
         if (record == records.end()) {
@@ -62,17 +101,6 @@
         }
         jobs.push_back(restored.value());
     }
-    std::vector<WorkerReportPointer> reports;
-    std::set<std::string> workerKeys;
-    for (const auto &item : workers.m_items) {
-        workerKeys.insert(item.m_key);
-        const auto report = decodeWorkerReport(item.m_key.substr(workerPrefix.size()), item.m_value);
-        if (report.ok()) {
-            reports.push_back(std::make_shared<const WorkerReport>(report.value()));
-        } else {
-            reportSkippedRecord(item.m_key, report.error());
-        }
-    }
     std::vector<RosterEntry> rosterEntries;
     std::int64_t rosterVersion = 0;
     bool rosterReadable = true;
@@ -90,13 +118,13 @@
     }
     return DecodedSnapshot{.m_fleet = std::make_shared<const FleetSnapshot>(FleetSnapshot{.m_fence = fence,
                                                                                           .m_jobs = std::move(jobs),
-                                                                                          .m_cancelledJobs = std::move(cancellations),
-                                                                                          .m_workers = std::move(reports),
+                                                                                          .m_cancelledJobs = listedInbox.m_cancelledJobs,
+                                                                                          .m_workers = decodeWorkersListing(workers, {}).m_workers,
                                                                                           .m_roster = std::move(rosterEntries),
                                                                                           .m_rosterVersion = rosterVersion,
                                                                                           .m_rosterReadable = rosterReadable}),
                            .m_revisions = std::move(revisions),
-                           .m_workerKeys = std::move(workerKeys)};
+                           .m_workerKeys = keysOf(workers)};
 }
 
 } // namespace PrimroseBridge
--- a/service/lib/Fleetservice/snapshot.h
+++ b/service/lib/Fleetservice/snapshot.h
@@ -37,6 +37,16 @@
 /// key would make one job appear twice. Thread-safe.
 Result<JobSpec> decodeSubmissionAt(const std::string &key, const std::string &value);
 
+/// Decodes a listing of the inbox. Entries that cannot be read are skipped, logged and counted. Thread-safe.
+InboxListed decodeInboxListing(const StoreListing &listing);
+
+/// Decodes a listing of the workers' entries. @p knownKeys are the keys that were known before; those that are missing from the listing are
+/// reported as removed. Entries that cannot be read are skipped, logged and counted, but count as present. Thread-safe.
+WorkersListed decodeWorkersListing(const StoreListing &listing, const std::set<std::string> &knownKeys);
+
+/// Returns the keys of a listing. Thread-safe.
+std::set<std::string> keysOf(const StoreListing &listing);
+
 /// Logs and counts a record of the store that cannot be used. Thread-safe.
 void reportSkippedRecord(const std::string &key, const Error &error);
 
--- a/service/unittests/Fleetservice/fleetnode.cpp
+++ b/service/unittests/Fleetservice/fleetnode.cpp
@@ -1,6 +1,7 @@
 #include "primrosebridge/Fleetservice/fleetnode.h"
 #include "primrosebridge/Fleetservice/fleetapi.h"
 #include "primrosebridge/Fleetservice/storekeys.h"
+#include "primrosebridge/Fleetstandin/loopbackhttpserver.h"
 #include "primrosebridge/Fleetstandin/standinstore.h"
 #include "primrosebridge/Fleetstandin/standinworker.h"
 
@@ -117,26 +118,58 @@
     CHECK_FALSE(store.value(submissionKey("job")));
 }
 
-// Guards against a cancelled job that runs. The store has compacted its history, so that the owner reads the job and its cancellation
-// from one listing.
-TEST_CASE("a job and its cancellation that are listed together run nothing")
+namespace {
+
+// Answers the watches of the inbox in place of the store, also those that are already waiting, until the inbox is listed.
+class InboxWatchCut
 {
+public:
+    explicit InboxWatchCut(StandinStore &store)
+        : m_server([this, &store](const StandinCall &call) {
+            const auto prefix = call.m_query.find("prefix");
+            const bool inbox = prefix != call.m_query.end() && prefix->second == StoreKeys::inbox;
+            if (call.m_path == "/kv-range" && inbox && m_status == historyLost) {
+                m_status = 0;
+            }
+            auto answer = m_status == unavailable && inbox ? StandinAnswer{.m_status = unavailable, .m_body = "{}"} : store.handle(call);
+            return inbox && call.m_path == "/kv-watch" && m_status != 0 ? StandinAnswer{.m_status = m_status, .m_body = "{}"} : answer;
+        })
+    {
+    }
+
+    static constexpr int unavailable = 503;
+    static constexpr int historyLost = 410;
+    std::atomic<int> m_status = 0; // Status of the answers to the watches; 0 if the store answers.
+    LoopbackHttpServer m_server;
+};
+
+} // namespace
+
+// Guards against cancelled jobs that run. The store has compacted its history, so that the owner reads the jobs and their cancellations from
+// one listing; a pass that sees a part of the listing starts jobs whose cancellations are in the rest.
+TEST_CASE("jobs and their cancellations that are listed together run nothing")
+{
+    constexpr int jobs = 40;
     StandinStore store;
+    InboxWatchCut cut(store);
     StandinWorker worker("w1", "r1", Duration(100));
     store.put("op/config", configurationText(1, R"("k1")"));
     store.put("servers/w1", worker.entry("ready"));
-    const auto node = FleetNode::create(settingsOf("vm-1", store)).take();
+    const auto node = FleetNode::create(settingsOf("vm-1", cut.m_server.address())).take();
     REQUIRE(waitUntil([&] { return node->ready() && store.value(std::string(StoreKeys::owner)); }));
     CHECK(answerFleetCall(*node, callOf("POST", "/q/first", oneTaskJob)).m_status == 200);
     REQUIRE(waitUntil([&] { return isComplete(*node, "/q/first"); }));
-    store.setFaults([](StoreCall call) { return call == StoreCall::Watch ? StoreFault::Refused : StoreFault::None; });
-    std::this_thread::sleep_for(Duration(1700)); // Longer than the time-out of a watch.
-    CHECK(answerFleetCall(*node, callOf("POST", "/q/second", oneTaskJob)).m_status == 200);
-    CHECK(answerFleetCall(*node, callOf("DELETE", "/q/second", {})).m_status == 200);
-    store.setFaults([](StoreCall call) { return call == StoreCall::Watch ? StoreFault::HistoryLost : StoreFault::None; });
-    std::this_thread::sleep_for(Duration(600));
-    store.setFaults([](StoreCall) { return StoreFault::None; });
-    CHECK(waitUntil([&] { return answerFleetCall(*node, callOf("GET", "/q/second", {})).m_body == R"({"state":"canceled"})"; }));
+    cut.m_status = InboxWatchCut::unavailable;
+    for (int job = 0; job < jobs; ++job) {
+        const auto path = "/q/job" + std::to_string(job);
+        CHECK(answerFleetCall(*node, callOf("POST", path, oneTaskJob)).m_status == 200);
+        CHECK(answerFleetCall(*node, callOf("DELETE", path, {})).m_status == 200);
+    }
+    cut.m_status = InboxWatchCut::historyLost;
+    for (int job = 0; job < jobs; ++job) {
+        const auto path = "/q/job" + std::to_string(job);
+        CHECK(waitUntil([&] { return answerFleetCall(*node, callOf("GET", path, {})).m_body == R"({"state":"canceled"})"; }));
+    }
     CHECK(worker.runHistory().size() == 1);
 }
 
