--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -171,6 +171,25 @@
                                                   .m_version = state.m_rosterVersion});
 }
 
+// Returns true if the task may be started again: it is not done, or it is not known yet.
+static bool mayStartAgain(const JobState &job, const TaskReference &reference)
+{
+    const auto task = findTask(job, reference);
+    return task ? task->m_phase != TaskPhase::Done : reference.m_occurrence >= job.m_nextOccurrence;
+}
+
+// Adds the jobs of which a task has a run that is not over yet although it is not the task's present one.
+static void addJobsWithSupersededRuns(const OwnerState &state, std::set<std::string> &jobs)
+{
+    for (const auto &[name, worker] : state.m_workers) {
+        for (const auto &[run, superseded] : worker.m_supersededRuns) {
+            if (const auto job = state.m_jobs.find(run.m_task.m_job); job && mayStartAgain(*job, run.m_task)) {
+                jobs.insert(run.m_task.m_job);
+            }
+        }
+    }
+}
+
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now)
 {
     auto locked = state.m_lockedJobs;
@@ -180,6 +199,7 @@
             locked.insert(worker.m_jobsIfCordoned->begin(), worker.m_jobsIfCordoned->end());
         }
     }
+    addJobsWithSupersededRuns(state, locked);
     return {locked.begin(), locked.end()};
 }
 
@@ -187,7 +207,7 @@
 {
     const bool recorded = !worker.m_jobsIfCordoned && worker.m_rosterVersion > 0 && worker.m_rosterVersion <= state.m_recordedRosterVersion;
     const bool answers = worker.m_entryPresent && worker.m_fenceConfirmed && worker.m_missedPolls == 0;
-    return recorded && answers && !worker.m_report->m_draining && worker.m_unknownRuns == 0 && worker.m_supersededRuns.empty() && worker.m_noStartsUntil <= now;
+    return recorded && answers && !worker.m_report->m_draining && worker.m_supersededRuns.empty() && worker.m_noStartsUntil <= now;
 }
 
 static TrackedWorker newTrackedWorker(const WorkerReportPointer &report, Instant now)
@@ -298,6 +318,22 @@
               {"answered_ms_ago", answeredMsAgo(worker, now)}});
 }
 
+// Applies the entries in the order in which the workers have started: the keys, by which a listing is ordered, say nothing about which of two
+// workers of one machine is the later one.
+static void applyListedWorkers(OwnerState &state, const WorkersListed &listing, Instant now)
+{
+    auto reports = listing.m_workers;
+    std::stable_sort(reports.begin(), reports.end(), [](const auto &left, const auto &right) {
+        return left->m_incarnation.m_startedAtMs < right->m_incarnation.m_startedAtMs;
+    });
+    for (const auto &report : reports) {
+        applyReportedWorker(state, report, now);
+    }
+    for (const auto &worker : listing.m_removedWorkers) {
+        applyWorkerEntryRemoved(state, worker, now);
+    }
+}
+
 static void addJob(OwnerState &state, const JobPointer &job)
 {
     setJob(state, job);
@@ -494,6 +530,24 @@
             applyCancellation(m_state, event.m_job, m_now);
         }
     }
+    void operator()(const InboxListed &event) const
+    {
+        if (m_state.m_fence == 0) {
+            return;
+        }
+        for (const auto &spec : event.m_jobs) {
+            applySubmission(m_state, spec, m_now);
+        }
+        for (const auto &job : event.m_cancelledJobs) {
+            applyCancellation(m_state, job, m_now);
+        }
+    }
+    void operator()(const WorkersListed &event) const
+    {
+        if (m_state.m_fence != 0) {
+            applyListedWorkers(m_state, event, m_now);
+        }
+    }
     void operator()(const WorkerReported &event) const
     {
         if (m_state.m_fence != 0) {
