Count the list that follows an accepted stop of a superseded run

Cause: the owner requests a list as soon as the stop of a superseded run is accepted, in the same millisecond. A run is taken for over only by a list that was requested in a later millisecond, so this one did not count, and a run that had never started held back its worker and its job until the next list, which may take two long polls. Change: the accepted stop counts from the millisecond before. A run that was listed in the millisecond itself still waits for the next list. The test of repeated stops asks for both: a list that was requested before the answer does not count, the one that the answer causes does.

--- a/service/lib/Fleetservice/supersededruns.cpp
+++ b/service/lib/Fleetservice/supersededruns.cpp
@@ -63,7 +63,9 @@
     const bool first = !found->second.m_stopAccepted;
     found->second.m_executedOrRefused = true;
     found->second.m_stopAccepted = true;
-    found->second.m_lastSeenAt = now;
+    // The list that is requested below, in this millisecond, may show that the run is over. A run that was listed in this millisecond waits for
+    // the next list.
+    found->second.m_lastSeenAt = std::max(found->second.m_lastSeenAt, now - Duration(1));
     if (first) {
         pollWorker(state, worker, true, now);
     }
--- a/service/unittests/Fleetservice/supersededruns.cpp
+++ b/service/unittests/Fleetservice/supersededruns.cpp
@@ -136,11 +136,11 @@
     sim.review(Sim::at(2000));
     CHECK(sim.stopCount(first.m_worker, first.m_task, 2) == 2);
     sim.apply(JobSubmitted{.m_spec = Sim::job(otherJobId, "queue", Sim::policy(4))}, Sim::at(2000));
-    // A list that was requested before the answer to the stop may have been made before the stop.
-    sim.answer(first.m_worker, std::nullopt, {}, Sim::at(1010));
+    // A list that was requested before the answer to the stop may have been made before the stop. The one that the answer causes was not.
+    sim.answer(first.m_worker, std::nullopt, {}, Sim::at(1009));
     sim.place(Sim::at(2010));
     CHECK_FALSE(isStarted(sim, otherJobId));
-    sim.answer(first.m_worker, std::nullopt, {}, Sim::at(2020));
+    sim.answer(first.m_worker, std::nullopt, {}, Sim::at(1010), true);
     sim.place(Sim::at(2030));
     CHECK(sim.workerOf(otherJobId) == first.m_worker);
     // The worker of the other member is silent until its leases have ended.
