Create every stage of a VM before any of its threads starts

Cause: FleetOwner::create() started the owner's thread, which reads the session through OwnerContext::m_leaseEnd at each iteration, while FleetNode::Private::start() still assigned m_session. The thread could see the pointer before the object behind it. The writer's thread was likewise started before m_owner and m_session were assigned, and the session's threads, which call back into the node, before m_session was.

Change: FleetOwner, ProgressWriter and Session are constructed without their threads and have a start(). FleetNode creates all stages, starts the peer server, whose threads use the owner stage and the store only, and then starts the threads. The null check in m_leaseEnd has no use any more.

--- a/service/include/primrosebridge/Fleetservice/fleetowner.h
+++ b/service/include/primrosebridge/Fleetservice/fleetowner.h
@@ -43,12 +43,16 @@
 class FleetOwner
 {
 public:
-    /// Starts the stage's thread. Returns Unavailable if the system cannot start a thread.
-    static Result<std::unique_ptr<FleetOwner>> create(OwnerContext context);
+    /// Creates the stage without its thread, so that the functions of @p context may refer to objects that are created later. Events that are
+    /// posted before start() wait in the queue.
+    explicit FleetOwner(OwnerContext context);
     ~FleetOwner();
     FleetOwner(const FleetOwner &) = delete;
     FleetOwner &operator=(const FleetOwner &) = delete;
 
+    /// Starts the stage's thread. Call once, after everything that the functions of the context use has been created. Returns Unavailable if
+    /// the system cannot start a thread.
+    Result<bool> start();
     /// Ends the stage's thread and drops later events. Objects that the context refers to may be destroyed after this call.
     void stop();
     /// Queues an event without blocking. Returns false if the stage has stopped or if the queue is full; a full queue is logged.
@@ -62,7 +66,6 @@
 
 private:
     struct Private;
-    explicit FleetOwner(std::unique_ptr<Private> state);
     std::unique_ptr<Private> m_private;
 };
 
--- a/service/include/primrosebridge/Fleetservice/progresswriter.h
+++ b/service/include/primrosebridge/Fleetservice/progresswriter.h
@@ -42,12 +42,15 @@
 class ProgressWriter
 {
 public:
-    /// Creates the writer and starts its thread. Nothing is written before beginTerm().
-    static Result<std::unique_ptr<ProgressWriter>> create(std::shared_ptr<PlatformStore> store, ProgressWriterCallbacks callbacks);
+    /// Creates the writer without its thread, so that @p callbacks may refer to objects that are created later.
+    ProgressWriter(std::shared_ptr<PlatformStore> store, ProgressWriterCallbacks callbacks);
     ~ProgressWriter();
     ProgressWriter(const ProgressWriter &) = delete;
     ProgressWriter &operator=(const ProgressWriter &) = delete;
 
+    /// Starts the writer's thread. Call once, after everything that the callbacks use has been created. Nothing is written before beginTerm().
+    /// Returns Unavailable if the system cannot start a thread.
+    Result<bool> start();
     /// Drops the queued records and starts writing as the owner with @p fence. @p revisions holds the revisions of the existing
     /// records.
     void beginTerm(std::int64_t fence, const std::vector<RecordRevision> &revisions);
@@ -62,7 +65,6 @@
 
 private:
     struct Private;
-    explicit ProgressWriter(std::unique_ptr<Private> state);
     std::unique_ptr<Private> m_private;
 };
 
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -97,6 +97,7 @@
     void updatePeerDirectory(const std::string &key, const std::string &value, std::int64_t revision, bool removed);
     void postInboxEntry(std::int64_t fence, const std::string &key, const std::string &value);
     void postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value);
+    void postRecorded(std::int64_t fence, const DurableRecord &record);
     void handleOwnershipGained(std::int64_t fence);
     void handleOwnershipLost(std::int64_t fence, const std::string &reason);
     // Reads the snapshot, starts the writer and the owner stage with it, and lets the watches of the inbox and the workers start.
@@ -402,39 +403,22 @@
     }
 }
 
+void FleetNode::Private::postRecorded(std::int64_t fence, const DurableRecord &record)
+{
+    if (!record.m_job) {
+        m_owner->post(EventOfTerm{.m_fence = fence, .m_event = RosterRecorded{.m_version = record.m_version}});
+        return;
+    }
+    m_owner->post(
+        EventOfTerm{.m_fence = fence,
+                    .m_event = ProgressRecorded{.m_job = record.m_job->m_spec->m_id, .m_version = record.m_version, .m_outcome = record.m_job->m_outcome}});
+}
+
+// Creates every stage before any thread starts, because the stages call each other through the members of this object.
 Result<bool> FleetNode::Private::start()
 {
     m_http = HttpClient::create().take();
     m_store = std::make_shared<PlatformStore>(m_settings.m_storeAddress, m_http);
-    m_writer
-        = ProgressWriter::create(m_store,
-                                 ProgressWriterCallbacks{
-                                     .m_recorded =
-                                         [this](std::int64_t fence, const DurableRecord &record) {
-                                             if (record.m_job) {
-                                                 m_owner->post(EventOfTerm{.m_fence = fence,
-                                                                           .m_event = ProgressRecorded{.m_job = record.m_job->m_spec->m_id,
-                                                                                                       .m_version = record.m_version,
-                                                                                                       .m_outcome = record.m_job->m_outcome}});
-                                             } else {
-                                                 m_owner->post(EventOfTerm{.m_fence = fence, .m_event = RosterRecorded{.m_version = record.m_version}});
-                                             }
-                                         },
-                                     .m_ownershipLost = [this](std::int64_t fence) { m_session->requestOwnershipRelease(fence, "the store refused a write"); },
-                                 })
-              .take();
-    m_owner
-        = FleetOwner::create(OwnerContext{
-                                 .m_settings = m_settings,
-                                 .m_workerCalls = workerCallsOver(HttpClient::create().take()),
-                                 .m_configuration = m_configuration,
-                                 .m_enqueueRecord = [this](std::int64_t fence, const DurableRecord &record) { m_writer->enqueue(fence, record); },
-                                 .m_leaseEnd = [this](std::int64_t fence) { return m_session ? m_session->leaseEnd(fence) : Instant(); },
-                                 .m_onSuperseded = [this](std::int64_t fence, const std::string &reason) { m_session->requestOwnershipRelease(fence, reason); },
-                                 .m_bootClock = bootClockNow,
-                                 .m_wallClock = TimerService::wallClockNow,
-                             })
-              .take();
     m_session
         = std::make_unique<Session>(m_self,
                                     m_settings.m_shortestStoreLease,
@@ -445,11 +429,33 @@
                                         .m_onOwnershipGained = [this](std::int64_t fence) { handleOwnershipGained(fence); },
                                         .m_onOwnershipLost = [this](std::int64_t fence, const std::string &reason) { handleOwnershipLost(fence, reason); },
                                     });
+    m_writer = std::make_unique<ProgressWriter>(
+        m_store,
+        ProgressWriterCallbacks{
+            .m_recorded = [this](std::int64_t fence, const DurableRecord &record) { postRecorded(fence, record); },
+            .m_ownershipLost = [this](std::int64_t fence) { m_session->requestOwnershipRelease(fence, "the store refused a write"); },
+        });
+    m_owner = std::make_unique<FleetOwner>(
+        OwnerContext{.m_settings = m_settings,
+                     .m_workerCalls = workerCallsOver(HttpClient::create().take()),
+                     .m_configuration = m_configuration,
+                     .m_enqueueRecord = [this](std::int64_t fence, const DurableRecord &record) { m_writer->enqueue(fence, record); },
+                     .m_leaseEnd = [this](std::int64_t fence) { return m_session->leaseEnd(fence); },
+                     .m_onSuperseded = [this](std::int64_t fence, const std::string &reason) { m_session->requestOwnershipRelease(fence, reason); },
+                     .m_bootClock = bootClockNow,
+                     .m_wallClock = TimerService::wallClockNow});
+    // The threads of this server use the owner stage and the store only, which are complete.
     auto server = FleetPeerServer::create(m_settings.m_peerListenAddress, *m_owner, m_store, maxStoreSilence);
     if (!server.ok()) {
         return server.error();
     }
     m_peerServer = server.take();
+    for (const auto &started : {m_writer->start(), m_owner->start()}) {
+        if (!started.ok()) {
+            return started.error();
+        }
+    }
+    m_session->start();
     m_configurationThread = std::thread([this] { watchConfiguration(); });
     m_controlThread = std::thread([this] { watchControlKeys(); });
     m_inboxThread = std::thread([this] { watchInbox(); });
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -97,20 +97,19 @@
     }
 }
 
-Result<std::unique_ptr<FleetOwner>> FleetOwner::create(OwnerContext context)
+FleetOwner::FleetOwner(OwnerContext context)
+    : m_private(std::make_unique<Private>(std::move(context)))
+{
+}
+
+Result<bool> FleetOwner::start()
 {
-    auto state = std::make_unique<Private>(std::move(context));
     try {
-        state->m_thread = std::thread([&inner = *state] { inner.run(); });
+        m_private->m_thread = std::thread([&inner = *m_private] { inner.run(); });
     } catch (const std::system_error &error) {
         return Error(ErrorKind::Unavailable, std::string("cannot start the owner's thread: ") + error.what(), "raise the thread limit of this process");
     }
-    return std::unique_ptr<FleetOwner>(new FleetOwner(std::move(state)));
-}
-
-FleetOwner::FleetOwner(std::unique_ptr<Private> state)
-    : m_private(std::move(state))
-{
+    return true;
 }
 
 FleetOwner::~FleetOwner()
--- a/service/lib/Fleetservice/progresswriter.cpp
+++ b/service/lib/Fleetservice/progresswriter.cpp
@@ -177,18 +177,21 @@
     }
 }
 
-Result<std::unique_ptr<ProgressWriter>> ProgressWriter::create(std::shared_ptr<PlatformStore> store, ProgressWriterCallbacks callbacks)
+ProgressWriter::ProgressWriter(std::shared_ptr<PlatformStore> store, ProgressWriterCallbacks callbacks)
+    : m_private(std::make_unique<Private>())
 {
-    auto state = std::make_unique<Private>();
-    state->m_store = std::move(store);
-    state->m_callbacks = std::move(callbacks);
-    state->m_thread = std::thread([&inner = *state] { inner.run(); });
-    return std::unique_ptr<ProgressWriter>(new ProgressWriter(std::move(state)));
+    m_private->m_store = std::move(store);
+    m_private->m_callbacks = std::move(callbacks);
 }
 
-ProgressWriter::ProgressWriter(std::unique_ptr<Private> state)
-    : m_private(std::move(state))
+Result<bool> ProgressWriter::start()
 {
+    try {
+        m_private->m_thread = std::thread([&inner = *m_private] { inner.run(); });
+    } catch (const std::system_error &error) {
+        return Error(ErrorKind::Unavailable, std::string("cannot start the writer's thread: ") + error.what(), "raise the thread limit of this process");
+    }
+    return true;
 }
 
 ProgressWriter::~ProgressWriter()
@@ -198,7 +201,9 @@
         m_private->m_stopped = true;
     }
     m_private->m_changed.notify_all();
-    m_private->m_thread.join();
+    if (m_private->m_thread.joinable()) {
+        m_private->m_thread.join();
+    }
 }
 
 void ProgressWriter::beginTerm(std::int64_t fence, const std::vector<RecordRevision> &revisions)
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -312,6 +312,10 @@
 
 Session::Session(PeerVm self, Duration leaseTime, std::shared_ptr<PlatformStore> store, SessionCallbacks callbacks)
     : m_private(std::make_unique<Private>(std::move(self), leaseTime, std::move(store), std::move(callbacks)))
+{
+}
+
+void Session::start()
 {
     m_private->m_renewalThread = std::thread([state = m_private.get()] { state->runRenewals(); });
     m_private->m_electionThread = std::thread([state = m_private.get()] { state->runElections(); });
@@ -320,8 +324,11 @@
 Session::~Session()
 {
     close();
-    m_private->m_renewalThread.join();
-    m_private->m_electionThread.join();
+    for (auto *thread : {&m_private->m_renewalThread, &m_private->m_electionThread}) {
+        if (thread->joinable()) {
+            thread->join();
+        }
+    }
 }
 
 void Session::setKnownOwner(const std::optional<FleetOwnerRecord> &owner)
--- a/service/lib/Fleetservice/session.h
+++ b/service/lib/Fleetservice/session.h
@@ -25,11 +25,15 @@
 class Session
 {
 public:
+    /// Creates the session without its threads, so that @p callbacks may refer to objects that are created later.
     Session(PeerVm self, Duration leaseTime, std::shared_ptr<PlatformStore> store, SessionCallbacks callbacks);
     ~Session();
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
+    /// Starts the session's threads. Call once, after everything that the callbacks use has been created. Throws std::system_error if the
+    /// system cannot start a thread.
+    void start();
     /// Tells the session which owner the store names, if any. Starts an election if there is none, and ends the ownership of this VM if
     /// the store names an owner with a higher fence.
     void setKnownOwner(const std::optional<FleetOwnerRecord> &owner);
--- a/service/unittests/Fleetservice/formerowner.cpp
+++ b/service/unittests/Fleetservice/formerowner.cpp
@@ -161,6 +161,7 @@
                                              m_lostAtMs = toMilliseconds(bootClockNow());
                                          }})
     {
+        m_session.start();
         m_session.setKnownOwner(std::nullopt);
     }
 
--- a/service/unittests/Fleetservice/owner.cpp
+++ b/service/unittests/Fleetservice/owner.cpp
@@ -109,17 +109,17 @@
     OwnerFixture()
     {
         m_configuration.installIfNewer(testConfiguration());
-        m_owner = FleetOwner::create(OwnerContext{
-                                         .m_settings = testSettings(),
-                                         .m_workerCalls = workerCallsOver(HttpClient::create().take()),
-                                         .m_configuration = m_configuration,
-                                         .m_enqueueRecord = [this](std::int64_t, const DurableRecord &record) { acknowledge(record); },
-                                         .m_leaseEnd = [this](std::int64_t) { return fromMilliseconds(m_ownershipLeaseEndMs); },
-                                         .m_onSuperseded = [this](std::int64_t, const std::string &) { m_superseded = true; },
-                                         .m_bootClock = bootClockNow,
-                                         .m_wallClock = TimerService::wallClockNow,
-                                     })
-                      .take();
+        m_owner = std::make_unique<FleetOwner>(OwnerContext{
+            .m_settings = testSettings(),
+            .m_workerCalls = workerCallsOver(HttpClient::create().take()),
+            .m_configuration = m_configuration,
+            .m_enqueueRecord = [this](std::int64_t, const DurableRecord &record) { acknowledge(record); },
+            .m_leaseEnd = [this](std::int64_t) { return fromMilliseconds(m_ownershipLeaseEndMs); },
+            .m_onSuperseded = [this](std::int64_t, const std::string &) { m_superseded = true; },
+            .m_bootClock = bootClockNow,
+            .m_wallClock = TimerService::wallClockNow,
+        });
+        REQUIRE(m_owner->start().ok());
     }
 
     void becomeOwner(const std::vector<JobPointer> &jobs, const std::vector<WorkerReportPointer> &workers, const std::vector<RosterEntry> &roster = {})
--- a/service/unittests/Fleetservice/records.cpp
+++ b/service/unittests/Fleetservice/records.cpp
@@ -34,12 +34,13 @@
     ProgressWriterFixture()
     {
         m_store.put(std::string(StoreKeys::owner), "owner");
-        m_writer = ProgressWriter::create(makeStoreClient(m_store),
-                                          ProgressWriterCallbacks{
-                                              .m_recorded = [this](std::int64_t, const DurableRecord &record) { m_recordedVersion = record.m_version; },
-                                              .m_ownershipLost = [this](std::int64_t) { m_lostOwnership = true; },
-                                          })
-                       .take();
+        m_writer
+            = std::make_unique<ProgressWriter>(makeStoreClient(m_store),
+                                               ProgressWriterCallbacks{
+                                                   .m_recorded = [this](std::int64_t, const DurableRecord &record) { m_recordedVersion = record.m_version; },
+                                                   .m_ownershipLost = [this](std::int64_t) { m_lostOwnership = true; },
+                                               });
+        REQUIRE(m_writer->start().ok());
         m_fence = m_store.revisionOf(std::string(StoreKeys::owner));
         m_writer->beginTerm(m_fence, {});
     }
--- a/service/unittests/Fleetservice/takeoverraces.cpp
+++ b/service/unittests/Fleetservice/takeoverraces.cpp
@@ -67,6 +67,7 @@
                                      .m_onOwnershipGained = [this](std::int64_t fence) { m_fence = fence; },
                                      .m_onOwnershipLost = [](std::int64_t, const std::string &) {}})
     {
+        m_session.start();
     }
 
     [[nodiscard]] bool isSoleOwnerNow() const
