Report each start once for each rule

Cause: findViolations() compared every run of a task with every earlier one and reported each pair. Change: one pass over the runs of a task keeps the earlier run that ends last, the first acknowledged end as done, and the times of the acknowledged failures. Histories and violations can be compared.

--- a/service/unittests/Fleetsimulation/rules.cpp
+++ b/service/unittests/Fleetsimulation/rules.cpp
@@ -82,6 +82,17 @@
     CHECK(violations({{.m_speculative = true}}, {{task0, 0, 400, RunEndKind::Done, 450}, {task0, 500}}).empty());
 }
 
+// Guards against a list of violations that grows with the square of the number of runs.
+TEST_CASE("a start is reported once however many earlier runs forbid it")
+{
+    std::vector<WrittenRun> runs;
+    runs.reserve(10);
+    for (int i = 0; i < 10; ++i) {
+        runs.push_back({task0, 100 * i, 100 * i + 50, RunEndKind::Done, 100 * i + 60});
+    }
+    CHECK(violations({{.m_tasks = 1}}, runs).size() == 9);
+}
+
 // Guards against a task that is started once too often, and against failed runs that nobody acknowledged and are counted.
 TEST_CASE("a start after the permitted number of failed runs breaks BUDGET")
 {
--- a/service/unittests/Fleetsimulation/simulatedworkers.h
+++ b/service/unittests/Fleetsimulation/simulatedworkers.h
@@ -42,6 +42,8 @@
     std::optional<Instant> m_endedAt;
     std::optional<RunEndKind> m_endKind; ///< Empty if the run goes on, or if its worker has crashed or left.
     std::optional<Instant> m_acknowledgedAt; ///< When a report request acknowledged the end, while the lease still held.
+
+    bool operator==(const SimulatedRun &) const = default;
 };
 
 /// The workers of a simulated fleet, as the platform's protocol describes them, with time as a value. Not thread-safe.
@@ -104,15 +106,17 @@
     std::string m_rule; ///< TWICE, BUDGET, ORDER or GANG.
     Instant m_at;
     std::string m_text;
+
+    bool operator==(const RuleViolation &) const = default;
 };
 
 /// Returns the violations in @p history up to @p now, in the order of time. Thread-safe.
 ///
 /// TWICE and BUDGET are reported at the start that breaks them, although an end that is acknowledged later may decide, so a later call may
-/// return violations at earlier times. Not checked, because a history does not tell which VMs were in touch: the time bounds of TWICE and
-/// BUDGET, among them all of these rules for speculative steps, and ORDER's due times, which are on a wall clock. For the same reason GANG is reported
-/// for every member that waited in vain; the caller drops those near a disruption or after the job's cancellation. LIMIT cannot be broken,
-/// because the workers enforce their capacity. Jobs without an entry in @p maxAttemptsByJob are not checked for BUDGET.
+/// return violations at earlier times. A start is reported once for each rule, and takes logarithmic time. Not checked, because a history does not tell which
+/// VMs were in touch: the time bounds of TWICE and BUDGET, among them all of these rules for speculative steps, and ORDER's due times, which are on a wall
+/// clock. For the same reason GANG is reported for every member that waited in vain; the caller drops those near a disruption or after the job's cancellation.
+/// LIMIT cannot be broken, because the workers enforce their capacity. Jobs without an entry in @p maxAttemptsByJob are not checked for BUDGET.
 std::vector<RuleViolation> findViolations(const std::vector<SimulatedRun> &history,
                                           const std::vector<JobSpecPointer> &jobs,
                                           const std::map<std::string, int> &maxAttemptsByJob,
--- a/service/unittests/Fleetsimulation/violations.cpp
+++ b/service/unittests/Fleetsimulation/violations.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <iterator>
+#include <set>
 #include <string_view>
-#include <tuple>
 
 namespace PrimroseBridge {
 
@@ -39,14 +40,19 @@
            + std::to_string(run.m_fence) + (run.m_late ? " late" : "");
 }
 
-bool endedBy(const SimulatedRun &run, RunEndKind kind, Instant at)
+bool hasEnded(const SimulatedRun &run, RunEndKind kind, Instant now)
 {
-    return run.m_endKind == kind && run.m_endedAt && *run.m_endedAt <= at;
+    return run.m_endKind == kind && run.m_endedAt && *run.m_endedAt <= now;
 }
 
-bool acknowledgedEnd(const SimulatedRun &run, RunEndKind kind, Instant start, Instant now)
+bool endsLater(const SimulatedRun &run, const SimulatedRun &other)
 {
-    return endedBy(run, kind, start) && run.m_acknowledgedAt && *run.m_acknowledgedAt <= now;
+    return other.m_endedAt && (!run.m_endedAt || *run.m_endedAt > *other.m_endedAt);
+}
+
+bool isAcknowledged(const SimulatedRun &run, RunEndKind kind, Instant now)
+{
+    return hasEnded(run, kind, now) && run.m_acknowledgedAt && *run.m_acknowledgedAt <= now;
 }
 
 void findTwice(const StepRuns &step, Instant now, std::vector<RuleViolation> &violations)
@@ -55,16 +61,19 @@
         return;
     }
     for (const auto &[index, runs] : step.m_byIndex) {
-        for (std::size_t later = 0; later < runs.size(); ++later) {
-            const auto startedAt = runs[later]->m_startedAt;
-            for (std::size_t earlier = 0; earlier < later; ++earlier) {
-                if (!runs[earlier]->m_endedAt || *runs[earlier]->m_endedAt > startedAt) {
-                    violations.push_back(RuleViolation{
-                        .m_rule = "TWICE", .m_at = startedAt, .m_text = describe(*runs[earlier]) + " and " + describe(*runs[later]) + " at the same time"});
-                } else if (acknowledgedEnd(*runs[earlier], RunEndKind::Done, startedAt, now)) {
-                    violations.push_back(RuleViolation{
-                        .m_rule = "TWICE", .m_at = startedAt, .m_text = describe(*runs[later]) + " after the end of " + describe(*runs[earlier])});
-                }
+        const SimulatedRun *longest = nullptr; // The earlier run that ends last.
+        const SimulatedRun *done = nullptr; // The earlier run with the first end as done that is acknowledged.
+        for (const auto *run : runs) {
+            if (longest && (!longest->m_endedAt || *longest->m_endedAt > run->m_startedAt)) {
+                violations.push_back(
+                    RuleViolation{.m_rule = "TWICE", .m_at = run->m_startedAt, .m_text = describe(*longest) + " and " + describe(*run) + " at the same time"});
+            } else if (done && *done->m_endedAt <= run->m_startedAt) {
+                violations.push_back(
+                    RuleViolation{.m_rule = "TWICE", .m_at = run->m_startedAt, .m_text = describe(*run) + " after the end of " + describe(*done)});
+            }
+            longest = !longest || endsLater(*run, *longest) ? run : longest;
+            if (isAcknowledged(*run, RunEndKind::Done, now) && (!done || *run->m_endedAt < *done->m_endedAt)) {
+                done = run;
             }
         }
     }
@@ -76,14 +85,16 @@
         return;
     }
     for (const auto &[index, runs] : step.m_byIndex) {
+        std::multiset<Instant> failures; // Ends of the earlier runs.
         for (const auto *run : runs) {
-            const auto failed = std::count_if(runs.begin(), runs.end(), [&](const SimulatedRun *other) {
-                return other != run && acknowledgedEnd(*other, RunEndKind::Failed, run->m_startedAt, now);
-            });
+            const auto failed = std::distance(failures.begin(), failures.upper_bound(run->m_startedAt));
             if (failed >= maxAttempts) {
                 violations.push_back(RuleViolation{
                     .m_rule = "BUDGET", .m_at = run->m_startedAt, .m_text = describe(*run) + " after " + std::to_string(failed) + " failed runs"});
             }
+            if (isAcknowledged(*run, RunEndKind::Failed, now)) {
+                failures.insert(*run->m_endedAt);
+            }
         }
     }
 }
@@ -152,7 +163,7 @@
         auto &stepRuns = runsByStep[StepKey{.m_job = run.m_task.m_job, .m_occurrence = run.m_task.m_occurrence, .m_step = run.m_task.m_step}];
         stepRuns.m_step = step;
         stepRuns.m_byIndex[run.m_task.m_index].push_back(&run);
-        if (endedBy(run, RunEndKind::GangMembersMissing, now)) {
+        if (hasEnded(run, RunEndKind::GangMembersMissing, now)) {
             violations.push_back(RuleViolation{.m_rule = "GANG", .m_at = *run.m_endedAt, .m_text = describe(run) + " waited in vain for its gang"});
         }
     }
