Let a second run of a gang member work with its gang

Cause: a second run of a member, on another worker but with the gang's run number, waited for a gang that worked already, and ended the whole gang when its time to wait was over. Change: a run that joins a working gang works with it and ends with it. Measured: the new test, before: CHECK( fleet.listedEnds("w1", 4060) == Names{"1:job.0.0.0:1:done"} ) with expansion: { "1:job.0.0.0:1:member_ended" } == { "1:job.0.0.0:1:done" } and passes now. Not known: what the platform does with such a run; the owner never sends one number to two workers on purpose.

--- a/service/unittests/Fleetsimulation/simulatedworkers.cpp
+++ b/service/unittests/Fleetsimulation/simulatedworkers.cpp
@@ -94,7 +94,8 @@
 
 struct GangRun {
     std::set<std::pair<int, std::size_t>> m_members; ///< Task index, and run as an index in the history.
-    bool m_working = false;
+    std::optional<Instant> m_workStartedAt; ///< Empty while members are missing.
+    std::optional<Duration> m_runTime; ///< Of the slowest member that is done by itself, because the members are done together.
 };
 
 std::int64_t clockOf(const Worker &worker, Instant now)
@@ -180,7 +181,8 @@
     void takeLease(Worker &worker, std::int64_t leaseEndMs);
     void lapseLease(Worker &worker, Instant at);
     void fireRunTimer(std::size_t index, Instant at);
-    void startGangIfComplete(GangRun &gang, Instant at);
+    void startMember(std::size_t index, const GangRun &gang);
+    void joinGang(std::size_t index, GangRun &gang);
     void endAllRuns(const Worker &worker, std::optional<RunEndKind> kind, Instant at);
     void endMembers(const GangKey &key, RunEndKind kind, Instant at);
     void removeRun(std::size_t index, std::optional<RunEndKind> kind, Instant at);
@@ -364,32 +366,43 @@
     m_now = std::max(m_now, now);
 }
 
-void SimulatedWorkers::Private::startGangIfComplete(GangRun &gang, Instant at)
+void SimulatedWorkers::Private::startMember(std::size_t index, const GangRun &gang)
 {
-    const auto *step = m_activeRuns.at(gang.m_members.begin()->second).m_step;
+    auto &run = m_activeRuns.at(index);
+    run.m_workStartedAt = gang.m_workStartedAt;
+    if (run.m_result.m_kind == RunEndKind::Done) {
+        run.m_result.m_runTime = gang.m_runTime;
+    }
+    setRunTimer(index, run);
+}
+
+void SimulatedWorkers::Private::joinGang(std::size_t index, GangRun &gang)
+{
+    gang.m_members.emplace(m_history[index].m_task.m_index, index);
+    auto &run = m_activeRuns.at(index);
+    if (gang.m_workStartedAt) {
+        startMember(index, gang); // The gang works already, so this is a second run of one of its tasks.
+        return;
+    }
+    setRunTimer(index, run);
     int present = 0;
     int lastIndex = -1;
     for (const auto &[taskIndex, member] : gang.m_members) {
         present += taskIndex != lastIndex ? 1 : 0;
         lastIndex = taskIndex;
     }
-    if (gang.m_working || present < step->m_taskCount) {
+    if (present < run.m_step->m_taskCount) {
         return;
     }
-    gang.m_working = true;
-    // The members end together, so the slowest decides.
-    Duration longest(0);
+    gang.m_workStartedAt = m_now;
     for (const auto &[taskIndex, member] : gang.m_members) {
         const auto &result = m_activeRuns.at(member).m_result;
-        longest = std::max(longest, result.m_kind == RunEndKind::Done ? result.m_runTime.value_or(Duration(0)) : Duration(0));
+        if (result.m_kind == RunEndKind::Done && result.m_runTime) {
+            gang.m_runTime = std::max(gang.m_runTime.value_or(Duration(0)), *result.m_runTime);
+        }
     }
     for (const auto &[taskIndex, member] : gang.m_members) {
-        auto &run = m_activeRuns.at(member);
-        run.m_workStartedAt = at;
-        if (run.m_result.m_kind == RunEndKind::Done && run.m_result.m_runTime) {
-            run.m_result.m_runTime = longest;
-        }
-        setRunTimer(member, run);
+        startMember(member, gang);
     }
 }
 
@@ -587,10 +600,7 @@
     if (step->m_gang) {
         run.m_gang
             = GangKey{.m_job = order.m_task.m_job, .m_occurrence = order.m_task.m_occurrence, .m_step = order.m_task.m_step, .m_runNumber = order.m_runNumber};
-        auto &gang = m_private->m_gangs[*run.m_gang];
-        gang.m_members.emplace(order.m_task.m_index, index);
-        m_private->setRunTimer(index, run);
-        m_private->startGangIfComplete(gang, m_private->m_now);
+        m_private->joinGang(index, m_private->m_gangs[*run.m_gang]);
     } else {
         run.m_workStartedAt = m_private->m_now;
         m_private->setRunTimer(index, run);
--- a/service/unittests/Fleetsimulation/workers.cpp
+++ b/service/unittests/Fleetsimulation/workers.cpp
@@ -193,6 +193,24 @@
     CHECK(fleet.listedEnds("w2", 1500) == Names{"1:job.0.0.1:1:done"});
 }
 
+// Guards against a second run of a member that delays its gang, or ends it by waiting.
+TEST_CASE("a second run of a gang member works and ends with the gang")
+{
+    auto fleet = fleetOfOneJob({.m_tasks = 2, .m_estimate = Duration(4000), .m_gang = true});
+    CHECK(fleet.start("w1", task0, 1, 0, 3000) == OrderAnswer::Accepted);
+    CHECK(fleet.start("w2", task0, 1, 50, 3000) == OrderAnswer::Accepted);
+    CHECK(fleet.m_workers.currentReport("w1", WorkerFixture::at(60)).m_runReport.value().m_running.front().m_percent == 0);
+    CHECK(fleet.start("w2", task1, 1, 60, 3000) == OrderAnswer::Accepted);
+    CHECK(fleet.start("w3", task1, 1, 100, 3000) == OrderAnswer::Accepted);
+    for (const auto *worker : {"w1", "w2", "w3"}) {
+        fleet.report(worker, 0, 2500, 5500);
+    }
+    CHECK(fleet.listedEnds("w1", 4059).empty());
+    CHECK(fleet.listedEnds("w1", 4060) == Names{"1:job.0.0.0:1:done"});
+    CHECK(fleet.listedEnds("w2", 4060) == Names{"1:job.0.0.0:1:done", "2:job.0.0.1:1:done"});
+    CHECK(fleet.listedEnds("w3", 4060) == Names{"1:job.0.0.1:1:done"});
+}
+
 // Guards against members of different run numbers that are taken for one gang.
 TEST_CASE("gang members with different run numbers wait in vain")
 {
