Test the bounds that mutations of the simulated workers left untested

Change: tests for lease ends between two times of a worker's clock, for work that ends with the lease, for the slowest member of a gang, for a start at the time of an end, and for the earlier run that ends last. A condition in findViolations() that nothing could depend on is gone.

--- a/service/unittests/Fleetsimulation/rules.cpp
+++ b/service/unittests/Fleetsimulation/rules.cpp
@@ -66,6 +66,7 @@
     CHECK(violations(steps, {{task0, 0}, {task1, 500}}).empty());
     CHECK(violations(steps, {{task0, 0}, {task0, 500}}, 2, 499).empty());
     CHECK(violations(steps, {{task0, 0}, {task0, 100, 200, RunEndKind::Stopped}, {task0, 300}}) == Names{"TWICE@100", "TWICE@300"});
+    CHECK(violations(steps, {{task0, 0, 1000, RunEndKind::Stopped}, {task0, 100, 200, RunEndKind::Stopped}, {task0, 900}}) == Names{"TWICE@100", "TWICE@900"});
     CHECK(violations({{.m_tasks = 2, .m_speculative = true}}, {{task0, 0}, {task0, 500}}).empty());
     CHECK(violations({{.m_longRunning = true}}, {{task0, 0}, {task0, 500}}) == Names{"TWICE@500"});
 }
@@ -76,6 +77,7 @@
     const Steps steps{{.m_tasks = 1}};
     CHECK(violations(steps, {{task0, 0, 400, RunEndKind::Done, 450}, {task0, 500}}) == Names{"TWICE@500"});
     CHECK(violations(steps, {{task0, 0, 400, RunEndKind::Done, 900}, {task0, 500}}) == Names{"TWICE@500"});
+    CHECK(violations(steps, {{task0, 0, 500, RunEndKind::Done, 550}, {task0, 500}}) == Names{"TWICE@500"});
     CHECK(violations(steps, {{task0, 0, 400, RunEndKind::Done, 900}, {task0, 500}}, 2, 899).empty());
     CHECK(violations(steps, {{task0, 0, 400, RunEndKind::Done}, {task0, 500}}).empty());
     CHECK(violations(steps, {{task0, 0, 400, RunEndKind::Stopped, 450}, {task0, 500}}).empty());
--- a/service/unittests/Fleetsimulation/violations.cpp
+++ b/service/unittests/Fleetsimulation/violations.cpp
@@ -62,17 +62,17 @@
     }
     for (const auto &[index, runs] : step.m_byIndex) {
         const SimulatedRun *longest = nullptr; // The earlier run that ends last.
-        const SimulatedRun *done = nullptr; // The earlier run with the first end as done that is acknowledged.
+        const SimulatedRun *done = nullptr; // The last earlier run whose end as done is acknowledged.
         for (const auto *run : runs) {
             if (longest && (!longest->m_endedAt || *longest->m_endedAt > run->m_startedAt)) {
                 violations.push_back(
                     RuleViolation{.m_rule = "TWICE", .m_at = run->m_startedAt, .m_text = describe(*longest) + " and " + describe(*run) + " at the same time"});
-            } else if (done && *done->m_endedAt <= run->m_startedAt) {
+            } else if (done) {
                 violations.push_back(
                     RuleViolation{.m_rule = "TWICE", .m_at = run->m_startedAt, .m_text = describe(*run) + " after the end of " + describe(*done)});
             }
             longest = !longest || endsLater(*run, *longest) ? run : longest;
-            if (isAcknowledged(*run, RunEndKind::Done, now) && (!done || *run->m_endedAt < *done->m_endedAt)) {
+            if (isAcknowledged(*run, RunEndKind::Done, now)) {
                 done = run;
             }
         }
--- a/service/unittests/Fleetsimulation/workers.cpp
+++ b/service/unittests/Fleetsimulation/workers.cpp
@@ -76,6 +76,30 @@
     CHECK(fleet.start("slow", task1, 1, 4000, 3921) == OrderAnswer::Accepted);
 }
 
+// Guards against a lease that ends while the worker's clock, which shows whole milliseconds, is still before its end.
+TEST_CASE("a lease end between two times of the worker's clock is rounded up")
+{
+    WorkerFixture fleet({WorkerFixture::job("job", std::vector<WorkerFixture::StepOptions>{{.m_estimate = Duration(60'000)}})}, {});
+    auto slow = WorkerFixture::settings("slow");
+    slow.m_clockRate = 0.98;
+    fleet.m_workers.startWorker(slow, 1, WorkerFixture::at(0));
+    CHECK(fleet.start("slow", task0, 1, 2000, 3921) == OrderAnswer::Accepted);
+    const auto before = fleet.m_workers.currentReport("slow", WorkerFixture::at(4001)).m_runReport.value();
+    CHECK(before.m_clockMs == 3920);
+    CHECK(before.m_running.size() == 1);
+    const auto after = fleet.m_workers.currentReport("slow", WorkerFixture::at(4002)).m_runReport.value();
+    CHECK(after.m_clockMs == 3921);
+    CHECK(after.m_running.empty());
+}
+
+// Guards against a run that is done at the time at which its lease has already lapsed.
+TEST_CASE("a run whose work ends at the end of its lease expires")
+{
+    auto fleet = fleetOfOneJob({.m_tasks = 1, .m_estimate = Duration(1000)});
+    CHECK(fleet.start("w1", task0, 1, 0, 1000) == OrderAnswer::Accepted);
+    CHECK(fleet.listedEnds("w1", 1000) == Names{"1:job.0.0.0:1:expired"});
+}
+
 // Guards against leases that last longer than the longest lease, or that a reordered call shortens.
 TEST_CASE("a lease is shortened to the longest lease and by no later call")
 {
@@ -193,6 +217,19 @@
     CHECK(fleet.listedEnds("w2", 1500) == Names{"1:job.0.0.1:1:done"});
 }
 
+// Guards against members that end at different times.
+TEST_CASE("a gang is done when its slowest member is")
+{
+    auto fleet = fleetOfOneJob({.m_tasks = 2, .m_estimate = Duration(1000), .m_gang = true});
+    const auto slowest = GENERATE(task0, task1);
+    fleet.m_workers.setRunResult(slowest, Duration(1600), RunEndKind::Done);
+    CHECK(fleet.start("w1", task0, 1, 0, 3000) == OrderAnswer::Accepted);
+    CHECK(fleet.start("w2", task1, 1, 0, 3000) == OrderAnswer::Accepted);
+    CHECK(fleet.listedEnds("w1", 1599).empty());
+    CHECK(fleet.listedEnds("w1", 1600) == Names{"1:job.0.0.0:1:done"});
+    CHECK(fleet.listedEnds("w2", 1600) == Names{"1:job.0.0.1:1:done"});
+}
+
 // Guards against a second run of a member that delays its gang, or ends it by waiting.
 TEST_CASE("a second run of a gang member works and ends with the gang")
 {
