--- /dev/null
+++ b/service/unittests/Fleetsimulation/fleetsimulation.cpp
@@ -0,0 +1,606 @@
+#include "fleetsimulation.h"
+
+#include "simulatedvm.h"
+
+#include "primrosebridge/Fleetservice/storekeys.h"
+#include "primrosebridge/Fleetwire/messages.h"
+#include "primrosebridge/Progress/jobrecord.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace PrimroseBridge {
+
+static constexpr Instant simulationStart = fromMilliseconds(1'700'000'000'000);
+static constexpr std::int64_t faultsFromMs = 2'000;
+static constexpr std::int64_t faultsUntilMs = 20'000;
+static constexpr std::int64_t simulationMs = 30'000;
+static constexpr int zoneCount = 3;
+static constexpr double faultClassShare = 0.35;
+
+static std::string numbered(const char *name, std::int64_t number)
+{
+    return name + std::to_string(number);
+}
+
+static std::string encodeEntry(const WorkerReport &report)
+{
+    nlohmann::json json{
+        {"service", report.m_pool},
+        {"addr", report.m_address},
+        {"zone", report.m_zone},
+        {"state", report.m_draining ? "draining" : "ready"},
+        {"machine", report.m_machine},
+        {"capacity", {{"cpu", report.m_capacity.m_milliCores}, {"memMb", report.m_capacity.m_memoryMb}, {"gpu", report.m_capacity.m_accelerators}}},
+        {"labels", {"a", report.m_rack}},
+        {"born", report.m_incarnation.m_startedAtMs}};
+    if (report.m_leavesIn) {
+        json["remainingMs"] = report.m_leavesIn->count();
+    }
+    if (report.m_reportedAtClockMs) {
+        json["clockMs"] = *report.m_reportedAtClockMs;
+    }
+    return json.dump();
+}
+
+namespace {
+
+struct Queue {
+    const char *m_name;
+    int m_priority;
+    int m_maxAttempts;
+};
+
+constexpr std::array<Queue, 3> queues{Queue{"urgent", 0, 4}, Queue{"normal", 1, 3}, Queue{"background", 2, 2}};
+
+QueuePolicy policyOf(const Queue &queue)
+{
+    return QueuePolicy{.m_workerPool = "pool",
+                       .m_priority = queue.m_priority,
+                       .m_maxAttempts = queue.m_maxAttempts,
+                       .m_slackFactor = 1.5,
+                       .m_latencyGoal = Duration(300),
+                       .m_needsPlacementAdvice = false};
+}
+
+FleetConfigurationPointer configuration()
+{
+    std::vector<QueueSettings> settings;
+    for (const auto &queue : queues) {
+        settings.push_back(QueueSettings{.m_name = queue.m_name,
+                                         .m_host = "host",
+                                         .m_pathPrefix = std::string("/") + queue.m_name + "/",
+                                         .m_policy = policyOf(queue),
+                                         .m_timeout = Duration(3000),
+                                         .m_isPublic = true});
+    }
+    return std::make_shared<const FleetConfiguration>(
+        FleetConfiguration{.m_version = 1,
+                           .m_queues = std::move(settings),
+                           .m_organisations = {OrganisationSettings{.m_name = "org", .m_apiKeys = {}, .m_guaranteedAccelerators = 16}},
+                           .m_pools = {PoolSettings{.m_name = "pool", .m_enforcesCapacity = true, .m_standby = false}},
+                           .m_maxBodyBytes = 1000});
+}
+
+/// What a seed decides before the first event.
+struct Plan {
+    std::vector<JobSpecPointer> m_jobs;
+    std::map<std::string, int> m_maxAttempts;
+};
+
+JobStep drawStep(SimulationRandom &random, int number)
+{
+    const bool gang = random.chance(0.25);
+    const bool longRunning = !gang && random.chance(0.15);
+    const auto estimate = random.chance(0.4) ? random.duration(5'000, 20'000) : random.duration(100, 3'000);
+    return JobStep{.m_taskCount = static_cast<int>(gang ? random.between(2, 4) : random.between(1, 3)),
+                   .m_taskResources = Resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = random.chance(0.5) ? 8 : random.between(1, 8)},
+                   .m_estimate = estimate,
+                   .m_after = number > 0 && random.chance(0.7) ? std::vector<int>{number - 1} : std::vector<int>(),
+                   .m_gang = gang,
+                   .m_sameRack = false,
+                   .m_requiredLabel = {},
+                   .m_dataRack = {},
+                   .m_maxPerWorker = 0,
+                   .m_speculative = false,
+                   .m_checkpointing = false,
+                   .m_longRunning = longRunning,
+                   .m_image = {},
+                   .m_tailLatencyTarget = Duration(0),
+                   .m_filler = false,
+                   .m_maxUnavailable = longRunning ? static_cast<int>(random.between(0, 1)) : 0};
+}
+
+Plan drawPlan(SimulationRandom &random)
+{
+    Plan plan;
+    const auto count = random.between(3, 9);
+    for (std::int64_t number = 0; number < count; ++number) {
+        const auto &queue = queues[static_cast<std::size_t>(random.between(0, 2))];
+        std::vector<JobStep> steps;
+        const auto stepCount = random.chance(0.3) ? random.between(2, 3) : 1;
+        for (int step = 0; step < stepCount; ++step) {
+            steps.push_back(drawStep(random, step));
+        }
+        const auto acceptedAt = simulationStart + random.duration(500, 18'000);
+        const auto name = numbered("job", number);
+        const bool repeated = random.chance(0.15);
+        plan.m_maxAttempts[name] = queue.m_maxAttempts;
+        plan.m_jobs.push_back(std::make_shared<const JobSpec>(JobSpec{.m_id = name,
+                                                                      .m_queue = queue.m_name,
+                                                                      .m_acceptedPolicy = policyOf(queue),
+                                                                      .m_organisation = random.chance(0.5) ? "org" : "",
+                                                                      .m_acceptedAt = acceptedAt,
+                                                                      .m_payload = "payload",
+                                                                      .m_steps = std::move(steps),
+                                                                      .m_schedule = JobSchedule{.m_count = repeated ? 5 : 0,
+                                                                                                .m_firstDue = repeated ? acceptedAt + Duration(500) : Instant(),
+                                                                                                .m_interval = Duration(repeated ? 2'500 : 0)}}));
+    }
+    return plan;
+}
+
+/// One simulated fleet.
+class Fleet
+{
+public:
+    Fleet(std::uint64_t seed, SimulationRandom &planRandom, bool tracing)
+        : m_plan(drawPlan(planRandom))
+        , m_world(simulationStart, seed, m_plan.m_jobs, tracing)
+        , m_random(planRandom)
+        , m_configuration(configuration())
+    {
+    }
+
+    FleetSimulationResult run();
+
+private:
+    struct Machine {
+        std::string m_name;
+        std::string m_zone;
+        std::string m_rack;
+    };
+    struct Vm {
+        NetworkNode m_node;
+        double m_processorCores = 1.0;
+        Duration m_bootClockOffset{0};
+        int m_starts = 0;
+        std::unique_ptr<SimulatedVm> m_process;
+    };
+
+    Instant drawTime();
+    [[nodiscard]] bool drawClass();
+    void at(Instant time, std::function<void()> event);
+    void trace(const std::string &text);
+    void drawFaults();
+    void drawCuts();
+    void planVms();
+    void planWorkers();
+    void planVmFaults();
+    void planWorkerFaults();
+    void planJobs();
+    void planStrayEntries();
+    void startVm(std::size_t index);
+    void killVm(std::size_t index);
+    void startWorker(const Machine &machine, Duration entryDelay, const std::string &address);
+    void crashWorker(const std::string &worker, Duration entryStays);
+    void restartWorker(const std::string &worker, Duration entryDelay);
+    void writeEntry(const std::string &worker);
+    void removeEntry(const std::string &worker);
+    std::string drawWorker();
+
+    const Plan m_plan;
+    SimulatedWorld m_world;
+    SimulationRandom &m_random;
+    const FleetConfigurationPointer m_configuration;
+    ThreadFaults m_threadFaults;
+    std::vector<Vm> m_vms;
+    std::vector<std::string> m_workers;
+    std::map<std::string, Machine> m_machines; ///< By worker.
+    std::set<std::string> m_withoutEntry; ///< Workers whose entry lapsed although they run.
+};
+
+Instant Fleet::drawTime()
+{
+    return simulationStart + m_random.duration(faultsFromMs, faultsUntilMs);
+}
+
+// Each seed has only some classes of faults, so that rare combinations are not hidden by a fleet in which nothing works.
+bool Fleet::drawClass()
+{
+    return m_random.chance(faultClassShare);
+}
+
+void Fleet::at(Instant time, std::function<void()> event)
+{
+    m_world.m_queue.add(time, std::move(event));
+}
+
+void Fleet::trace(const std::string &text)
+{
+    m_world.m_trace.add(text);
+}
+
+void Fleet::drawFaults()
+{
+    const auto rate = [this](std::int64_t permille) { return drawClass() ? static_cast<double>(m_random.between(1, permille)) / 1000.0 : 0.0; };
+    auto &store = m_world.m_faults.m_store;
+    store = CallFaults{.m_lostCall = rate(50), .m_lostAnswer = rate(80), .m_late = rate(40), .m_refused = rate(60), .m_slow = rate(300)};
+    auto &workers = m_world.m_faults.m_workers;
+    workers = CallFaults{.m_lostCall = rate(80), .m_lostAnswer = rate(120), .m_late = rate(200), .m_refused = rate(80), .m_slow = rate(300)};
+    workers.m_usualMs = m_random.chance(0.5) ? 1 : 8;
+    m_world.m_faults.m_watchDelayed = rate(400);
+    m_threadFaults = ThreadFaults{.m_lateThread = rate(60), .m_latestMs = m_random.chance(0.5) ? 30 : 500, .m_stall = rate(6), .m_longestStallMs = 2'500};
+}
+
+void Fleet::drawCuts()
+{
+    const auto add = [this](const std::string &first, const std::string &second, std::int64_t longestMs) {
+        const auto from = drawTime();
+        m_world.m_faults.m_cuts.push_back(NetworkCut{
+            .m_from = from, .m_until = from + m_random.duration(300, longestMs), .m_first = first, .m_second = second, .m_oneWay = m_random.chance(0.25)});
+    };
+    const auto drawVm = [this] { return m_vms[static_cast<std::size_t>(m_random.between(0, static_cast<std::int64_t>(m_vms.size()) - 1))].m_node.m_name; };
+    if (drawClass()) {
+        for (auto count = m_random.between(1, 6); count > 0; --count) {
+            add(drawVm(), drawWorker(), 8'000);
+        }
+    }
+    if (drawClass()) {
+        for (auto count = m_random.between(1, 3); count > 0; --count) {
+            add(drawVm(), "store", 6'000);
+        }
+    }
+    if (drawClass()) {
+        for (auto count = m_random.between(1, 2); count > 0; --count) {
+            add(numbered("zone-", m_random.between(0, zoneCount - 1)), {}, 8'000);
+            // The entries of the workers lapse, as they cannot renew them.
+            const auto cut = m_world.m_faults.m_cuts.back();
+            for (const auto &worker : m_workers) {
+                if (m_world.m_workerZones[worker] == cut.m_first && cut.m_until - cut.m_from > Duration(2'000)) {
+                    at(cut.m_from + m_random.duration(500, 2'000), [this, worker] {
+                        m_withoutEntry.insert(worker);
+                        removeEntry(worker);
+                    });
+                    at(cut.m_until + m_random.duration(10, 800), [this, worker] {
+                        m_withoutEntry.erase(worker);
+                        writeEntry(worker);
+                    });
+                }
+            }
+        }
+    }
+    if (drawClass()) {
+        const auto from = drawTime();
+        auto &times = m_random.chance(0.5) ? m_world.m_faults.m_storeOutages : m_world.m_faults.m_storeRefusals;
+        times.emplace_back(from, from + m_random.duration(300, 5'000));
+    }
+    if (drawClass()) {
+        for (auto count = m_random.between(1, 3); count > 0; --count) {
+            at(drawTime(), [this] {
+                trace("store forgets its history");
+                m_world.m_store.forgetHistory();
+            });
+        }
+    }
+}
+
+void Fleet::startVm(std::size_t index)
+{
+    auto &vm = m_vms[index];
+    if (vm.m_process) {
+        return;
+    }
+    ++vm.m_starts;
+    vm.m_process = std::make_unique<SimulatedVm>(
+        m_world, vm.m_node, vm.m_processorCores, std::to_string(vm.m_starts), vm.m_bootClockOffset, m_configuration, m_threadFaults);
+}
+
+void Fleet::killVm(std::size_t index)
+{
+    m_vms[index].m_process.reset();
+}
+
+void Fleet::planVms()
+{
+    const auto count = m_random.between(3, 4);
+    for (std::int64_t index = 0; index < count; ++index) {
+        m_vms.push_back(Vm{.m_node = NetworkNode{.m_name = numbered("vm-", index), .m_zone = numbered("zone-", index % zoneCount)},
+                           .m_processorCores = m_random.chance(0.5) ? 1.0 : 2.0,
+                           .m_bootClockOffset = Duration(1'000'003 * (index + 1)),
+                           .m_starts = 0,
+                           .m_process = nullptr});
+        at(simulationStart + m_random.duration(0, 300), [this, index] { startVm(static_cast<std::size_t>(index)); });
+    }
+}
+
+void Fleet::planVmFaults()
+{
+    const auto last = static_cast<std::int64_t>(m_vms.size()) - 1;
+    // Faults of the owner matter most.
+    const auto drawVm = [this, last]() -> std::size_t {
+        if (m_random.chance(0.6)) {
+            for (std::size_t index = 0; index < m_vms.size(); ++index) {
+                if (m_vms[index].m_process && m_vms[index].m_process->ownsFleet()) {
+                    return index;
+                }
+            }
+        }
+        return static_cast<std::size_t>(m_random.between(0, last));
+    };
+    const auto kill = [this, drawVm] {
+        const auto index = drawVm();
+        killVm(index);
+        at(m_world.m_queue.now() + m_random.duration(100, 4'000), [this, index] { startVm(index); });
+    };
+    if (drawClass()) {
+        for (auto count = m_random.between(1, 3); count > 0; --count) {
+            at(drawTime(), kill);
+        }
+    }
+    if (drawClass()) {
+        for (auto count = m_random.between(1, 4); count > 0; --count) {
+            at(drawTime(), [this, drawVm] {
+                const auto index = drawVm();
+                if (m_vms[index].m_process) {
+                    m_vms[index].m_process->pause(m_random.duration(100, m_random.chance(0.3) ? 9'000 : 2'500));
+                }
+            });
+        }
+    }
+    if (drawClass()) {
+        for (auto count = m_random.between(1, 2); count > 0; --count) {
+            at(drawTime(), [this, drawVm] {
+                const auto index = drawVm();
+                if (!m_vms[index].m_process) {
+                    return;
+                }
+                m_vms[index].m_process->handOver();
+                at(m_world.m_queue.now() + m_random.duration(50, 2'000), [this, index] {
+                    killVm(index);
+                    at(m_world.m_queue.now() + m_random.duration(100, 2'000), [this, index] { startVm(index); });
+                });
+            });
+        }
+    }
+}
+
+void Fleet::writeEntry(const std::string &worker)
+{
+    if (m_world.m_workers.isUp(worker) && !m_withoutEntry.contains(worker)) {
+        m_world.checkWorkers();
+        trace("entry of " + worker + " is written");
+        m_world.m_store.put(std::string(workerPrefix) + worker, encodeEntry(*m_world.m_workers.entry(worker)));
+    }
+}
+
+void Fleet::removeEntry(const std::string &worker)
+{
+    const auto key = std::string(workerPrefix) + worker;
+    if (m_world.m_store.get(key)) {
+        trace("entry of " + worker + " is removed");
+        m_world.m_store.remove(key);
+    }
+}
+
+void Fleet::startWorker(const Machine &machine, Duration entryDelay, const std::string &address)
+{
+    const auto name = numbered("w", static_cast<std::int64_t>(m_workers.size()));
+    const auto now = m_world.m_queue.now();
+    SimulatedWorkerSettings settings;
+    settings.m_identifier = name;
+    settings.m_machine = machine.m_name;
+    settings.m_zone = machine.m_zone;
+    settings.m_rack = machine.m_rack;
+    settings.m_address = address;
+    settings.m_stopTime = m_random.duration(20, 900);
+    settings.m_clockRate = m_random.chance(0.5) ? 1.0 : 0.98;
+    m_workers.push_back(name);
+    m_machines[name] = machine;
+    m_world.m_workerZones[name] = machine.m_zone;
+    ++m_world.m_workerStarts[name];
+    trace("worker " + name + " starts on " + machine.m_name);
+    m_world.m_workers.startWorker(settings, toMilliseconds(now), now);
+    at(now + entryDelay, [this, name] { writeEntry(name); });
+}
+
+void Fleet::crashWorker(const std::string &worker, Duration entryStays)
+{
+    if (!m_world.m_workers.isUp(worker)) {
+        return;
+    }
+    trace("worker " + worker + " crashes");
+    ++m_world.m_workerStarts[worker];
+    m_world.m_workers.crashWorker(worker, m_world.m_queue.now());
+    m_world.checkWorkers();
+    at(m_world.m_queue.now() + entryStays, [this, worker] {
+        if (!m_world.m_workers.isUp(worker)) {
+            removeEntry(worker);
+        }
+    });
+}
+
+void Fleet::restartWorker(const std::string &worker, Duration entryDelay)
+{
+    if (m_world.m_workers.isUp(worker)) {
+        return;
+    }
+    const auto now = m_world.m_queue.now();
+    trace("worker " + worker + " restarts");
+    ++m_world.m_workerStarts[worker];
+    m_world.m_workers.restartWorker(worker, toMilliseconds(now), now);
+    at(now + entryDelay, [this, worker] { writeEntry(worker); });
+}
+
+std::string Fleet::drawWorker()
+{
+    return m_workers[static_cast<std::size_t>(m_random.between(0, static_cast<std::int64_t>(m_workers.size()) - 1))];
+}
+
+void Fleet::planWorkers()
+{
+    const auto count = m_random.between(3, 7);
+    for (std::int64_t index = 0; index < count; ++index) {
+        startWorker(Machine{.m_name = numbered("m", index), .m_zone = numbered("zone-", index % zoneCount), .m_rack = numbered("r", index % 2)},
+                    m_random.duration(0, 300),
+                    {});
+    }
+}
+
+void Fleet::planWorkerFaults()
+{
+    const auto drawEntryDelay = [this] { return m_random.chance(0.5) ? m_random.duration(0, 50) : m_random.duration(50, 1'500); };
+    if (drawClass()) { // Entries that lapse and return.
+        for (auto count = m_random.between(1, 4); count > 0; --count) {
+            at(drawTime(), [this] {
+                const auto worker = drawWorker();
+                removeEntry(worker);
+                m_withoutEntry.insert(worker);
+                at(m_world.m_queue.now() + m_random.duration(50, 6'000), [this, worker] {
+                    m_withoutEntry.erase(worker);
+                    writeEntry(worker);
+                });
+            });
+        }
+    }
+    if (drawClass()) { // Draining, with a long time after the entry is gone.
+        for (auto count = m_random.between(1, 2); count > 0; --count) {
+            at(drawTime(), [this] {
+                const auto worker = drawWorker();
+                if (!m_world.m_workers.isUp(worker)) {
+                    return;
+                }
+                const auto announced = m_random.duration(1'000, 5'000);
+                trace("worker " + worker + " drains");
+                m_world.m_workers.drainWorker(worker, announced, m_world.m_queue.now());
+                writeEntry(worker);
+                const auto leaves = announced + m_random.duration(0, 8'000);
+                at(m_world.m_queue.now() + m_random.duration(100, leaves.count()), [this, worker] {
+                    m_withoutEntry.insert(worker);
+                    removeEntry(worker);
+                });
+                at(m_world.m_queue.now() + leaves, [this, worker] { crashWorker(worker, Duration(0)); });
+            });
+        }
+    }
+    if (drawClass()) { // A crash and a restart under the same identifier.
+        for (auto count = m_random.between(1, 5); count > 0; --count) {
+            at(drawTime(), [this, drawEntryDelay] {
+                const auto worker = drawWorker();
+                crashWorker(worker, m_random.duration(0, 3'000));
+                at(m_world.m_queue.now() + m_random.duration(1, 3'000), [this, worker, drawEntryDelay] { restartWorker(worker, drawEntryDelay()); });
+            });
+        }
+    }
+    if (drawClass()) { // A crash, and another worker on the same machine, which may have the address.
+        for (auto count = m_random.between(1, 2); count > 0; --count) {
+            at(drawTime(), [this, drawEntryDelay] {
+                const auto worker = drawWorker();
+                const auto address = m_random.chance(0.5) ? m_world.m_workers.entry(worker)->m_address : std::string();
+                crashWorker(worker, m_random.duration(0, 3'000));
+                at(m_world.m_queue.now() + m_random.duration(1, 2'000), [this, worker, address, drawEntryDelay] {
+                    if (!m_world.m_workers.isUp(worker)) {
+                        startWorker(m_machines[worker], drawEntryDelay(), address);
+                    }
+                });
+            });
+        }
+    }
+    if (drawClass()) { // Another worker on the machine of one that still runs.
+        at(drawTime(), [this, drawEntryDelay] {
+            const auto worker = drawWorker();
+            startWorker(m_machines[worker], drawEntryDelay(), {});
+            at(m_world.m_queue.now() + m_random.duration(0, 8'000), [this, worker] { crashWorker(worker, m_random.duration(0, 3'000)); });
+        });
+    }
+}
+
+void Fleet::planStrayEntries()
+{
+    if (!drawClass()) {
+        return;
+    }
+    for (auto count = m_random.between(1, 3); count > 0; --count) {
+        at(drawTime(), [this] {
+            const auto kind = m_random.between(0, 3);
+            const auto key = std::string(workerPrefix) + numbered("stray", kind);
+            if (kind == 0) {
+                m_world.m_store.put(key, R"({"state":"ready"})");
+            } else if (kind == 1) {
+                m_world.m_store.put(key, R"({"service":"unknown","addr":"10.9.9.9:1","zone":"zone-9","state":"ready","capacity":{"gpu":8}})");
+            } else {
+                // A copy of a worker's entry under another key, or without its start time.
+                const auto worker = drawWorker();
+                const auto entry = m_world.m_store.get(std::string(workerPrefix) + worker);
+                if (entry) {
+                    auto json = nlohmann::json::parse(entry->m_value);
+                    json.erase(kind == 2 ? "born" : "machine");
+                    m_world.m_store.put(key, json.dump());
+                }
+            }
+        });
+    }
+}
+
+void Fleet::planJobs()
+{
+    for (const auto &job : m_plan.m_jobs) {
+        for (std::size_t step = 0; step < job->m_steps.size(); ++step) {
+            for (int index = 0; index < job->m_steps[step].m_taskCount; ++index) {
+                if (m_random.chance(0.06)) {
+                    m_world.m_workers.setRunResult(TaskReference{.m_job = job->m_id, .m_occurrence = 0, .m_step = static_cast<int>(step), .m_index = index},
+                                                   m_random.duration(50, 1'500),
+                                                   RunEndKind::Failed);
+                }
+            }
+        }
+        at(job->m_acceptedAt, [this, job] {
+            trace("submitted " + job->m_id);
+            m_world.m_store.put(submissionKey(job->m_id), encodeSubmission(*job));
+        });
+        if (m_random.chance(0.15)) {
+            at(job->m_acceptedAt + m_random.duration(50, 8'000), [this, job] {
+                trace("cancelled " + job->m_id);
+                m_world.m_store.put(cancellationKey(job->m_id), "{}");
+            });
+        }
+    }
+}
+
+FleetSimulationResult Fleet::run()
+{
+    planVms();
+    planWorkers();
+    drawFaults();
+    drawCuts();
+    planVmFaults();
+    planWorkerFaults();
+    planStrayEntries();
+    planJobs();
+    const auto end = simulationStart + Duration(simulationMs);
+    m_world.m_queue.runUntil(end);
+    m_world.checkWorkers();
+    FleetSimulationResult result;
+    result.m_violations = findViolations(m_world.m_workers.history(), m_plan.m_jobs, m_plan.m_maxAttempts, end);
+    result.m_runs = m_world.m_workers.history().size();
+    if (m_world.m_trace.enabled()) {
+        for (const auto &cut : m_world.m_faults.m_cuts) {
+            trace("cut " + cut.m_first + " " + cut.m_second + " from " + std::to_string(toMilliseconds(cut.m_from) % 1'000'000) + " until "
+                  + std::to_string(toMilliseconds(cut.m_until) % 1'000'000) + (cut.m_oneWay ? " one way" : ""));
+        }
+        result.m_trace = m_world.m_trace.lines();
+    }
+    return result;
+}
+
+} // namespace
+
+FleetSimulationResult simulateFleet(std::uint64_t seed, bool tracing)
+{
+    SimulationRandom planRandom(seed * 2 + 1);
+    Fleet fleet(seed * 2, planRandom, tracing);
+    return fleet.run();
+}
+
+} // namespace PrimroseBridge
