--- a/service/unittests/Fleetsimulation/fleetsimulationtests.cpp
+++ b/service/unittests/Fleetsimulation/fleetsimulationtests.cpp
@@ -33,6 +33,9 @@
 
 std::string describe(std::uint64_t seed)
 {
+    if (std::getenv("FLEETSIMULATION_LOG")) { // NOLINT(concurrency-mt-unsafe): no other thread runs.
+        startLogging("simulation", LogLevel::Info);
+    }
     const auto traced = simulateFleet(seed, true);
     std::string text = "seed " + std::to_string(seed) + "\n";
     for (const auto &line : traced.m_trace) {
--- a/service/unittests/Fleetsimulation/simulatednetwork.cpp
+++ b/service/unittests/Fleetsimulation/simulatednetwork.cpp
@@ -1,5 +1,7 @@
 #include "simulatednetwork.h"
 
+#include "primrosebridge/Observe/log.h"
+
 #include <algorithm>
 
 namespace PrimroseBridge {
@@ -11,6 +13,8 @@
 {
     if (m_enabled) {
         m_lines.push_back(std::to_string(toMilliseconds(m_queue.now()) % 1'000'000) + " " + text);
+        // Places the log lines of the product between those of the simulation, if logging was started.
+        logEvent(LogLevel::Info, "simulation", {{"ms", std::to_string(toMilliseconds(m_queue.now()) % 1'000'000)}, {"what", text}});
     }
 }
 
