Show three ways to a second run of a task in tests without threads

These tests repeat each with the owner's state alone. They fail until the causes are mended:

overlappingruns.cpp:50: FAILED: REQUIRE( sim.workerOf(jobId) == "w1" ) with expansion: "w2" == "w1" overlappingruns.cpp:72: FAILED: REQUIRE( sim.workerOf(jobId) == "w1" ) with expansion: "w2" == "w1" overlappingruns.cpp:92: FAILED: REQUIRE( (sim.workerOf(jobId).empty() || sim.workerOf(jobId) == "w2") ) with expansion: false

--- /dev/null
+++ b/service/unittests/Fleetservice/overlappingruns.cpp
@@ -0,0 +1,100 @@
+#include "ownersimulation.h"
+
+#include <catch2/catch.hpp>
+
+namespace PrimroseBridge {
+
+using Sim = OwnerSimulation;
+
+static const std::string jobId = "5c0e7a21d94b36f8";
+
+static WorkerReportPointer workerOnMachine(const std::string &name, const std::string &machine, std::int64_t startedAtMs)
+{
+    const auto report = Sim::worker(name);
+    return std::make_shared<const WorkerReport>(WorkerReport{
+        .m_incarnation = WorkerIncarnation{.m_worker = name, .m_startedAtMs = startedAtMs},
+        .m_machine = machine,
+        .m_address = report->m_address,
+        .m_pool = report->m_pool,
+        .m_zone = report->m_zone,
+        .m_rack = report->m_rack,
+        .m_labels = report->m_labels,
+        .m_capacity = report->m_capacity,
+        .m_draining = false,
+        .m_leavesIn = std::nullopt,
+        .m_softwareVersion = {},
+        .m_reportedAtClockMs = std::nullopt,
+    });
+}
+
+// Guards against two runs of one task (TWICE, issue 36): a worker starts on the machine of another one, which goes on and answers.
+TEST_CASE("a worker that starts on the machine of another one does not show that the other one has ended")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({workerOnMachine("w1", "m1", 1)});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.apply(JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}, Sim::at(10));
+    sim.place(Sim::at(20));
+    REQUIRE(sim.workerOf(jobId) == "w1");
+    sim.acceptStart(jobId, Sim::at(30));
+    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(100));
+    sim.apply(WorkerReported{.m_report = workerOnMachine("w2", "m1", 2)}, Sim::at(200));
+    for (int nowMs = 250; nowMs <= 6'000; nowMs += 50) {
+        if (sim.m_state.m_workers.contains("w1")) {
+            sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(nowMs));
+        }
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        sim.review(Sim::at(nowMs));
+        sim.place(Sim::at(nowMs));
+        REQUIRE(sim.workerOf(jobId) == "w1");
+    }
+}
+
+// Guards against two runs of one task (TWICE, issue 36): a worker that was silent at the takeover lists the end of a run of a former owner,
+// whose number is higher than that of the run that this owner has started.
+TEST_CASE("the end of a former owner's run does not end the present run of a task")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1"), Sim::worker("w2")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.apply(JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}, Sim::at(10));
+    sim.place(Sim::at(20));
+    REQUIRE(sim.workerOf(jobId) == "w1");
+    sim.acceptStart(jobId, Sim::at(30));
+    sim.answer("w2", std::nullopt, {Sim::ended(jobId, 1, 2, RunEndKind::LeaseExpired)}, Sim::at(50));
+    for (int nowMs = 100; nowMs <= 1'000; nowMs += 50) {
+        sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(nowMs));
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        sim.review(Sim::at(nowMs));
+        sim.place(Sim::at(nowMs));
+        REQUIRE(sim.workerOf(jobId) == "w1");
+    }
+}
+
+// Guards against two runs of one task (TWICE, issue 36): after a takeover one worker lists the end of a run, and then another one lists a run
+// with a lower number, which goes on until it is stopped.
+TEST_CASE("a task does not start while a worker lists an outdated run of it")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    const auto spec = Sim::job(jobId, "queue", Sim::policy(4));
+    const RosterEntry w1{.m_worker = Sim::worker("w1"), .m_jobsIfCordoned = {}};
+    const RosterEntry w2{.m_worker = Sim::worker("w2"), .m_jobsIfCordoned = {}};
+    sim.becomeOwner({Sim::worker("w1"), Sim::worker("w2")}, {newJobState(spec, 4, Sim::at(0))}, {w1, w2});
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 2, RunEndKind::LeaseExpired)}, Sim::at(50));
+    for (int nowMs = 100; nowMs <= 1'000; nowMs += 50) {
+        sim.answer("w1", std::nullopt, {}, Sim::at(nowMs));
+        sim.answer("w2", Sim::running(jobId, 1), {}, Sim::at(nowMs));
+        sim.review(Sim::at(nowMs));
+        sim.place(Sim::at(nowMs));
+        REQUIRE((sim.workerOf(jobId).empty() || sim.workerOf(jobId) == "w2"));
+    }
+    sim.answer("w2", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Stopped)}, Sim::at(1'050));
+    sim.review(Sim::at(1'100));
+    sim.place(Sim::at(1'100));
+    CHECK(!sim.workerOf(jobId).empty());
+}
+
+} // namespace PrimroseBridge
