--- a/service/unittests/Fleetsimulation/fleetsimulation.cpp
+++ b/service/unittests/Fleetsimulation/fleetsimulation.cpp
@@ -18,6 +18,8 @@
 static constexpr std::int64_t simulationMs = 30'000;
 static constexpr int zoneCount = 3;
 static constexpr double faultClassShare = 0.35;
+// Seeds from here on add frequent takeovers, to which faults are tied that matter only during a takeover.
+static constexpr std::uint64_t firstTakeoverSeed = 1'000'000;
 
 static std::string numbered(const char *name, std::int64_t number)
 {
@@ -150,6 +152,7 @@
         , m_world(simulationStart, seed, m_plan.m_jobs, tracing)
         , m_random(planRandom)
         , m_configuration(configuration())
+        , m_withTakeovers(seed >= 2 * firstTakeoverSeed)
     {
     }
 
@@ -180,6 +183,9 @@
     void planVmFaults();
     void planWorkerFaults();
     void planJobs();
+    void planTakeovers();
+    void endOwnership();
+    [[nodiscard]] std::optional<std::size_t> owner() const;
     void planStrayEntries();
     void startVm(std::size_t index);
     void killVm(std::size_t index);
@@ -194,6 +200,7 @@
     SimulatedWorld m_world;
     SimulationRandom &m_random;
     const FleetConfigurationPointer m_configuration;
+    const bool m_withTakeovers;
     ThreadFaults m_threadFaults;
     std::vector<Vm> m_vms;
     std::vector<std::string> m_workers;
@@ -366,6 +373,79 @@
     }
 }
 
+std::optional<std::size_t> Fleet::owner() const
+{
+    for (std::size_t index = 0; index < m_vms.size(); ++index) {
+        if (m_vms[index].m_process && m_vms[index].m_process->ownsFleet()) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+void Fleet::endOwnership()
+{
+    const auto index = owner();
+    if (!index) {
+        return;
+    }
+    auto &vm = m_vms[*index];
+    const auto now = m_world.m_queue.now();
+    const auto cutFromStore = [this, now, &vm] {
+        m_world.m_faults.m_cuts.push_back(
+            NetworkCut{.m_from = now, .m_until = now + m_random.duration(1'050, 2'000), .m_first = vm.m_node.m_name, .m_second = "store", .m_oneWay = false});
+    };
+    if (m_random.chance(0.5)) { // A worker restarts during the takeover.
+        const auto worker = drawWorker();
+        at(now + m_random.duration(0, 1'500), [this, worker] {
+            crashWorker(worker, m_random.duration(0, 3'000));
+            at(m_world.m_queue.now() + m_random.duration(1, 800), [this, worker] { restartWorker(worker, m_random.duration(0, 2'000)); });
+        });
+    }
+    switch (m_random.between(0, 3)) {
+    case 0:
+        killVm(*index);
+        at(now + m_random.duration(100, 1'500), [this, index = *index] { startVm(index); });
+        return;
+    case 1:
+        vm.m_process->pause(m_random.duration(1'050, 3'000));
+        return;
+    case 2:
+        cutFromStore();
+        return;
+    default:
+        // Another VM owns the fleet for a short time, and this one may own it again with a backlog of events of its former term.
+        vm.m_process->stallOwner(m_random.duration(1'500, 3'500));
+        cutFromStore();
+        at(now + m_random.duration(1'300, 2'200), [this, former = *index] {
+            for (std::size_t other = 0; other < m_vms.size(); ++other) {
+                if (other != former && m_vms[other].m_process) {
+                    killVm(other);
+                    at(m_world.m_queue.now() + m_random.duration(300, 1'500), [this, other] { startVm(other); });
+                }
+            }
+        });
+        return;
+    }
+}
+
+void Fleet::planTakeovers()
+{
+    if (m_random.chance(0.5)) {
+        m_world.m_faults.m_workers.m_usualMs = 0;
+        m_world.m_faults.m_store.m_usualMs = 1;
+    }
+    if (m_random.chance(0.5)) {
+        m_world.m_faults.m_workers.m_late = 0.15;
+    }
+    auto time = simulationStart + Duration(faultsFromMs);
+    const auto longestPauseMs = m_random.between(1'500, 6'000);
+    while (time < simulationStart + Duration(faultsUntilMs)) {
+        at(time, [this] { endOwnership(); });
+        time += m_random.duration(700, longestPauseMs);
+    }
+}
+
 void Fleet::writeEntry(const std::string &worker)
 {
     if (m_world.m_workers.isUp(worker) && !m_withoutEntry.contains(worker)) {
@@ -578,6 +658,9 @@
     planWorkerFaults();
     planStrayEntries();
     planJobs();
+    if (m_withTakeovers) {
+        planTakeovers();
+    }
     const auto end = simulationStart + Duration(simulationMs);
     m_world.m_queue.runUntil(end);
     m_world.checkWorkers();
--- a/service/unittests/Fleetsimulation/simulatedvm.cpp
+++ b/service/unittests/Fleetsimulation/simulatedvm.cpp
@@ -116,6 +116,12 @@
     m_process->pauseUntil(m_world.m_queue.now() + time);
 }
 
+void SimulatedVm::stallOwner(Duration time)
+{
+    trace("owner's thread stands still for " + std::to_string(time.count()));
+    m_pendingStall = time;
+}
+
 Instant SimulatedVm::bootNow() const
 {
     return m_world.m_queue.now() + m_bootClockOffset;
@@ -157,6 +163,7 @@
     }
 };
 
+// The language fixes the names of the members of coroutine types. NOLINTBEGIN(readability-identifier-naming)
 template<class T>
 struct StoreCallEnd {
     std::shared_ptr<StoreCall<T>> m_call;
@@ -173,6 +180,7 @@
     {
     }
 };
+// NOLINTEND(readability-identifier-naming)
 
 } // namespace
 
@@ -1110,6 +1118,8 @@
         const auto wait = m_state.m_fence == 0 ? std::nullopt : std::optional(maxWaitForEvents(m_state, pacing, bootNow()));
         auto waiting = m_eventPosted.waitFor(hasEvents, wait);
         co_await waiting;
+        auto stallBefore = sleep(std::exchange(m_pendingStall, Duration(0)));
+        co_await stallBefore;
         auto lateStart = threadDelay();
         co_await lateStart;
         const auto events = m_state.m_events->popBatchFor(maxEventBatch, Duration(0));
--- a/service/unittests/Fleetsimulation/simulationcore.h
+++ b/service/unittests/Fleetsimulation/simulationcore.h
@@ -17,6 +17,8 @@
 
 namespace PrimroseBridge {
 
+// The language fixes the names of the members of coroutine types. NOLINTBEGIN(readability-identifier-naming)
+
 /// Random values that are the same on every platform: the standard fixes the engine's output, but not that of its distributions.
 class SimulationRandom
 {
@@ -328,4 +330,6 @@
     std::vector<std::shared_ptr<Suspended>> m_waiting;
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 } // namespace PrimroseBridge
