--- a/service/unittests/Fleetsimulation/fleetsimulation.cpp
+++ b/service/unittests/Fleetsimulation/fleetsimulation.cpp
@@ -69,6 +69,7 @@
 FleetConfigurationPointer configuration()
 {
     std::vector<QueueSettings> settings;
+    settings.reserve(queues.size());
     for (const auto &queue : queues) {
         settings.push_back(QueueSettings{.m_name = queue.m_name,
                                          .m_host = "host",
@@ -415,14 +416,16 @@
         return;
     default:
         // Another VM owns the fleet for a short time, and this one may own it again with a backlog of events of its former term.
-        vm.m_process->stallOwner(m_random.duration(1'500, 3'500));
+        vm.m_process->stallOwner(m_random.duration(2'000, 5'000));
         cutFromStore();
         at(now + m_random.duration(1'300, 2'200), [this, former = *index] {
             for (std::size_t other = 0; other < m_vms.size(); ++other) {
-                if (other != former && m_vms[other].m_process) {
-                    killVm(other);
-                    at(m_world.m_queue.now() + m_random.duration(300, 1'500), [this, other] { startVm(other); });
+                if (other == former || !m_vms[other].m_process) {
+                    continue;
                 }
+                m_vms[other].m_process->handOver();
+                at(m_world.m_queue.now() + m_random.duration(300, 1'500), [this, other] { killVm(other); });
+                at(m_world.m_queue.now() + m_random.duration(1'600, 2'500), [this, other] { startVm(other); });
             }
         });
         return;
@@ -431,6 +434,7 @@
 
 void Fleet::planTakeovers()
 {
+    m_world.m_faults.m_closeRaces = true;
     if (m_random.chance(0.5)) {
         m_world.m_faults.m_workers.m_usualMs = 0;
         m_world.m_faults.m_store.m_usualMs = 1;
--- a/service/unittests/Fleetsimulation/simulatednetwork.h
+++ b/service/unittests/Fleetsimulation/simulatednetwork.h
@@ -43,6 +43,7 @@
     CallFaults m_store;
     CallFaults m_workers;
     double m_watchDelayed = 0.0; ///< An answer to a watch takes up to 1.2 s.
+    bool m_closeRaces = false; ///< Messages of the same millisecond overtake each other, and a report that lists ends is not delayed.
     std::vector<NetworkCut> m_cuts;
     std::vector<std::pair<Instant, Instant>> m_storeOutages; ///< The store answers nothing.
     std::vector<std::pair<Instant, Instant>> m_storeRefusals; ///< The store refuses each call with status 503.
--- a/service/unittests/Fleetsimulation/simulatedvm.cpp
+++ b/service/unittests/Fleetsimulation/simulatedvm.cpp
@@ -31,6 +31,8 @@
 // The store's pages are much larger; small ones let listings of a small fleet consist of several.
 static constexpr std::size_t pageSize = 6;
 static constexpr std::int64_t longestWatchDelayMs = 1200;
+// An answer may pass this many other events of its millisecond in turn, which is more than an order, its answer and the owner's iteration take.
+static constexpr std::int64_t maxHandOvers = 8;
 
 static FleetSettings settingsOf(const NetworkNode &node, double processorCores)
 {
@@ -299,6 +301,16 @@
 
 // ---- Calls to workers
 
+// Lets events of the same millisecond that were added earlier or later come first.
+static void runAfterHandOvers(EventQueue &queue, Instant at, std::int64_t handOvers, std::function<void()> event)
+{
+    if (handOvers == 0) {
+        event();
+        return;
+    }
+    queue.add(at, [&queue, at, handOvers, event = std::move(event)] { runAfterHandOvers(queue, at, handOvers - 1, event); });
+}
+
 template<class Reply>
 void SimulatedVm::callWorker(const OrderTarget &target,
                              bool mayBeLate,
@@ -340,7 +352,9 @@
         }
         const auto answer = [&world, fate, finishAt, from = worker, to = m_node](const Reply &reply) {
             if (!fate.m_late && !fate.m_lostAnswer && !world.isCut(from, to)) {
-                finishAt(world.m_queue.now() + fate.m_back, reply);
+                const auto at = world.m_queue.now() + fate.m_back;
+                const auto handOvers = world.m_faults.m_closeRaces ? world.m_random.between(0, maxHandOvers) : 0;
+                runAfterHandOvers(world.m_queue, at, handOvers, [finishAt, at, reply] { finishAt(at, reply); });
             }
         };
         world.m_queue.add(now + fate.m_late.value_or(fate.m_out), [&world, name = target.m_worker, fate, answer, execute] {
@@ -425,7 +439,8 @@
                     [&world, target, request, reportFailure](bool, const std::function<void(const RunReportReply &)> &answer) {
                         const auto now = world.m_queue.now();
                         const auto reply = world.m_workers.report(target, request, now);
-                        if (reply.m_answer != OrderAnswer::Accepted || request.m_wait == Duration(0)) {
+                        const bool listsEnds = world.m_faults.m_closeRaces && reply.m_runReport && !reply.m_runReport->m_ends.empty();
+                        if (reply.m_answer != OrderAnswer::Accepted || request.m_wait == Duration(0) || listsEnds) {
                             answer(reply);
                             return;
                         }
