--- a/service/unittests/Fleetsimulation/simulatedvm.cpp
+++ b/service/unittests/Fleetsimulation/simulatedvm.cpp
@@ -439,6 +439,10 @@
                     [&world, target, request, reportFailure](bool, const std::function<void(const RunReportReply &)> &answer) {
                         const auto now = world.m_queue.now();
                         const auto reply = world.m_workers.report(target, request, now);
+                        if (world.m_trace.enabled() && request.m_lastAcknowledgedEnd > 0) {
+                            world.m_trace.add(target.m_worker + " gets a request with fence " + std::to_string(target.m_fence) + " that acknowledges "
+                                              + std::to_string(request.m_lastAcknowledgedEnd));
+                        }
                         const bool listsEnds = world.m_faults.m_closeRaces && reply.m_runReport && !reply.m_runReport->m_ends.empty();
                         if (reply.m_answer != OrderAnswer::Accepted || request.m_wait == Duration(0) || listsEnds) {
                             answer(reply);
@@ -1060,6 +1064,13 @@
     const StoreTransaction transaction{.m_expectations = expectations, .m_writes = writes, .m_removals = {}};
     auto writing = commit(transaction);
     const auto result = co_await writing;
+    if (m_world.m_trace.enabled()) {
+        std::string text = !result.ok() ? "cannot write" : (result.value().m_committed ? "has written" : "was refused");
+        for (const auto &record : batch->m_records) {
+            text += " " + record.m_record->m_key + "@" + std::to_string(record.m_record->m_version);
+        }
+        trace(text + " fence " + std::to_string(batch->m_fence));
+    }
     auto delay = threadDelay();
     co_await delay;
     const auto count = batch->m_records.size();
