Keep the index of workers by machine in step with their entries

Cause: a worker was indexed by the machine that it named first and taken off the index by the one that it named last, so an identifier could stay in the index after the worker was forgotten. The code that notes the answer of a successor looks these identifiers up; an exception on the owner's thread ends the process. Before, such a worker was only passed over. Change: the index follows TrackedWorker::m_report.

--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -165,8 +165,7 @@
     }
     for (const auto &name : sameMachine->second) {
         auto &worker = state.m_workers.at(name);
-        const bool sameMachineNow = worker.m_report->m_machine == successor.m_report->m_machine;
-        if (!sameMachineNow || worker.m_successor || worker.m_incarnation->m_startedAtMs >= successor.m_incarnation->m_startedAtMs) {
+        if (worker.m_successor || worker.m_incarnation->m_startedAtMs >= successor.m_incarnation->m_startedAtMs) {
             continue;
         }
         worker.m_successor = std::make_shared<const SuccessorAnswer>(SuccessorAnswer{.m_incarnation = *successor.m_incarnation, .m_answeredAt = now});
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -159,7 +159,7 @@
     JobShards m_jobs;
     std::atomic<std::int64_t> m_fence = 0; ///< 0 while another VM owns the fleet.
     std::map<std::string, TrackedWorker> m_workers; ///< By identifier; changed only by trackWorker(), forgetWorker() and forgetAllWorkers().
-    std::map<std::string, std::set<std::string>> m_workersByMachine; ///< Identifiers of the tracked workers that report a machine.
+    std::map<std::string, std::set<std::string>> m_workersByMachine; ///< Identifiers of the tracked workers by the machine in TrackedWorker::m_report.
     std::map<TaskReference, ReleasedRun> m_releasedRuns; ///< Runs of tasks that have not been started since; a run is removed when its worker lists it.
     std::vector<std::string> m_jobOrder; ///< Identifiers of active jobs and of jobs with tasks on workers, in order of acceptance.
     std::set<std::string> m_lockedJobs; ///< Active jobs at the takeover; their waiting tasks are not started while m_awaitedWorkers may still run them.
--- a/service/unittests/Fleetservice/successors.cpp
+++ b/service/unittests/Fleetservice/successors.cpp
@@ -181,4 +181,24 @@
     }
 }
 
+// Guards against an owner that ends by an exception: a worker whose entry has named another machine since it was first known is forgotten, and a
+// worker on the former machine then answers.
+TEST_CASE("a worker whose entry names another machine is forgotten on both machines")
+{
+    Sim sim;
+    startOnMachine(sim);
+    sim.apply(WorkerReported{.m_report = Sim::worker("w1", std::nullopt, 1, "m-2")}, Sim::at(100));
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Done)}, Sim::at(110));
+    sim.apply(WorkerEntryRemoved{.m_worker = "w1"}, Sim::at(120));
+    sim.missPoll("w1", Sim::at(130));
+    sim.review(Sim::at(140));
+    REQUIRE_FALSE(sim.m_state.m_workers.contains("w1"));
+    for (const std::string name : {"w8", "w9"}) {
+        sim.apply(WorkerReported{.m_report = onMachine(name, 1'000)}, Sim::at(150));
+        sim.answer(name, std::nullopt, {}, Sim::at(160));
+    }
+    CHECK(sim.m_state.m_workersByMachine.at(machine).size() == 2);
+    CHECK_FALSE(sim.m_state.m_workersByMachine.contains("m-2"));
+}
+
 } // namespace PrimroseBridge
