Show that lists are read before the occurrences of a repeated job exist

A restored repeated job has no occurrences before the first placement pass. The tests fail until that is mended:

overlappingruns.cpp:151: FAILED: CHECK( ...m_lastAcknowledgedEnd == 0 ) with expansion: 1 == 0 overlappingruns.cpp:156: FAILED: REQUIRE( sim.workerOf(jobId).empty() ) overlappingruns.cpp:173: FAILED: CHECK( sim.workerOf(jobId) != "w2" ) with expansion: "w2" != "w2"

--- a/service/unittests/Fleetservice/overlappingruns.cpp
+++ b/service/unittests/Fleetservice/overlappingruns.cpp
@@ -125,4 +125,52 @@
     CHECK(sim.workerOf(jobId) == "w2");
 }
 
+static JobSpecPointer repeatedJob()
+{
+    const auto single = Sim::job(jobId, "queue", Sim::policy(4));
+    return std::make_shared<const JobSpec>(
+        JobSpec{.m_id = single->m_id,
+                .m_queue = single->m_queue,
+                .m_acceptedPolicy = single->m_acceptedPolicy,
+                .m_organisation = single->m_organisation,
+                .m_acceptedAt = single->m_acceptedAt,
+                .m_payload = single->m_payload,
+                .m_steps = single->m_steps,
+                .m_schedule = JobSchedule{.m_count = 2, .m_firstDue = single->m_acceptedAt - Duration(1'000), .m_interval = Duration(3'600'000)}});
+}
+
+// Guards against a task that runs again after it is done: a run report arrives before the first pass of a term, which creates the occurrences
+// that are due. The end in it belongs to a task that the owner does not know yet, so that nothing is recorded.
+TEST_CASE("the end of a run of an occurrence that the owner has not created yet is not acknowledged before it is recorded")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    const RosterEntry w1{.m_worker = Sim::worker("w1"), .m_jobsIfCordoned = {}};
+    sim.becomeOwner({Sim::worker("w1")}, {newJobState(repeatedJob(), 4, Sim::at(0))}, {w1});
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Done)}, Sim::at(2));
+    CHECK(sim.m_state.m_workers.at("w1").m_lastAcknowledgedEnd == 0);
+    for (int nowMs = 10; nowMs <= 500; nowMs += 50) {
+        sim.review(Sim::at(nowMs));
+        sim.place(Sim::at(nowMs));
+        sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Done)}, Sim::at(nowMs));
+        REQUIRE(sim.workerOf(jobId).empty());
+    }
+}
+
+// Guards against two runs of one task: in the same window, a run goes on that the owner stops because it knows no such task.
+TEST_CASE("a run of an occurrence that the owner has not created yet is adopted")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    const RosterEntry w1{.m_worker = Sim::worker("w1"), .m_jobsIfCordoned = {}};
+    const RosterEntry w2{.m_worker = Sim::worker("w2"), .m_jobsIfCordoned = {}};
+    sim.becomeOwner({Sim::worker("w1"), Sim::worker("w2")}, {newJobState(repeatedJob(), 4, Sim::at(0))}, {w1, w2});
+    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(2));
+    sim.answer("w2", std::nullopt, {}, Sim::at(3));
+    sim.review(Sim::at(10));
+    sim.place(Sim::at(10));
+    REQUIRE(sim.jobState(jobId)->m_occurrences.size() == 1);
+    CHECK(sim.workerOf(jobId) != "w2");
+}
+
 } // namespace PrimroseBridge
