--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -13,6 +13,8 @@
 // A draining worker that does not announce its remaining time stays available at least this long. This is the platform's minimum on its
 // smallest deployments.
 static constexpr Duration minDrainTime(2000);
+// Limits the length of a log line on fleets of thousands of workers.
+static constexpr std::size_t maxLoggedNames = 20;
 
 TrackedWorker *findWorker(OwnerState &state, const WorkerIncarnation &incarnation)
 {
@@ -145,59 +147,6 @@
     });
 }
 
-static bool isListed(const TrackedWorker &worker, const TaskReference &reference, std::int64_t runNumber)
-{
-    const auto found = worker.m_listedRuns.find(reference);
-    return found != worker.m_listedRuns.end() && found->second == runNumber;
-}
-
-static void logReleasedTask(
-    const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference, const TaskState &task, std::string_view reason, Instant now)
-{
-    FleetMetrics::instance().increment(FleetCounter::TasksReleased, reason);
-    logEvent(LogLevel::Info,
-             "task_released",
-             {{"request", reference.m_job},
-              {"task", taskName(reference)},
-              {"run", std::to_string(task.m_runNumber)},
-              {"worker", worker.m_incarnation->m_worker},
-              {"reason", std::string(reason)},
-              {"sole_owner", state.m_soleOwner ? "yes" : "no"},
-              {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())},
-              {"leases_over_ms_ago", std::to_string((now - worker.m_leasesExpiredBy).count())}});
-}
-
-void releaseTasks(OwnerState &state, TrackedWorker &worker, std::string_view reason, Instant now, bool onlyListedRuns)
-{
-    const auto tasks = worker.m_tasks;
-    std::size_t released = 0;
-    for (const auto &reference : tasks) {
-        const auto job = state.m_jobs.find(reference.m_job);
-        const auto task = job ? findTask(*job, reference) : nullptr;
-        const bool here = task && task->m_assignedWorker && *task->m_assignedWorker == *worker.m_incarnation;
-        // A start that was unanswered once may be executed by the next incarnation as well, although this one has listed the run.
-        const bool certain = isListed(worker, reference, task ? task->m_runNumber : 0) && !worker.m_unansweredStarts.contains(reference);
-        if (here && onlyListedRuns && !certain) {
-            continue;
-        }
-        ++released;
-        worker.m_tasks.erase(reference);
-        if (here) {
-            logReleasedTask(state, worker, reference, *task, reason, now);
-            setTask(state, reference, waitingTask(*task, now));
-        }
-    }
-    if (released > 0) {
-        logEvent(LogLevel::Info,
-                 "worker_tasks_released",
-                 {{"worker", worker.m_incarnation->m_worker},
-                  {"tasks", std::to_string(released)},
-                  {"kept", std::to_string(worker.m_tasks.size())},
-                  {"reason", std::string(reason)}});
-    }
-    state.m_placementNeeded = true;
-}
-
 void recordRosterIfChanged(OwnerState &state)
 {
     if (!state.m_rosterChanged) {
@@ -302,73 +251,6 @@
     state.m_awaitedWorkers.clear();
 }
 
-namespace {
-
-// Starts of an earlier incarnation of a worker that the next incarnation with its identifier may have executed.
-struct UnresolvedStarts {
-    std::set<TaskReference> m_tasks; // Starts of this owner that the earlier incarnation has never listed.
-    // The takeover awaited the earlier incarnation, or had its answer less than a task lease ago. Starts of the former owner may still arrive,
-    // and only the earlier incarnation refuses its fence.
-    bool m_awaited = false;
-    std::optional<std::set<std::string>> m_jobsIfCordoned; // The jobs of the former owner's starts, if it had cordoned the earlier incarnation.
-    Instant m_leasesExpiredBy;
-};
-
-} // namespace
-
-// Removes the workers with the same identifier or on the same machine that started before the reported one.
-//
-// Orders carry only the identifier, and the store's entry of a new incarnation appears after the incarnation has started. A start
-// that the earlier incarnation has never listed may therefore have been executed by the new one, whose run report shows it; see
-// adoptUnresolvedStarts().
-static UnresolvedStarts removeEarlierIncarnations(OwnerState &state, const WorkerReport &report, Instant now)
-{
-    UnresolvedStarts unresolved;
-    std::set<std::string> candidates{report.m_incarnation.m_worker};
-    if (const auto sameMachine = state.m_workersByMachine.find(report.m_machine); sameMachine != state.m_workersByMachine.end()) {
-        candidates.insert(sameMachine->second.begin(), sameMachine->second.end());
-    }
-    for (const auto &name : candidates) {
-        const auto entry = state.m_workers.find(name);
-        if (entry == state.m_workers.end() || entry->second.m_incarnation->m_startedAtMs >= report.m_incarnation.m_startedAtMs) {
-            continue;
-        }
-        auto &worker = entry->second;
-        const bool sameIdentifier = name == report.m_incarnation.m_worker;
-        if (!sameIdentifier && worker.m_report->m_machine != report.m_machine) {
-            continue; // The worker reported another machine when it was first known.
-        }
-        logEvent(LogLevel::Info, "worker_life_over", {{"worker", name}, {"successor", report.m_incarnation.m_worker}});
-        releaseTasks(state, worker, "worker_restarted", now, sameIdentifier);
-        if (sameIdentifier) {
-            unresolved = UnresolvedStarts{.m_tasks = worker.m_tasks,
-                                          .m_awaited = state.m_awaitedWorkers.contains(name) || (worker.m_fenceConfirmed && now < state.m_jobsLockedUntil),
-                                          .m_jobsIfCordoned = worker.m_fenceConfirmed ? std::nullopt : worker.m_jobsIfCordoned,
-                                          .m_leasesExpiredBy = worker.m_leasesExpiredBy};
-        }
-        forgetWorker(state, entry);
-    }
-    return unresolved;
-}
-
-// Assigns the starts to the new incarnation with their orders unanswered, so that its run report shows whether they have been executed.
-static void adoptUnresolvedStarts(OwnerState &state, TrackedWorker &worker, const UnresolvedStarts &unresolved, Instant now)
-{
-    worker.m_leasesExpiredBy = std::max(worker.m_leasesExpiredBy, unresolved.m_leasesExpiredBy);
-    worker.m_jobsIfCordoned = unresolved.m_jobsIfCordoned;
-    if (unresolved.m_awaited) {
-        state.m_awaitedWorkers.insert(worker.m_incarnation->m_worker);
-    }
-    for (const auto &reference : unresolved.m_tasks) {
-        const auto job = state.m_jobs.find(reference.m_job);
-        const auto task = job ? findTask(*job, reference) : nullptr;
-        if (task && task->m_assignedWorker && task->m_assignedWorker->m_worker == worker.m_incarnation->m_worker) {
-            const auto starting = startingTask(*task, worker.m_incarnation, task->m_runNumber, now);
-            setTask(state, reference, taskInPhase(*starting, TaskPhase::Starting, true, now));
-        }
-    }
-}
-
 void correctLeavingTime(TrackedWorker &worker)
 {
     if (worker.m_leavesAtClockMs && worker.m_fenceConfirmed) {
@@ -379,7 +261,7 @@
 // Tracks or updates a worker. Returns true if it was not tracked before.
 static bool applyWorkerReport(OwnerState &state, const WorkerReportPointer &report, Instant now)
 {
-    const auto unresolved = removeEarlierIncarnations(state, *report, now);
+    const auto earlier = removeEarlierIncarnation(state, *report, now);
     const auto [entry, added] = trackWorker(state, report, now);
     auto &worker = entry->second;
     if (*worker.m_incarnation != report->m_incarnation) {
@@ -397,7 +279,9 @@
     worker.m_report = report;
     worker.m_entryPresent = true;
     if (added) {
-        adoptUnresolvedStarts(state, worker, unresolved, now);
+        if (earlier) {
+            inheritRuns(state, worker, *earlier, now);
+        }
         state.m_rosterChanged = true;
         pollWorker(state, worker, false, now);
     }
@@ -431,7 +315,7 @@
               {"tasks", std::to_string(worker.m_tasks.size())},
               {"draining", worker.m_report->m_draining ? "yes" : "no"},
               {"announced_time_over", worker.m_report->m_draining && worker.m_leavesAt <= now ? "yes" : "no"},
-              {"answered_ms_ago", std::to_string((now - worker.m_answeredAt).count())}});
+              {"answered_ms_ago", answeredMsAgo(worker, now)}});
 }
 
 // Applies the entries in the order in which the workers have started: the keys, by which a listing is ordered, say nothing about which of two
@@ -494,6 +378,20 @@
     state.m_placementNeeded = true;
 }
 
+// Returns the names separated by commas; of many, the first ones and an ellipsis.
+static std::string firstNames(const std::set<std::string> &names)
+{
+    std::string text;
+    std::size_t count = 0;
+    for (const auto &name : names) {
+        if (count++ == maxLoggedNames) {
+            return text + ",...";
+        }
+        text += (text.empty() ? "" : ",") + name;
+    }
+    return text.empty() ? "none" : text;
+}
+
 static void applyOwnershipGained(OwnerState &state, const FleetSnapshot &snapshot, Instant now)
 {
     for (const auto &job : state.m_jobs.values()) {
@@ -504,6 +402,7 @@
     state.m_lockedJobs.clear();
     state.m_jobsLearntWithoutLease.clear();
     state.m_waits.clear();
+    state.m_releasedRuns.clear();
     auto jobs = snapshot.m_jobs;
     std::stable_sort(jobs.begin(), jobs.end(), [](const auto &left, const auto &right) { return left->m_spec->m_acceptedAt < right->m_spec->m_acceptedAt; });
     for (const auto &job : jobs) {
@@ -521,6 +420,9 @@
         if (worker && entry.m_jobsIfCordoned) {
             worker->m_jobsIfCordoned = std::set<std::string>(entry.m_jobsIfCordoned->begin(), entry.m_jobsIfCordoned->end());
         }
+        if (worker) {
+            worker->m_formerRunsUnknown = true;
+        }
     }
     for (const auto &report : snapshot.m_workers) {
         applyWorkerReport(state, report, now);
@@ -533,7 +435,8 @@
         const auto &present = snapshot.m_workers;
         // The previous owner started nothing on a worker that its recorded roster does not list. Orders name the identifier only, so a
         // listed worker may have restarted.
-        if (!worker.m_jobsIfCordoned && inRoster.contains(name)) {
+        worker.m_formerRunsUnknown = inRoster.contains(name);
+        if (!worker.m_jobsIfCordoned && worker.m_formerRunsUnknown) {
             state.m_awaitedWorkers.insert(name);
         }
         worker.m_entryPresent = std::any_of(
@@ -547,14 +450,25 @@
     for (const auto &job : snapshot.m_cancelledJobs) {
         applyCancellation(state, job, now);
     }
+    const auto cordoned
+        = std::count_if(state.m_workers.begin(), state.m_workers.end(), [](const auto &entry) { return entry.second.m_jobsIfCordoned.has_value(); });
+    const auto notInRoster = std::count_if(state.m_workers.begin(), state.m_workers.end(), [&](const auto &entry) { return !inRoster.contains(entry.first); });
+    const auto configuration = state.m_context.m_configuration.current();
     FleetMetrics::instance().increment(FleetCounter::Takeovers);
     logEvent(LogLevel::Info,
              "ownership_taken",
              {{"fence", std::to_string(snapshot.m_fence)},
               {"jobs", std::to_string(jobs.size())},
               {"workers", std::to_string(snapshot.m_workers.size())},
+              {"cancelled", std::to_string(snapshot.m_cancelledJobs.size())},
+              {"configuration", std::to_string(configuration ? configuration->m_version : 0)},
               {"roster", std::to_string(snapshot.m_roster.size())},
-              {"awaited", std::to_string(state.m_awaitedWorkers.size())}});
+              {"roster_version", std::to_string(snapshot.m_rosterVersion)},
+              {"roster_readable", snapshot.m_rosterReadable ? "yes" : "no"},
+              {"awaited", std::to_string(state.m_awaitedWorkers.size())},
+              {"awaited_workers", firstNames(state.m_awaitedWorkers)},
+              {"cordoned", std::to_string(cordoned)},
+              {"not_in_roster", std::to_string(notInRoster)}});
 }
 
 static void applyProgressRecorded(OwnerState &state, const ProgressRecorded &event, Instant now)
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -101,6 +101,7 @@
     worker.m_lastHandledEnd = end.m_number;
     worker.m_listedRuns.erase(end.m_task);
     removeSupersededRun(state, worker, RunReference{.m_task = end.m_task, .m_runNumber = end.m_runNumber});
+    forgetReleasedRun(state, end.m_task, worker.m_incarnation->m_worker, end.m_runNumber);
     const auto job = state.m_jobs.find(end.m_task.m_job);
     logEvent(LogLevel::Info,
              "run_ended",
@@ -118,6 +119,9 @@
     }
     const auto effect = applyRunEnd(job, end, worker.m_incarnation->m_worker, now);
     setJob(state, effect.m_job);
+    if (end.m_kind == RunEndKind::Done) {
+        state.m_releasedRuns.erase(end.m_task); // Nothing starts a task that is done.
+    }
     // An end that changes nothing also waits for the job's newest version, because the end of another member of its gang may have settled the
     // job in that version.
     const bool counts = end.m_kind == RunEndKind::Done || end.m_kind == RunEndKind::Failed;
@@ -182,6 +186,9 @@
     const bool here = task && task->m_assignedWorker && *task->m_assignedWorker == *worker.m_incarnation && task->m_runNumber == runningTask.m_runNumber;
     worker.m_listedRuns.insert_or_assign(runningTask.m_task, runningTask.m_runNumber);
     const RunReference run{.m_task = runningTask.m_task, .m_runNumber = runningTask.m_runNumber};
+    if (here) {
+        forgetReleasedRun(state, runningTask.m_task, worker.m_incarnation->m_worker, runningTask.m_runNumber);
+    }
     if (here && task->m_phase == TaskPhase::Stopping) {
         confirmRun(state, worker, runningTask, *task, sentAt, now);
         return;
@@ -193,6 +200,9 @@
     const bool replaced = task && runningTask.m_runNumber < task->m_runNumber;
     const bool duplicate = task && !here && task->m_assignedWorker && runningTask.m_runNumber == task->m_runNumber;
     if (!needsRun(job, task) || replaced || duplicate) {
+        if (needsRun(job, task)) {
+            rememberRunToStop(state, worker, runningTask.m_task, runningTask.m_runNumber);
+        }
         stopListedRun(state, worker, run, now);
         return;
     }
@@ -200,7 +210,11 @@
         confirmRun(state, worker, runningTask, *task, sentAt, now);
         return;
     }
+    forgetAdoptedRun(state, runningTask.m_task, worker.m_incarnation->m_worker, runningTask.m_runNumber);
     if (task->m_assignedWorker) {
+        if (const auto *former = findWorker(state, *task->m_assignedWorker)) {
+            rememberRunToStop(state, *former, runningTask.m_task, task->m_runNumber);
+        }
         supersedeRun(state, runningTask.m_task, *task, now);
         orderStopOfSupersededRun(state, *task->m_assignedWorker, RunReference{.m_task = runningTask.m_task, .m_runNumber = task->m_runNumber}, now);
     }
@@ -255,6 +269,7 @@
                       {"task", taskName(reference)},
                       {"run", std::to_string(task->m_runNumber)},
                       {"worker", worker.m_incarnation->m_worker}});
+            rememberReleasedRun(state, worker, reference, task->m_runNumber, ReleaseBelief::RunVanished);
         }
         setTask(state, reference, waitingTask(*task, now));
         state.m_placementNeeded = true;
@@ -268,8 +283,14 @@
         logEvent(level, "worker_answers", {{"worker", worker.m_incarnation->m_worker}, {"missed", std::to_string(worker.m_missedPolls)}});
         state.m_placementNeeded = true;
     }
+    if (!worker.m_fenceConfirmed) {
+        forgetFormerRuns(state, *worker.m_incarnation);
+    }
+    worker.m_formerRunsUnknown = false;
+    worker.m_otherStartMs.reset();
     worker.m_fenceConfirmed = true;
     worker.m_missedPolls = 0;
+    worker.m_successor.reset();
     worker.m_answeredAt = now;
     worker.m_workerClockAtAnswerMs = runReport.m_clockMs;
     correctLeavingTime(worker);
@@ -284,12 +305,30 @@
         return;
     }
     ++worker.m_missedPolls;
+    worker.m_lastMissedPollSentAt = event.m_sentAt;
     worker.m_nextPollAt = now + (worker.m_fenceConfirmed ? pollRetryPause : takeoverRetryPause(state));
     if (worker.m_missedPolls == 1) {
         logEvent(LogLevel::Warn, "worker_silent", {{"worker", worker.m_incarnation->m_worker}, {"tasks", std::to_string(worker.m_tasks.size())}});
     }
 }
 
+// Logs the first of several answers under the same other start time.
+static void reportOtherStart(TrackedWorker &worker, std::int64_t startedAtMs, Instant now)
+{
+    if (worker.m_otherStartMs == startedAtMs) {
+        return;
+    }
+    worker.m_otherStartMs = startedAtMs;
+    logEvent(LogLevel::Warn,
+             "worker_start_differs",
+             {{"worker", worker.m_incarnation->m_worker},
+              {"address", worker.m_report->m_address},
+              {"expected_started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+              {"started_ms", std::to_string(startedAtMs)},
+              {"answered_ms_ago", answeredMsAgo(worker, now)},
+              {"tasks", std::to_string(worker.m_tasks.size())}});
+}
+
 void applyPollResult(OwnerState &state, const PollCompleted &event, Instant now)
 {
     auto *worker = findWorker(state, event.m_incarnation);
@@ -307,14 +346,20 @@
     const auto &runReport = *event.m_reply.m_runReport;
     if (runReport.m_startedAtMs != 0 && runReport.m_startedAtMs != event.m_incarnation.m_startedAtMs) {
         // The worker has restarted, and the store's entry of the new incarnation follows. Until then nothing is started on the
-        // worker and no lease is renewed. Starts that the new incarnation may have executed stay assigned until that entry
-        // arrives or their leases have expired.
-        releaseTasks(state, *worker, "worker_restarted", now, true);
+        // worker and no lease is renewed. Runs that this report lists, and starts that the new incarnation may have executed, stay assigned
+        // until that entry arrives or their leases have expired. A report of an earlier start shows nothing: the entry is wrong, or the
+        // worker's clock has been set back.
+        reportOtherStart(*worker, runReport.m_startedAtMs, now);
+        if (runReport.m_startedAtMs > event.m_incarnation.m_startedAtMs) {
+            releaseRunsOfEarlierStart(state, *worker, runReport, ReleaseBelief::OtherStartAnswered, now);
+        }
         worker->m_missedPolls += worker->m_missedPolls == 0 ? missedPollsToStopRenewal : 1;
         worker->m_nextPollAt = now + pollRetryPause;
         return;
     }
     recordPollAnswer(state, *worker, runReport, now);
+    applyFirstReportOfInheritor(state, *worker, runReport, now);
+    recordAnswerOfSuccessor(state, *worker, now);
     handleRunEnds(state, *worker, runReport, now);
     removeUnlistedSupersededRuns(state, *worker, runReport, event.m_sentAt);
     for (const auto &runningTask : runReport.m_running) {
@@ -375,16 +420,31 @@
             updateCordon(state, worker);
         }
         const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now);
+        const auto tasks = worker.m_tasks.size();
         const bool idle = worker.m_missedPolls > 0 && worker.m_fenceConfirmed && worker.m_tasks.empty() && worker.m_supersededRuns.empty();
         if (leasesExpired && !worker.m_tasks.empty()) {
-            releaseTasks(state, worker, "leases_lapsed", now);
+            releaseAllTasks(state, worker, ReleaseBelief::LeasesExpired, now);
+        }
+        if (worker.m_formerRunsUnknown && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now)) {
+            giveUpFormerRuns(state, worker, ReleaseBelief::Takeover);
         }
         if (leasesExpired && !worker.m_supersededRuns.empty()) {
             worker.m_supersededRuns.clear();
             state.m_placementNeeded = true;
         }
-        if ((leasesExpired || idle) && !worker.m_entryPresent) {
-            logEvent(LogLevel::Info, "worker_forgotten", {{"worker", entry->first}});
+        const bool replaced = isReplacedBySuccessor(worker);
+        if (replaced) {
+            releaseReplacedWorker(state, worker, now);
+        }
+        if (replaced || ((leasesExpired || idle) && !worker.m_entryPresent)) {
+            logEvent(LogLevel::Info,
+                     "worker_forgotten",
+                     {{"worker", entry->first},
+                      {"reason", replaced ? "replaced" : (leasesExpired ? "leases_lapsed" : "idle")},
+                      {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+                      {"answered_ms_ago", answeredMsAgo(worker, now)},
+                      {"missed", std::to_string(worker.m_missedPolls)},
+                      {"tasks", std::to_string(tasks)}});
             entry = forgetWorker(state, entry);
         } else {
             ++entry;
@@ -405,6 +465,12 @@
               {"silent_workers", std::to_string(state.m_awaitedWorkers.size())},
               {"reason", answered ? "workers_answered" : "leases_lapsed"},
               {"sole_owner", state.m_soleOwner ? "yes" : "no"}});
+    for (const auto &name : state.m_awaitedWorkers) {
+        if (const auto worker = state.m_workers.find(name); worker != state.m_workers.end()) {
+            giveUpFormerRuns(state, worker->second, ReleaseBelief::Takeover);
+        }
+    }
+    giveUpRunsOfUnknownRoster(state);
     state.m_lockedJobs.clear();
     state.m_awaitedWorkers.clear();
     state.m_formerRosterUnknown = false;
--- a/service/lib/Fleetservice/supersededruns.cpp
+++ b/service/lib/Fleetservice/supersededruns.cpp
@@ -78,7 +78,11 @@
         const bool listed = std::any_of(runReport.m_running.begin(), runReport.m_running.end(), [&reference = run](const auto &runningTask) {
             return runningTask.m_task == reference.m_task && runningTask.m_runNumber == reference.m_runNumber;
         });
-        return !listed && superseded.m_executedOrRefused && sentAt > superseded.m_lastSeenAt;
+        const bool over = !listed && superseded.m_executedOrRefused && sentAt > superseded.m_lastSeenAt;
+        if (over) {
+            forgetReleasedRun(state, run.m_task, worker.m_incarnation->m_worker, run.m_runNumber);
+        }
+        return over;
     };
     if (std::erase_if(worker.m_supersededRuns, isOver) > 0) {
         state.m_placementNeeded = true;
