--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -125,6 +125,10 @@
     worker.m_jobsIfCordoned = earlier.m_fenceConfirmed ? std::nullopt : earlier.m_jobsIfCordoned;
     worker.m_formerRunsUnknown = earlier.m_formerRunsUnknown;
     worker.m_inheritsRuns = true;
+    worker.m_supersededRuns = earlier.m_supersededRuns;
+    for (auto &[run, superseded] : worker.m_supersededRuns) {
+        superseded.m_lastSeenAt = now;
+    }
     for (const auto &reference : earlier.m_tasks) {
         const auto job = state.m_jobs.find(reference.m_job);
         const auto task = job ? findTask(*job, reference) : nullptr;
@@ -162,8 +166,7 @@
     }
     for (const auto &name : sameMachine->second) {
         auto &worker = state.m_workers.at(name);
-        const bool sameMachineNow = worker.m_report->m_machine == successor.m_report->m_machine;
-        if (!sameMachineNow || worker.m_successor || worker.m_incarnation->m_startedAtMs >= successor.m_incarnation->m_startedAtMs) {
+        if (worker.m_successor || worker.m_incarnation->m_startedAtMs >= successor.m_incarnation->m_startedAtMs) {
             continue;
         }
         worker.m_successor = std::make_shared<const SuccessorAnswer>(SuccessorAnswer{.m_incarnation = *successor.m_incarnation, .m_answeredAt = now});
