Add the occurrence of a reported run that this owner has not created yet

What callers saw: two runs of one task, or a task that runs again after it is done, both without a warning. Cause: a restored repeated job has no occurrences before the first pass of a term, or while the wall clock of a new owner is behind that of the former one. A listed run of such an occurrence was stopped and the task started elsewhere; a listed end of it changed nothing and was acknowledged without a record. Change: a run of an occurrence shows that it is due, so handleRunEnd() and handleRunningTask() add it before they look for the task (withOccurrencesUpTo()). The test of supersededruns.cpp that asserted that such a run is stopped and waited for asks instead that it is adopted, never stopped, and not started again.

--- a/recovery/include/primrosebridge/Progress/jobstate.h
+++ b/recovery/include/primrosebridge/Progress/jobstate.h
@@ -143,6 +143,10 @@
 /// @p wallNow is a wall clock time, and @p now is a boot clock time. Thread-safe.
 JobPointer withDueOccurrences(const JobPointer &job, Instant wallNow, Instant now);
 
+/// Returns a copy of the job that also has the occurrences up to @p number, or @p job itself if it has them or its schedule does not contain
+/// @p number. A run of an occurrence shows that it is due, whatever the wall clock of this VM says. Thread-safe.
+JobPointer withOccurrencesUpTo(const JobPointer &job, std::int64_t number, Instant now);
+
 /// Returns the task after an order to start run number @p runNumber on @p assignedWorker was issued. Thread-safe.
 TaskPointer startingTask(const TaskState &task, std::shared_ptr<const WorkerIncarnation> assignedWorker, std::int64_t runNumber, Instant now);
 /// Returns the task in another phase on the same worker. Thread-safe.
--- a/recovery/lib/Progress/jobstate.cpp
+++ b/recovery/lib/Progress/jobstate.cpp
@@ -179,6 +179,19 @@
     return update.m_nextOccurrence == job->m_nextOccurrence ? job : jobFrom(*job, std::move(update));
 }
 
+JobPointer withOccurrencesUpTo(const JobPointer &job, std::int64_t number, Instant now)
+{
+    if (job->m_outcome != JobOutcome::Active || number < job->m_nextOccurrence || number >= job->m_spec->m_schedule.m_count) {
+        return job;
+    }
+    auto update = updateFrom(*job);
+    while (update.m_nextOccurrence <= number) {
+        update.m_occurrences.push_back(newOccurrence(*job->m_spec, update.m_nextOccurrence, now));
+        ++update.m_nextOccurrence;
+    }
+    return jobFrom(*job, std::move(update));
+}
+
 // A mutable copy of a task state.
 struct TaskUpdate {
     TaskPhase m_phase;
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -96,13 +96,29 @@
     }
 }
 
+// Returns the job of a run that a worker reports, or null. Adds the occurrence of the run if this owner has not created it yet: before its first
+// pass, or because its wall clock is behind that of the former owner.
+static JobPointer jobOfReportedRun(OwnerState &state, const TaskReference &reference, Instant now)
+{
+    const auto job = state.m_jobs.find(reference.m_job);
+    if (!job) {
+        return nullptr;
+    }
+    const auto changed = withOccurrencesUpTo(job, reference.m_occurrence, now);
+    if (changed != job) {
+        setJob(state, changed);
+        state.m_placementNeeded = true;
+    }
+    return changed;
+}
+
 static void handleRunEnd(OwnerState &state, TrackedWorker &worker, const RunEnd &end, Instant now)
 {
     worker.m_lastHandledEnd = end.m_number;
     worker.m_listedRuns.erase(end.m_task);
     removeSupersededRun(state, worker, RunReference{.m_task = end.m_task, .m_runNumber = end.m_runNumber});
     forgetReleasedRun(state, end.m_task, worker.m_incarnation->m_worker, end.m_runNumber);
-    const auto job = state.m_jobs.find(end.m_task.m_job);
+    const auto job = jobOfReportedRun(state, end.m_task, now);
     logEvent(LogLevel::Info,
              "run_ended",
              {{"request", end.m_task.m_job},
@@ -181,7 +197,7 @@
 
 static void handleRunningTask(OwnerState &state, TrackedWorker &worker, const RunningTask &runningTask, Instant sentAt, Instant now)
 {
-    const auto job = state.m_jobs.find(runningTask.m_task.m_job);
+    const auto job = jobOfReportedRun(state, runningTask.m_task, now);
     const auto task = job ? findTask(*job, runningTask.m_task) : nullptr;
     const bool here = task && task->m_assignedWorker && *task->m_assignedWorker == *worker.m_incarnation && task->m_runNumber == runningTask.m_runNumber;
     worker.m_listedRuns.insert_or_assign(runningTask.m_task, runningTask.m_runNumber);
--- a/service/unittests/Fleetservice/supersededruns.cpp
+++ b/service/unittests/Fleetservice/supersededruns.cpp
@@ -240,15 +240,28 @@
     CHECK(isStarted(sim, jobId));
 }
 
-// Guards against two runs of one task (TWICE): the clock of a new owner is behind that of its predecessor, so that it does not know the occurrence
-// of a listed run. The run is stopped, the occurrence becomes due, and it is started elsewhere before the run has stopped.
-TEST_CASE("an occurrence that becomes due is not started while a run of it still has to stop")
+// Guards against two runs of one task (TWICE): the clock of a new owner is behind that of its predecessor, so that it has not created the
+// occurrence of a listed run. The run must go on, and no second one may start when the occurrence becomes due.
+TEST_CASE("a run of an occurrence that is not due on the clock of a new owner is adopted and not started again")
 {
     Sim sim;
     sim.configure(1, {"queue"});
     sim.m_wallClockOffset = Duration(-10'000);
     sim.becomeOwner({Sim::worker("w1"), Sim::worker("w2")}, {newJobState(repeatedJob(), 4, Sim::at(0))}, {listed("w1"), listed("w2")});
-    checkStopIsAwaited(sim, 1);
+    for (int nowMs = 50; nowMs <= 1'000; nowMs += 50) {
+        sim.m_wallClockOffset = Duration(nowMs < 500 ? -10'000 : 0);
+        sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(nowMs));
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        sim.review(Sim::at(nowMs));
+        sim.place(Sim::at(nowMs));
+        REQUIRE(sim.workerOf(jobId) == "w1");
+        REQUIRE(sim.m_startOrders.empty());
+        REQUIRE(sim.m_stopOrders.empty());
+    }
+    sim.answer("w1", std::nullopt, {endOf(Sim::reference(jobId), 1, 1, RunEndKind::Failed)}, Sim::at(1'050));
+    sim.place(Sim::at(1'060));
+    REQUIRE(sim.m_startOrders.size() == 1);
+    CHECK(sim.m_startOrders.back().m_runNumber == 2);
 }
 
 // Guards against two runs of one task (TWICE): a progress record names a higher run than the one that a worker still lists.
