End the session's threads before the progress writer is destroyed

Cause: the destructor of FleetNode::Private destroyed the writer while the session's threads still ran. Read from the code beside the change before; the thread sanitizer has not reported it, and no test has reproduced it. The daemon never destroys its node, so only tests and a start that fails run this code.

Change: Session::stop() closes the session and waits for its threads; the destructor calls it while every stage exists. The null check is gone.

--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -122,13 +122,15 @@
             thread->join();
         }
     }
-    // The stages call each other, so each one is stopped before the stages that it calls are destroyed.
+    // The stages call each other, so the threads of each one end before the stages that they call are destroyed.
     m_peerServer.reset();
+    if (m_session) {
+        m_session->stop();
+    }
     if (m_owner) {
         m_owner->stop();
     }
     m_writer.reset();
-    m_session.reset();
 }
 
 void FleetNode::Private::applyConfiguration(const std::string &text)
@@ -297,9 +299,7 @@
         m_lastEndedFence = std::max(m_lastEndedFence, fence);
         if (m_term.m_fence == fence) {
             m_term = OwnerTerm{};
-            if (m_writer) {
-                m_writer->endTerm();
-            }
+            m_writer->endTerm();
         }
     }
     m_owner->post(OwnershipLost{.m_fence = fence, .m_reason = reason});
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -322,6 +322,11 @@
 }
 
 Session::~Session()
+{
+    stop();
+}
+
+void Session::stop()
 {
     close();
     for (auto *thread : {&m_private->m_renewalThread, &m_private->m_electionThread}) {
--- a/service/lib/Fleetservice/session.h
+++ b/service/lib/Fleetservice/session.h
@@ -49,6 +49,8 @@
     [[nodiscard]] Instant leaseEnd(std::int64_t fence) const;
     /// Ends the lease, which removes this VM's keys at once, and takes part in no further election.
     void close();
+    /// Does the same and waits until the session's threads have ended, so that no callback runs afterwards. Must not be called by a callback.
+    void stop();
 
 private:
     struct Private;
