Replace, stall and delay workers in the soak, and write entries of others

Users saw one task run on two workers at the same time. The soak had no worker whose machine gets another one, no drain that lasts longer than its entry, no answers out of order, and no entries of other writers among those of the workers; two VMs were never restarted one after the other on purpose, and few gangs outlasted a lease.

The stand-in worker now answers 421 if a call names another identifier, because a successor may have the address of an earlier worker.

--- a/scripts/fleetsoak/__main__.py
+++ b/scripts/fleetsoak/__main__.py
@@ -7,7 +7,7 @@
 
 import harness
 from fleetsoak.checks import find_violations
-from fleetsoak.faults import FaultInjector
+from fleetsoak.faults import FURTHER_KINDS, FaultInjector
 from fleetsoak.fleet import SoakFleet
 from fleetsoak.load import FINAL_STATES, LoadGenerator
 from fleetsoak.proxy import ProxyLoop
@@ -26,7 +26,7 @@
 SETTLE_TIMEOUT_S = 40.0
 
 
-def run_soak(seed, seconds, vms, workers, zones):
+def run_soak(seed, seconds, vms, workers, zones, **fault_options):
     """Runs one soak, prints a summary line and returns the violations as texts."""
     rng = random.Random(seed)
     workers = workers or (12 if zones == 1 else 16)
@@ -35,7 +35,7 @@
         before = time.monotonic()
         clock_origin_s = (before + time.monotonic()) / 2 - fleet.run_history()["now"] / 1000
         with LoadGenerator(fleet, seed, per_second=8.0, thread_count=6 if zones == 1 else 16) as load_generator:
-            with FaultInjector(fleet, rng, thread_count=2 if zones == 1 else 1) as faults:
+            with FaultInjector(fleet, rng, thread_count=2 if zones == 1 else 1, **fault_options) as faults:
                 time.sleep(seconds)
             last_fault_at = time.monotonic()
             time.sleep(2)  # Jobs that are submitted after the last fault must succeed as well.
@@ -82,11 +82,14 @@
     parser.add_argument("--workers", type=int, help="a multiple of 4 is a number of whole racks; 12 if omitted, 16 with two zones")
     parser.add_argument("--zones", type=int, default=1, choices=(1, 2), help="zones of VMs and workers; 2 adds cuts of a zone and long pauses")
     parser.add_argument("--regressions", action="store_true", help="also run the seeds that have failed before")
+    parser.add_argument("--without", nargs="+", default=(), choices=FURTHER_KINDS, help="kinds of faults to leave out")
+    parser.add_argument("--overlapping-workers", action="store_true", help="also start workers on machines whose draining worker still runs")
     arguments = parser.parse_args()
+    fault_options = {"without": arguments.without, "overlapping_workers": arguments.overlapping_workers}
     first_seed = arguments.seed if arguments.seed is not None else random.SystemRandom().randrange(1, 1_000_000_000)
     seeds = list(REGRESSIONS) if arguments.regressions else []
     seeds += [(seed, arguments.zones) for seed in range(first_seed, first_seed + arguments.seeds)]
-    failed_seeds = [seed for seed, zones in seeds if run_soak(seed, arguments.seconds, arguments.vms, arguments.workers, zones)]
+    failed_seeds = [seed for seed, zones in seeds if run_soak(seed, arguments.seconds, arguments.vms, arguments.workers, zones, **fault_options)]
     print(f"{len(seeds) - len(failed_seeds)} of {len(seeds)} seeds hold" + (f"; not: {' '.join(map(str, failed_seeds))}" if failed_seeds else ""))
     return 1 if failed_seeds else 0
 
--- a/scripts/fleetsoak/faults.py
+++ b/scripts/fleetsoak/faults.py
@@ -1,16 +1,21 @@
 """Injects the faults of a soak on several threads at once: signals to VMs, disrupted connections, and store and worker faults."""
 
+import json
 import signal
 import threading
 import time
 
 from fleetsoak import proxy
 
+# Kinds of faults that can be left out, to find the one that a violation depends on.
+FURTHER_KINDS = ("machines", "lingering", "answers", "strays", "rollouts")
+
 
 class FaultInjector:
     """Injects random faults until stop(), which also removes every fault. Use as a context manager."""
 
-    def __init__(self, fleet, rng, thread_count):
+    def __init__(self, fleet, rng, thread_count, without=(), overlapping_workers=False):
+        """@p without names kinds of FURTHER_KINDS to leave out. With @p overlapping_workers, a worker may start on the machine of one that still runs."""
         self._fleet = fleet
         self._rng = rng
         self._stop = threading.Event()
@@ -34,6 +39,17 @@
             )  # fmt: skip
             thread_arguments.append((f"{thread_arguments[0][0]}-zones", zone_faults))
             thread_arguments += [(f"{thread_arguments[0][0]}-pauses-{index}", (self._pause_vm_long,)) for index in range(2)]
+        machine_faults = (self._crash_and_replace_worker, self._linger_after_drain)
+        further_kinds = {
+            "machines": machine_faults + ((self._replace_running_worker,) if overlapping_workers else ()),
+            "lingering": machine_faults[1:],  # A second thread, because a drain takes up to 18 s.
+            "answers": (self._delay_answers, self._stall_workers),
+            "strays": (self._write_stray_entry,),
+            "rollouts": (self._roll_out_vms, self._kill_owner_twice),
+        }
+        # As above, each kind has a thread and a generator of its own.
+        first_seed = thread_arguments[0][0]
+        thread_arguments += [(f"{first_seed}-{kind}", functions) for kind, functions in further_kinds.items() if kind not in without]
         self._threads = [threading.Thread(target=self._inject_until_stopped, args=arguments, daemon=True) for arguments in thread_arguments]
 
     def __enter__(self):
@@ -51,7 +67,7 @@
         self._fleet.call_control("/store-faults", fault="none")
         for index, worker in enumerate(self._fleet.worker_proxies):
             worker.set_mode(proxy.PASS)
-            self._fleet.call_control("/worker-faults", worker=index, fault="none")
+            self._fleet.call_worker("/worker-faults", index, fault="none")
         self._set_modes(self._fleet.zone_paths, proxy.PASS)
         for vm in self._fleet.vms:
             vm.store_proxy.set_mode(proxy.PASS)
@@ -103,15 +119,15 @@
         self._run_on_reserved_vm(rng, action)
 
     def _terminate_vm(self, rng):
-        def action(vm):
-            self._log_fault(f"{vm.name} terminated")
-            code = vm.process.terminate(8)
-            if code != 0:
-                self.violations.append(f"{vm.name} exited with code {code} after SIGTERM instead of 0 within 8 s")
-                vm.process.kill()
-            vm.start()
+        self._run_on_reserved_vm(rng, self._terminate_and_restart)
 
-        self._run_on_reserved_vm(rng, action)
+    def _terminate_and_restart(self, vm):
+        self._log_fault(f"{vm.name} terminated")
+        code = vm.process.terminate(8)
+        if code != 0:
+            self.violations.append(f"{vm.name} exited with code {code} after SIGTERM instead of 0 within 8 s")
+            vm.process.kill()
+        vm.start()
 
     def _pause_vm(self, rng, shortest_s=0.3, longest_s=4.0):
         def action(vm):
@@ -167,9 +183,9 @@
         worker = self._random_worker(rng)
         fault = rng.choice(("answer_lost", "late", "unreachable"))
         self._log_fault(f"w{worker} {fault}")
-        self._fleet.call_control("/worker-faults", worker=worker, fault=fault, share=rng.choice((0.3, 1.0)))
+        self._fleet.call_worker("/worker-faults", worker, fault=fault, share=rng.choice((0.3, 1.0)))
         self._wait_unless_stopping(rng.uniform(0.5, 3.0))
-        self._fleet.call_control("/worker-faults", worker=worker, fault="none")
+        self._fleet.call_worker("/worker-faults", worker, fault="none")
 
     def _disrupt_worker_connections(self, rng):
         worker = self._random_worker(rng)
@@ -233,7 +249,7 @@
         without_entry = rng.random() < 0.5
         self._cut_workers(rng, workers)
         for worker in workers if without_entry else ():
-            self._fleet.call_control("/remove", key=f"servers/w{worker}")
+            self._fleet.remove_entry(self._fleet.worker_name(worker))
         self._wait_unless_stopping(rng.uniform(1.0, 4.0))
         for worker in workers:
             self._set_modes(self._fleet.paths_of_worker(worker), proxy.PASS)
@@ -272,3 +288,138 @@
                 self._wait_unless_stopping(0.05)
             path.set_mode(proxy.PASS)
             self._log_fault(f"zone {owner.zone} has the store again")
+
+    def _crash_and_replace_worker(self, rng):
+        """The entry of the crashed worker outlasts it; the entry of its successor may appear before the store removes the former one."""
+        worker = self._random_worker(rng)
+        with self._fleet.machine_lock(worker):
+            name = self._fleet.worker_name(worker)
+            same_address = rng.random() < 0.5
+            self._log_fault(f"{name} crashes; its machine gets another worker at {'the same' if same_address else 'another'} address")
+            self._fleet.end_worker(self._fleet.worker_numbers[worker], self._fleet.worker_proxies[worker])
+            removed_first = rng.random() < 0.5
+            self._wait_unless_stopping(rng.uniform(0.0, 2.0))
+            if removed_first:
+                self._fleet.remove_entry(name)
+                self._wait_unless_stopping(rng.uniform(0.0, 0.5))
+            self._fleet.replace_worker(worker, same_address)
+        self._fleet.publish_worker(worker)
+        self._log_fault(f"{name} is followed by {self._fleet.worker_name(worker)}")
+        self._wait_unless_stopping(rng.uniform(0.0, 2.0))
+        self._fleet.remove_entry(name)
+        self._wait_unless_stopping(rng.uniform(0.0, 3.0))
+
+    def _linger_after_drain(self, rng):
+        """A worker that has drained runs on for 3 to 12 s without an entry, and answers all calls or only some of them."""
+        self._drain_with_successor(rng, overlapping=False)
+
+    def _replace_running_worker(self, rng):
+        """As _linger_after_drain(), but the worker runs on while its successor starts. The protocol does not plainly allow this."""
+        self._drain_with_successor(rng, overlapping=True)
+
+    def _drain_with_successor(self, rng, overlapping):
+        worker = self._random_worker(rng)
+        with self._fleet.machine_lock(worker):
+            name, number, path = self._fleet.worker_name(worker), self._fleet.worker_numbers[worker], self._fleet.worker_proxies[worker]
+            drain_s = rng.uniform(1.0, 3.0)
+            self._fleet.begin_drain(worker, round(drain_s * 1000))
+        self._log_fault(f"{name} draining for {drain_s:.1f} s")
+        self._wait_unless_stopping(drain_s * (rng.uniform(0.3, 1.0) if overlapping else 1.0))
+        if overlapping:
+            self._start_successor(worker, name, same_address=False)
+        else:
+            self._fleet.remove_draining_entry(worker, name)
+        fault = rng.choice(("none", "unreachable", "answer_lost", "answer_delayed"))
+        linger_s = rng.uniform(3.0, 12.0)
+        self._log_fault(f"{name} lingers for {linger_s:.1f} s, {fault}")
+        self._fleet.call_control("/worker-faults", worker=number, fault=fault, share=rng.uniform(0.3, 0.8))
+        self._wait_unless_stopping(linger_s)
+        self._fleet.call_control("/worker-faults", worker=number, fault="none")
+        with self._fleet.machine_lock(worker):
+            if overlapping:
+                self._fleet.remove_entry(name)
+            if overlapping or self._fleet.worker_name(worker) == name:
+                self._log_fault(f"{name} exits")
+                self._fleet.end_worker(number, path)
+            self._wait_unless_stopping(rng.uniform(0.0, 1.0))
+            if not overlapping:
+                self._start_successor(worker, name, same_address=rng.random() < 0.5)
+        self._fleet.remove_entry(name)  # The worker may have restarted, and so published its entry again, while it was draining.
+
+    def _start_successor(self, worker, name, same_address):
+        with self._fleet.machine_lock(worker):
+            if self._fleet.worker_name(worker) == name:
+                self._fleet.replace_worker(worker, same_address)
+                self._fleet.publish_worker(worker)
+                self._log_fault(f"{name} is followed by {self._fleet.worker_name(worker)}")
+
+    def _delay_answers(self, rng):
+        """Answers overtake each other, or calls are executed seconds late."""
+        workers = rng.sample(range(len(self._fleet.worker_proxies)), rng.randint(1, 4))
+        fault, share = rng.choice((("answer_delayed", 0.5), ("answer_delayed", 0.9), ("seconds_late", 0.2)))
+        for worker in workers:
+            self._log_fault(f"{self._fleet.worker_name(worker)} {fault}")
+            self._fleet.call_worker("/worker-faults", worker, fault=fault, share=share)
+        self._wait_unless_stopping(rng.uniform(1.0, 4.0))
+        for worker in workers:
+            self._fleet.call_worker("/worker-faults", worker, fault="none")
+
+    def _stall_workers(self, rng):
+        """The processes accept connections but read nothing for a while, and then answer everything at once."""
+        numbers = [self._fleet.worker_numbers[worker] for worker in rng.sample(range(len(self._fleet.worker_proxies)), rng.randint(1, 3))]
+        stall_s = rng.uniform(0.5, 2.0)
+        for number in numbers:
+            self._log_fault(f"w{number} stalls for {stall_s:.1f} s")
+            self._fleet.call_control("/stall-worker", worker=number, stalled=True)
+        self._wait_unless_stopping(stall_s)
+        for number in numbers:
+            self._fleet.call_control("/stall-worker", worker=number, stalled=False)
+
+    def _write_stray_entry(self, rng):
+        """An entry of another writer, which names no worker to use: the machine and address of a worker, a later start, and a fault in one field."""
+        worker = self._random_worker(rng)
+        entry = self._fleet.worker_entry(worker)
+        entry["born"] += rng.randint(1, 1000)
+        kind = rng.choice(("unknown service", "unknown state", "missing field", "wrong type", "unreadable"))
+        field = rng.choice(sorted(set(entry) - {"seq", "clockMs", "labels"}))
+        if kind == "unknown service":
+            entry["service"] = "stray"
+        elif kind == "unknown state":
+            entry["state"] = "stray"
+        elif kind == "missing field":
+            del entry[field]
+        elif kind == "wrong type":
+            entry[field] = [entry[field]]
+        value = json.dumps(entry)
+        name = f"stray{rng.getrandbits(32)}"
+        self._log_fault(f"{name} with the machine of {self._fleet.worker_name(worker)}: {kind}{f' {field}' if kind in ('missing field', 'wrong type') else ''}")
+        self._fleet.call_control("/put", key=f"servers/{name}", value=value[: len(value) // 2] if kind == "unreadable" else value)
+        self._wait_unless_stopping(rng.uniform(0.5, 4.0))
+        self._fleet.remove_entry(name)
+
+    def _roll_out_vms(self, rng):
+        """Restarts one VM after the other by SIGTERM, and waits until each is ready."""
+        self._wait_unless_stopping(rng.uniform(0.0, 10.0))
+        for vm in self._fleet.vms:
+            if self._stop.is_set():
+                return
+            self._run_on_reserved_vm(rng, self._terminate_and_restart, vm)
+            deadline = time.monotonic() + 5.0
+            while time.monotonic() < deadline and not self._stop.is_set() and not vm.ready():
+                self._wait_unless_stopping(0.1)
+
+    def _kill_owner_twice(self, rng):
+        """Kills two owners in a row, the second one within 30 s."""
+
+        def action(owner):
+            self._log_fault(f"the owner {owner.name} killed")
+            owner.process.kill()
+            self._wait_unless_stopping(rng.uniform(0.1, 3.0))
+            owner.start()
+
+        self._wait_unless_stopping(rng.uniform(0.0, 10.0))
+        for pause_s in (rng.uniform(0.5, 12.0), 0.0):
+            owner = self._fleet.owner()
+            if owner is not None:
+                self._run_on_reserved_vm(rng, action, owner)
+            self._wait_unless_stopping(pause_s)
--- a/scripts/fleetsoak/fleet.py
+++ b/scripts/fleetsoak/fleet.py
@@ -5,6 +5,7 @@
 
 import json
 import random
+import threading
 
 import harness
 from fleetsoak.proxy import PASS, RESET, Proxy
@@ -93,6 +94,10 @@
         self.store_addresses = [path.address for path in self.store_paths] or [self.addresses["store"]]
         # From the VMs of a zone to each worker; empty in a soak with one zone.
         self.worker_paths = [[self._add_path(zone, worker.address) for worker in self.worker_proxies] for zone in range(len(self.store_paths))]
+        # The present worker of each machine: its number at the stand-in. A machine keeps its rack and zone; w0 to wN are the first workers.
+        self.worker_numbers = list(range(workers))
+        self._machine_locks = [threading.RLock() for _ in range(workers)]
+        self._leaving = {}  # Machine to the state of its worker's entry: "draining", or None if the store has removed the entry.
         self.version = 0
         self.change_configuration()
         for worker in range(workers):
@@ -142,17 +147,70 @@
         self.version += 1 + random.Random(self.version).randrange(5)  # A version need not be the previous one plus 1.
         self.call_control("/put", key="op/config", value=json.dumps(make_configuration(self.version)))
 
-    def publish_worker(self, worker, state="ready"):
-        entry = self.call_control("/entry", worker=worker, state=state)
+    def call_worker(self, path, worker, **body):
+        """A control call about the present worker of the machine with the number @p worker."""
+        return self.call_control(path, worker=self.worker_numbers[worker], **body)
+
+    def machine_lock(self, worker):
+        """Reentrant. Held while one worker of the machine replaces another."""
+        return self._machine_locks[worker]
+
+    def worker_name(self, worker):
+        return f"w{self.worker_numbers[worker]}"
+
+    def worker_entry(self, worker, state="ready"):
+        entry = self.call_worker("/entry", worker, state=state)
         entry["addr"] = self.worker_proxies[worker].address
         entry["zone"] = zone_name(self.worker_zone(worker))
-        self.call_control("/put", key=f"servers/w{worker}", value=json.dumps(entry))
+        return entry
+
+    def publish_worker(self, worker, state="ready", **fields):
+        with self._machine_locks[worker]:
+            state = self._leaving.get(worker, state)
+            if state is not None:
+                self.call_control("/put", key=f"servers/{self.worker_name(worker)}", value=json.dumps({**self.worker_entry(worker, state), **fields}))
+
+    def remove_entry(self, name):
+        self.call_control("/remove", key=f"servers/{name}")
+
+    def begin_drain(self, worker, remaining_ms):
+        """The worker's entry stays "draining" until the worker restarts or has a successor."""
+        with self._machine_locks[worker]:
+            self._leaving[worker] = "draining"
+            self.publish_worker(worker, remainingMs=remaining_ms)
+
+    def remove_draining_entry(self, worker, name):
+        """The entry stays away until the worker restarts or has a successor. Does nothing if the worker @p name has restarted."""
+        with self._machine_locks[worker]:
+            if worker in self._leaving and self.worker_name(worker) == name:
+                self._leaving[worker] = None
+                self.remove_entry(name)
 
     def restart_worker(self, worker):
         """Simulates a restart of the worker process. Its connections are reset first, so that calls in transit never arrive."""
-        self.worker_proxies[worker].set_mode(RESET)
-        self.call_control("/restart-worker", worker=worker)
-        self.worker_proxies[worker].set_mode(PASS)
+        with self._machine_locks[worker]:
+            self._leaving.pop(worker, None)
+            self.worker_proxies[worker].set_mode(RESET)
+            self.call_worker("/restart-worker", worker)
+            self.worker_proxies[worker].set_mode(PASS)
+
+    def end_worker(self, number, path):
+        """Simulates the end of the worker process with the stand-in's @p number behind the proxy @p path."""
+        path.set_mode(RESET)
+        self.call_control("/exit-worker", worker=number)
+
+    def replace_worker(self, worker, same_address):
+        """Starts a worker with another identifier on the machine, at the same address or at another one. The caller ends the earlier one."""
+        with self._machine_locks[worker]:
+            successor = self.call_worker("/add-successor", worker)
+            if same_address:
+                self.worker_proxies[worker].forward_to(successor["addr"])
+            else:
+                self.worker_proxies[worker] = Proxy(self.proxy_loop, self.processes.ports.allocate(), successor["addr"])
+                for zone, paths in enumerate(self.worker_paths):
+                    paths[worker] = self._add_path(zone, self.worker_proxies[worker].address)
+            self._leaving.pop(worker, None)
+            self.worker_numbers[worker] = successor["worker"]
 
     def run_history(self):
         return self.call_control("/books")
--- a/scripts/fleetsoak/load.py
+++ b/scripts/fleetsoak/load.py
@@ -10,6 +10,8 @@
 from fleetsoak.fleet import HOST_NAME, KEY, QUEUES
 
 RUN_MS = 900
+GANG_RUN_MS = (4000, 8000)  # Longer than a task lease.
+GANG_PERIOD_S = (2.0, 5.0)
 LONG_RUN_MS = 5000  # Outlasts a task lease, so that a successor can renew the lease of a run that the former owner still counts.
 MAX_TRIES = 6
 CALL_TIMEOUT_S = 4.0
@@ -38,6 +40,14 @@
         self.states = []  # (time, state) of each successful state query.
         self.unknown_at = []  # The times of state queries that were answered with status 410, which means that the job does not exist.
 
+    @classmethod
+    def long_gang(cls, rng, number):
+        """A gang that outlasts a task lease, so that its members end on their own only if every lease is renewed."""
+        job = cls(rng, number)
+        job.tasks_per_step, job.step_count, job.gang, job.accelerators = rng.choice((2, 3, 4, 6)), 1, True, rng.choice((1, 2))
+        job.run_ms = rng.randint(*GANG_RUN_MS)
+        return job
+
     def submission_body(self):
         step = {"count": self.tasks_per_step, "cpu": 1000, "memMb": 100, "gpu": self.accelerators, "estimateMs": self.run_ms, "gang": self.gang}
         spec = f"job {self.number}" + ("" if self.run_ms == RUN_MS else f" runMs={self.run_ms}")
@@ -60,6 +70,7 @@
         self._threads = [
             threading.Thread(target=self._submit_periodically, args=(random.Random(f"{seed}-{index}"),), daemon=True) for index in range(thread_count)
         ]
+        self._threads.append(threading.Thread(target=self._submit_long_gangs, args=(random.Random(f"{seed}-gangs"),), daemon=True))
         self._threads.append(threading.Thread(target=self._poll_open_jobs, args=(random.Random(f"{seed}-ask"),), daemon=True))
 
     def __enter__(self):
@@ -84,6 +95,14 @@
                 self.jobs.append(job)
             self._submit_job(rng, connections, job)
 
+    def _submit_long_gangs(self, rng):
+        connections = {}
+        while not self._stop.wait(rng.uniform(*GANG_PERIOD_S)):
+            with self._lock:
+                job = SoakJob.long_gang(rng, len(self.jobs))
+                self.jobs.append(job)
+            self._submit_job(rng, connections, job)
+
     def _submit_job(self, rng, connections, job):
         for _ in range(MAX_TRIES):
             job.sent = True
--- a/scripts/fleetsoak/proxy.py
+++ b/scripts/fleetsoak/proxy.py
@@ -55,6 +55,12 @@
         """Applies one of the modes. RESET closes every open connection; SILENT and ONE_WAY hold bytes back until the next mode allows them."""
         self._proxy_loop.run_coroutine(self._apply_mode(mode))
 
+    def forward_to(self, target):
+        """Closes every open connection, and forwards new ones to another address from now on."""
+        self._target = target.rsplit(":", 1)
+        self.set_mode(RESET)
+        self.set_mode(PASS)
+
     async def _listen(self, port):
         self._changed = asyncio.Condition()
         self._proxy_loop.servers.append(await asyncio.start_server(self._serve_connection, harness.HOST, port))
--- a/standins/include/primrosebridge/Fleetstandin/standinworker.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinworker.h
@@ -24,9 +24,17 @@
     None,
     AnswerLost, ///< The call is executed, but the connection closes without an answer.
     ExecutedLate, ///< The connection closes without an answer; the call is executed 700 ms later, unless the worker has restarted by then.
+    ExecutedSecondsLate, ///< As ExecutedLate, but 1 to 4 s later.
+    AnswerDelayed, ///< The call is executed at once and answered up to 700 ms later, so that answers on other connections overtake it.
     Unreachable, ///< The call is not executed, and the connection closes without an answer.
 };
 
+/// The machine of a worker and the start of the worker's first incarnation there.
+struct StandinMachine {
+    const std::string m_name;
+    const std::int64_t m_startedAtMs = 1; ///< As `born` on the wire. Later than that of every earlier worker on the machine.
+};
+
 /// A task run that was started on a stand-in worker.
 struct StandinRun {
     const std::string m_task;
@@ -45,11 +53,12 @@
 {
 public:
     /// Every task runs for @p runTime, or for N milliseconds if its payload ends with "runMs=N". The worker shortens longer leases to @p maxLease; if it is not
-    /// given, leases never expire.
+    /// given, leases never expire. Without @p machine, the worker is the first one on a machine of its own.
     StandinWorker(std::string identifier,
                   std::string rack,
                   std::chrono::milliseconds runTime,
-                  std::optional<std::chrono::milliseconds> maxLease = std::nullopt);
+                  std::optional<std::chrono::milliseconds> maxLease = std::nullopt,
+                  std::optional<StandinMachine> machine = std::nullopt);
     ~StandinWorker();
     StandinWorker(const StandinWorker &) = delete;
     StandinWorker &operator=(const StandinWorker &) = delete;
@@ -59,6 +68,13 @@
     [[nodiscard]] std::string entry(const std::string &state) const;
     /// Simulates a restart of the worker process: running tasks are lost, and all state except runHistory() is reset.
     void restart();
+    /// Simulates the end of the worker process: running tasks are lost, and every connection closes without an answer from now on.
+    void exit();
+    /// While stalled, the worker accepts connections but executes and answers nothing. Afterwards it executes and answers everything at once,
+    /// unless it has restarted.
+    void setStalled(bool stalled);
+    /// The machine and start time for a worker that starts on this machine after the present incarnation.
+    [[nodiscard]] StandinMachine machineOfSuccessor() const;
     /// Sets the function that chooses the fault of each call. It is called under the worker's lock.
     void setFaults(std::function<WorkerFault(WorkerCall)> faults);
     /// Runs of tasks whose names begin with @p prefix end as failed if they start after this call. An empty prefix matches no task.
--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <map>
 #include <mutex>
+#include <random>
 #include <thread>
 
 namespace PrimroseBridge {
@@ -15,6 +16,9 @@
 using Clock = std::chrono::steady_clock;
 
 static constexpr auto lateExecutionDelay = std::chrono::milliseconds(700);
+static constexpr auto shortestSecondsLateDelay = std::chrono::milliseconds(1000);
+static constexpr auto longestSecondsLateDelay = std::chrono::milliseconds(4000);
+static constexpr auto longestAnswerDelay = std::chrono::milliseconds(700);
 static constexpr std::int64_t acceleratorsPerWorker = 8;
 
 namespace {
@@ -52,6 +56,7 @@
 struct StandinWorker::Private {
     std::string m_identifier;
     std::string m_rack;
+    std::string m_machine;
     std::chrono::milliseconds m_runTime{0};
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -66,12 +71,21 @@
     std::int64_t m_leaseEndMs = 0;
     std::string m_failingPrefix;
     bool m_stopping = false;
+    bool m_stalled = false;
+    bool m_exited = false;
+    std::minstd_rand m_delays;
     std::function<WorkerFault(WorkerCall)> m_faults;
     std::vector<std::thread> m_lateCalls;
     Clock::time_point m_startedAt = Clock::now();
     std::unique_ptr<LoopbackHttpServer> m_httpServer;
 
+    StandinAnswer answerCall(const StandinCall &call);
     StandinAnswer answerWithFaults(const StandinCall &call);
+    StandinAnswer answerDelayed(const StandinCall &call);
+    void executeAfter(std::chrono::milliseconds delay, const StandinCall &call);
+    [[nodiscard]] bool waitWhileStalled(std::int64_t incarnation);
+    [[nodiscard]] std::chrono::milliseconds drawDelay(std::chrono::milliseconds shortest, std::chrono::milliseconds longest);
+    void loseRuns();
     StandinAnswer executeCall(const StandinCall &call);
     StandinAnswer startRun(const Json &body);
     StandinAnswer stopRun(const Json &body);
@@ -198,6 +212,9 @@
     const auto body = Json::parse(call.m_body);
     const auto deadline = Clock::now() + std::chrono::milliseconds(call.m_path == "/hold" ? body.value("waitMs", 0) : 0);
     std::unique_lock lock(m_mutex);
+    if (const auto wanted = call.m_headers.find("expect-instance"); wanted != call.m_headers.end() && wanted->second != m_identifier) {
+        return StandinAnswer{.m_status = 421, .m_body = "{}"}; // Another worker may have had this address before.
+    }
     const auto fence = body.value("fence", std::int64_t(0));
     if (fence < m_fence) {
         return reply(409, Json{{"reason", "fence"}});
@@ -237,6 +254,57 @@
     return call.m_path == "/run-stop" ? WorkerCall::Stop : WorkerCall::Report;
 }
 
+std::chrono::milliseconds StandinWorker::Private::drawDelay(std::chrono::milliseconds shortest, std::chrono::milliseconds longest)
+{
+    const std::lock_guard lock(m_mutex);
+    return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(shortest.count(), longest.count())(m_delays));
+}
+
+void StandinWorker::Private::executeAfter(std::chrono::milliseconds delay, const StandinCall &call)
+{
+    const std::lock_guard lock(m_mutex);
+    m_lateCalls.emplace_back([this, delay, call, incarnationAtCall = m_currentIncarnation] {
+        std::this_thread::sleep_for(delay);
+        // After a restart, the process to which the call was addressed no longer exists.
+        if (waitWhileStalled(incarnationAtCall)) {
+            executeCall(call);
+        }
+    });
+}
+
+StandinAnswer StandinWorker::Private::answerDelayed(const StandinCall &call)
+{
+    auto answer = executeCall(call);
+    std::this_thread::sleep_for(drawDelay(std::chrono::milliseconds(0), longestAnswerDelay));
+    return answer;
+}
+
+// Returns false if the process with @p incarnation has ended, so that it neither executes nor answers a call.
+bool StandinWorker::Private::waitWhileStalled(std::int64_t incarnation)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [&] { return !m_stalled || m_exited || m_stopping || m_currentIncarnation != incarnation; });
+    return !m_exited && m_currentIncarnation == incarnation;
+}
+
+static StandinAnswer closedConnection()
+{
+    return StandinAnswer{.m_status = 0, .m_body = {}};
+}
+
+StandinAnswer StandinWorker::Private::answerCall(const StandinCall &call)
+{
+    const auto incarnation = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_currentIncarnation;
+    }();
+    if (!waitWhileStalled(incarnation)) {
+        return closedConnection();
+    }
+    auto answer = answerWithFaults(call);
+    return waitWhileStalled(incarnation) ? answer : closedConnection();
+}
+
 StandinAnswer StandinWorker::Private::answerWithFaults(const StandinCall &call)
 {
     auto fault = WorkerFault::None;
@@ -249,32 +317,35 @@
         return executeCall(call);
     case WorkerFault::AnswerLost:
         executeCall(call);
-        return StandinAnswer{.m_status = 0, .m_body = {}};
-    case WorkerFault::ExecutedLate: {
-        const std::lock_guard lock(m_mutex);
-        m_lateCalls.emplace_back([this, call, incarnationAtCall = m_currentIncarnation] {
-            std::this_thread::sleep_for(lateExecutionDelay);
-            if (const std::lock_guard check(m_mutex); m_currentIncarnation != incarnationAtCall) {
-                return; // The worker has restarted, so the call was addressed to a process that no longer exists.
-            }
-            executeCall(call);
-        });
-        return StandinAnswer{.m_status = 0, .m_body = {}};
-    }
+        return closedConnection();
+    case WorkerFault::ExecutedLate:
+        executeAfter(lateExecutionDelay, call);
+        return closedConnection();
+    case WorkerFault::ExecutedSecondsLate:
+        executeAfter(drawDelay(shortestSecondsLateDelay, longestSecondsLateDelay), call);
+        return closedConnection();
+    case WorkerFault::AnswerDelayed:
+        return answerDelayed(call);
     case WorkerFault::Unreachable:
-        return StandinAnswer{.m_status = 0, .m_body = {}};
+        return closedConnection();
     }
     return executeCall(call);
 }
 
-StandinWorker::StandinWorker(std::string identifier, std::string rack, std::chrono::milliseconds runTime, std::optional<std::chrono::milliseconds> maxLease)
+StandinWorker::StandinWorker(std::string identifier,
+                             std::string rack,
+                             std::chrono::milliseconds runTime,
+                             std::optional<std::chrono::milliseconds> maxLease,
+                             std::optional<StandinMachine> machine)
     : m_private(std::make_unique<Private>())
 {
     m_private->m_identifier = std::move(identifier);
     m_private->m_rack = std::move(rack);
+    m_private->m_machine = machine ? machine->m_name : "m-" + m_private->m_identifier;
+    m_private->m_currentIncarnation = machine ? machine->m_startedAtMs : 1;
     m_private->m_runTime = runTime;
     m_private->m_maxLease = maxLease;
-    m_private->m_httpServer = std::make_unique<LoopbackHttpServer>([this](const StandinCall &call) { return m_private->answerWithFaults(call); });
+    m_private->m_httpServer = std::make_unique<LoopbackHttpServer>([this](const StandinCall &call) { return m_private->answerCall(call); });
 }
 
 StandinWorker::~StandinWorker()
@@ -306,7 +377,7 @@
         {"addr", m_private->m_httpServer->address()},
         {"zone", "zone-a"},
         {"state", state},
-        {"machine", "m-" + m_private->m_identifier},
+        {"machine", m_private->m_machine},
         {"capacity", Json{{"cpu", 32000}, {"memMb", 131072}, {"gpu", acceleratorsPerWorker}}},
         {"labels", Json::array({"a", m_private->m_rack})},
         {"born", incarnation},
@@ -316,15 +387,42 @@
         .dump();
 }
 
+// The caller holds the lock.
+void StandinWorker::Private::loseRuns()
+{
+    endDueRuns();
+    for (const auto &[task, run] : m_running) {
+        m_history[run.m_historyIndex].m_endedAt = Clock::now();
+        m_history[run.m_historyIndex].m_endKind = "lost";
+    }
+    m_running.clear();
+}
+
+void StandinWorker::exit()
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->loseRuns();
+    m_private->m_exited = true;
+    m_private->m_changed.notify_all();
+}
+
+void StandinWorker::setStalled(bool stalled)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->m_stalled = stalled;
+    m_private->m_changed.notify_all();
+}
+
+StandinMachine StandinWorker::machineOfSuccessor() const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    return StandinMachine{.m_name = m_private->m_machine, .m_startedAtMs = m_private->m_currentIncarnation + 1};
+}
+
 void StandinWorker::restart()
 {
     const std::lock_guard lock(m_private->m_mutex);
-    m_private->endDueRuns();
-    for (const auto &[task, run] : m_private->m_running) {
-        m_private->m_history[run.m_historyIndex].m_endedAt = Clock::now();
-        m_private->m_history[run.m_historyIndex].m_endKind = "lost";
-    }
-    m_private->m_running.clear();
+    m_private->loseRuns();
     m_private->m_highestEndedRunByTask.clear();
     m_private->m_unacknowledgedEnds.clear();
     m_private->m_nextEndNumber = 1;
--- a/standins/tools/primrosebridge-fleet-standin/main.cpp
+++ b/standins/tools/primrosebridge-fleet-standin/main.cpp
@@ -7,9 +7,11 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <deque>
 #include <iostream>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -59,6 +61,7 @@
 };
 
 struct WorkerSlot {
+    std::string m_rack;
     std::unique_ptr<FaultSource<WorkerFault>> m_faults;
     std::unique_ptr<StandinWorker> m_worker;
 };
@@ -75,14 +78,7 @@
             return fault == StoreFault::HistoryLost && call != StoreCall::Watch ? StoreFault::None : fault;
         });
         for (int index = 0; index < absl::GetFlag(FLAGS_workers); ++index) {
-            WorkerSlot slot;
-            slot.m_faults = std::make_unique<FaultSource<WorkerFault>>(absl::GetFlag(FLAGS_seed) + 1 + static_cast<unsigned>(index));
-            slot.m_worker = std::make_unique<StandinWorker>("w" + std::to_string(index),
-                                                            "r" + std::to_string(index / workersPerRack),
-                                                            std::chrono::milliseconds(absl::GetFlag(FLAGS_run_ms)),
-                                                            std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms)));
-            slot.m_worker->setFaults([faults = slot.m_faults.get()](WorkerCall) { return faults->drawFault(); });
-            m_slots.push_back(std::move(slot));
+            addWorker("r" + std::to_string(index / workersPerRack), std::nullopt);
         }
         for (int zone = 0; zone < absl::GetFlag(FLAGS_zone_ports); ++zone) {
             m_zoneStores.push_back(m_store.addZonePort());
@@ -100,6 +96,32 @@
     }
 
 private:
+    // The caller holds the lock of m_slots, or no other thread uses this object yet.
+    std::size_t addWorker(const std::string &rack, const std::optional<StandinMachine> &machine)
+    {
+        const auto index = m_slots.size();
+        WorkerSlot slot;
+        slot.m_rack = rack;
+        slot.m_faults = std::make_unique<FaultSource<WorkerFault>>(absl::GetFlag(FLAGS_seed) + 1 + static_cast<unsigned>(index));
+        slot.m_worker = std::make_unique<StandinWorker>("w" + std::to_string(index),
+                                                        rack,
+                                                        std::chrono::milliseconds(absl::GetFlag(FLAGS_run_ms)),
+                                                        std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms)),
+                                                        machine);
+        slot.m_worker->setFaults([faults = slot.m_faults.get()](WorkerCall) { return faults->drawFault(); });
+        m_slots.push_back(std::move(slot));
+        return index;
+    }
+
+    // Adds a worker with another identifier on the machine of an earlier one. Returns its number.
+    Json addSuccessor(const Json &body)
+    {
+        const auto &earlier = workerSlot(body);
+        const std::lock_guard lock(m_slotsMutex);
+        const auto index = addWorker(earlier.m_rack, earlier.m_worker->machineOfSuccessor());
+        return Json{{"worker", index}, {"addr", Json::parse(m_slots[index].m_worker->entry("ready")).at("addr")}};
+    }
+
     StandinAnswer answerControlCall(const StandinCall &call)
     {
         try {
@@ -129,6 +151,12 @@
             workerSlot(body).m_faults->setFault(workerFaultOf(body.at("fault").get<std::string>()), body.value("share", 1.0));
         } else if (path == "/restart-worker") {
             workerSlot(body).m_worker->restart();
+        } else if (path == "/exit-worker") {
+            workerSlot(body).m_worker->exit();
+        } else if (path == "/add-successor") {
+            return addSuccessor(body);
+        } else if (path == "/stall-worker") {
+            workerSlot(body).m_worker->setStalled(body.at("stalled").get<bool>());
         } else if (path == "/entry") {
             return Json::parse(workerSlot(body).m_worker->entry(body.value("state", "ready")));
         } else {
@@ -139,6 +167,7 @@
 
     WorkerSlot &workerSlot(const Json &body)
     {
+        const std::lock_guard lock(m_slotsMutex);
         return m_slots.at(body.at("worker").get<std::size_t>());
     }
 
@@ -157,6 +186,8 @@
         static const std::map<std::string, WorkerFault> faults = {{"none", WorkerFault::None},
                                                                   {"answer_lost", WorkerFault::AnswerLost},
                                                                   {"late", WorkerFault::ExecutedLate},
+                                                                  {"seconds_late", WorkerFault::ExecutedSecondsLate},
+                                                                  {"answer_delayed", WorkerFault::AnswerDelayed},
                                                                   {"unreachable", WorkerFault::Unreachable}};
         return faults.at(name);
     }
@@ -166,6 +197,7 @@
     {
         const auto milliseconds = [this](Clock::time_point at) { return std::chrono::duration_cast<std::chrono::milliseconds>(at - m_startedAt).count(); };
         Json runHistory = Json::array();
+        const std::lock_guard lock(m_slotsMutex);
         for (const auto &slot : m_slots) {
             for (const auto &run : slot.m_worker->runHistory()) {
                 runHistory.push_back(Json{{"task", run.m_task},
@@ -185,7 +217,8 @@
     FaultSource<StoreFault> m_storeFaults;
     StandinStore m_store;
     std::vector<std::string> m_zoneStores;
-    std::vector<WorkerSlot> m_slots;
+    mutable std::mutex m_slotsMutex; // Guards the size of m_slots. Its elements stay where they are.
+    std::deque<WorkerSlot> m_slots;
     std::unique_ptr<LoopbackHttpServer> m_control;
 };
 
