Test the stand-in's crashed and stalled workers

A stand-in whose crashed worker goes on, or whose stalled worker executes orders, would make the soak report faults that the scheduler does not have, or hide some.

--- a/scripts/fleetsoak/faults.py
+++ b/scripts/fleetsoak/faults.py
@@ -39,10 +39,9 @@
             )  # fmt: skip
             thread_arguments.append((f"{thread_arguments[0][0]}-zones", zone_faults))
             thread_arguments += [(f"{thread_arguments[0][0]}-pauses-{index}", (self._pause_vm_long,)) for index in range(2)]
-        machine_faults = (self._crash_and_replace_worker, self._linger_after_drain)
         further_kinds = {
-            "machines": machine_faults + ((self._replace_running_worker,) if overlapping_workers else ()),
-            "lingering": machine_faults[1:],  # A second thread, because a drain takes up to 18 s.
+            "machines": (self._crash_and_replace_worker, self._linger_after_drain),
+            "lingering": (self._linger_after_drain,),  # A second thread, because a drain takes up to 18 s.
             "answers": (self._delay_answers, self._stall_workers),
             "strays": (self._write_stray_entry,),
             "rollouts": (self._roll_out_vms, self._kill_owner_twice),
@@ -50,6 +49,8 @@
         # As above, each kind has a thread and a generator of its own.
         first_seed = thread_arguments[0][0]
         thread_arguments += [(f"{first_seed}-{kind}", functions) for kind, functions in further_kinds.items() if kind not in without]
+        if overlapping_workers:
+            thread_arguments += [(f"{first_seed}-overlapping-{index}", (self._replace_running_worker,)) for index in range(2)]
         self._threads = [threading.Thread(target=self._inject_until_stopped, args=arguments, daemon=True) for arguments in thread_arguments]
 
     def __enter__(self):
@@ -324,7 +325,7 @@
             drain_s = rng.uniform(1.0, 3.0)
             self._fleet.begin_drain(worker, round(drain_s * 1000))
         self._log_fault(f"{name} draining for {drain_s:.1f} s")
-        self._wait_unless_stopping(drain_s * (rng.uniform(0.3, 1.0) if overlapping else 1.0))
+        self._wait_unless_stopping(drain_s * (rng.uniform(0.1, 1.0) if overlapping else 1.0))
         if overlapping:
             self._start_successor(worker, name, same_address=False)
         else:
--- a/standins/unittests/Standin/soak_test.py
+++ b/standins/unittests/Standin/soak_test.py
@@ -4,6 +4,7 @@
 import json
 import random
 import sys
+import threading
 import time
 import unittest
 from pathlib import Path
@@ -74,7 +75,7 @@
         self.assertEqual(found([gang], [run(1000, 2000), run(2001, 2003, task="aa.0.0.1")]), [])
 
 
-class ZonePorts(unittest.TestCase):
+class FleetStandin(unittest.TestCase):
     def setUp(self):
         self.processes = harness.Processes()
         self.addCleanup(self.processes._remove_folder)
@@ -115,6 +116,37 @@
         self.assertEqual([row[1] for row in report["ended"]], ["short.0.0.0"])
         self.assertEqual([row[0] for row in report["running"]], ["long.0.0.0"])
 
+    def start(self, worker, task):
+        return self.call(worker, "POST", "/run-start", task=task, runId=1, spec="job 1 runMs=60000", fence=1, deadlineMs=5000)
+
+    def test_a_crashed_worker_answers_nothing_and_its_successor_is_another_worker_on_the_machine(self):
+        """Guards against a successor that executes orders to the earlier worker, and against a crashed worker whose runs go on."""
+        control, first = self.addresses["control"], self.addresses["workers"][0]
+        self.start(first, "aa.0.0.0")
+        entry = self.call(control, "POST", "/entry", worker=0)
+        self.call(control, "POST", "/exit-worker", worker=0)
+        self.assertIsNone(harness.try_call(int(first.rsplit(":", 1)[1]), "POST", "/hold", {"fence": 1}))
+        self.assertEqual(self.call(control, "POST", "/books")["runs"][0]["how"], "lost")
+        second = self.call(control, "POST", "/add-successor", worker=0)
+        successor_entry = self.call(control, "POST", "/entry", worker=second["worker"])
+        self.assertEqual(successor_entry["machine"], entry["machine"])
+        self.assertGreater(successor_entry["born"], entry["born"])
+        for name, status in (("w0", 421), ("w1", 200)):
+            answer = harness.call(int(second["addr"].rsplit(":", 1)[1]), "POST", "/hold", {"fence": 1}, {"Expect-Instance": name})
+            self.assertEqual(answer.status, status)
+
+    def test_a_stalled_worker_answers_when_the_stall_is_over(self):
+        """Guards against a stalled worker that drops calls or executes them during the stall."""
+        control, worker = self.addresses["control"], self.addresses["workers"][0]
+        self.call(control, "POST", "/stall-worker", worker=0, stalled=True)
+        thread = threading.Thread(target=self.start, args=(worker, "aa.0.0.0"))
+        thread.start()
+        time.sleep(0.3)
+        self.assertEqual(self.call(control, "POST", "/books")["runs"], [])
+        self.call(control, "POST", "/stall-worker", worker=0, stalled=False)
+        thread.join(5)
+        self.assertEqual([run["task"] for run in self.call(control, "POST", "/books")["runs"]], ["aa.0.0.0"])
+
 
 if __name__ == "__main__":
     unittest.main()
