--- a/scripts/fleetsoak/faults.py
+++ b/scripts/fleetsoak/faults.py
@@ -322,10 +322,11 @@
         worker = self._random_worker(rng)
         with self._fleet.machine_lock(worker):
             name, number, path = self._fleet.worker_name(worker), self._fleet.worker_numbers[worker], self._fleet.worker_proxies[worker]
-            drain_s = rng.uniform(1.0, 3.0)
+            drain_s = rng.uniform(3.0, 8.0) if overlapping else rng.uniform(1.0, 3.0)
             self._fleet.begin_drain(worker, round(drain_s * 1000))
         self._log_fault(f"{name} draining for {drain_s:.1f} s")
-        self._wait_unless_stopping(drain_s * (rng.uniform(0.1, 1.0) if overlapping else 1.0))
+        # Tasks are stopped shortly before the announced time is over, so the successor starts well before.
+        self._wait_unless_stopping(rng.uniform(0.2, 2.5) if overlapping else drain_s)
         if overlapping:
             self._start_successor(worker, name, same_address=False)
         else:
