Let the soak's workers write their entries again at intervals

A worker writes its entry at every heartbeat, and an owner that has forgotten a worker meets it again by that. The soak wrote each entry once, so a forgotten worker stayed forgotten.

--- a/scripts/fleetsoak/faults.py
+++ b/scripts/fleetsoak/faults.py
@@ -8,7 +8,7 @@
 from fleetsoak import proxy
 
 # Kinds of faults that can be left out, to find the one that a violation depends on.
-FURTHER_KINDS = ("machines", "lingering", "answers", "strays", "rollouts")
+FURTHER_KINDS = ("machines", "lingering", "answers", "strays", "rollouts", "heartbeats")
 
 
 class FaultInjector:
@@ -45,6 +45,7 @@
             "answers": (self._delay_answers, self._stall_workers),
             "strays": (self._write_stray_entry,),
             "rollouts": (self._roll_out_vms, self._kill_owner_twice),
+            "heartbeats": (lambda _: self._fleet.write_heartbeats(),),
         }
         # As above, each kind has a thread and a generator of its own.
         first_seed = thread_arguments[0][0]
--- a/scripts/fleetsoak/fleet.py
+++ b/scripts/fleetsoak/fleet.py
@@ -97,6 +97,8 @@
         # The present worker of each machine: its number at the stand-in. A machine keeps its rack and zone; w0 to wN are the first workers.
         self.worker_numbers = list(range(workers))
         self._machine_locks = [threading.RLock() for _ in range(workers)]
+        self._entries_lock = threading.Lock()
+        self._entries = {}  # The entry of each worker that still writes it, by name. The store may hold further ones.
         self._leaving = {}  # Machine to the state of its worker's entry: "draining", or None if the store has removed the entry.
         self.version = 0
         self.change_configuration()
@@ -168,10 +170,22 @@
         with self._machine_locks[worker]:
             state = self._leaving.get(worker, state)
             if state is not None:
-                self.call_control("/put", key=f"servers/{self.worker_name(worker)}", value=json.dumps({**self.worker_entry(worker, state), **fields}))
+                entry = {**self.worker_entry(worker, state), **fields}
+                with self._entries_lock:
+                    self._entries[self.worker_name(worker)] = entry
+                    self.call_control("/put", key=f"servers/{self.worker_name(worker)}", value=json.dumps(entry))
 
     def remove_entry(self, name):
-        self.call_control("/remove", key=f"servers/{name}")
+        with self._entries_lock:
+            self._entries.pop(name, None)
+            self.call_control("/remove", key=f"servers/{name}")
+
+    def write_heartbeats(self):
+        """Every worker that writes its entry writes it once more, with the next `seq`."""
+        with self._entries_lock:
+            for name, entry in self._entries.items():
+                entry["seq"] += 1
+                self.call_control("/put", key=f"servers/{name}", value=json.dumps(entry))
 
     def begin_drain(self, worker, remaining_ms):
         """The worker's entry stays "draining" until the worker restarts or has a successor."""
@@ -196,6 +210,8 @@
 
     def end_worker(self, number, path):
         """Simulates the end of the worker process with the stand-in's @p number behind the proxy @p path."""
+        with self._entries_lock:
+            self._entries.pop(f"w{number}", None)
         path.set_mode(RESET)
         self.call_control("/exit-worker", worker=number)
 
