Keep the node of a VM alive for the servers that outlive runFleetNode()

Cause: the lambdas of the HTTP servers referred to the unique_ptr on the stack of runUntilStopped(). After it had returned, a readiness check, a call or a read of the metrics used a dead stack slot until the process ended. What operators saw: a VM that is stopped as planned may end by a general protection fault instead of exit code 0. Change: the lambdas hold the pointer of the node, which is never destroyed.

--- a/service/tools/primrosebridged/fleetmain.cpp
+++ b/service/tools/primrosebridged/fleetmain.cpp
@@ -86,26 +86,28 @@
     const auto signals = blockHandledSignals();
     const auto settings = readSettings(path);
     startAsyncLogging(settings.m_vm.text(), logLevelFromName(settings.m_logLevel).value());
-    auto node = FleetNode::create(settings).take();
+    auto ownedNode = FleetNode::create(settings).take();
+    // The servers' threads use the node until the process ends, also after this function has returned.
+    FleetNode *const node = ownedNode.get();
     auto callerServer = HttpServer::create(HttpServerSettings{.m_address = settings.m_frontAddress,
                                                               .m_maxThreads = callerThreads,
                                                               .m_maxBodyBytes = maxBodyBytes,
                                                               .m_maxQueuedConnections = maxQueuedConnections,
                                                               .m_keepAliveTimeout = idleConnectionTimeout},
-                                           [&node](const HttpCall &call) { return answerFleetCall(*node, call); })
+                                           [node](const HttpCall &call) { return answerFleetCall(*node, call); })
                             .take();
     auto readinessServer = HttpServer::create(HttpServerSettings{.m_address = settings.m_readinessAddress,
                                                                  .m_maxThreads = readinessThreads,
                                                                  .m_maxBodyBytes = 0,
                                                                  .m_maxQueuedConnections = maxQueuedConnections,
                                                                  .m_keepAliveTimeout = idleConnectionTimeout},
-                                              [&node](const HttpCall &) { return answerReadiness(*node); })
+                                              [node](const HttpCall &) { return answerReadiness(*node); })
                                .take();
     auto metricsServer
         = HttpServer::create(
               HttpServerSettings{
                   .m_address = settings.m_metricsAddress, .m_maxThreads = metricsThreads, .m_maxBodyBytes = 0, .m_maxQueuedConnections = maxQueuedConnections},
-              [&node](const HttpCall &) { return HttpReply{.m_status = 200, .m_contentType = "text/plain; version=0.0.4", .m_body = node->metrics()}; })
+              [node](const HttpCall &) { return HttpReply{.m_status = 200, .m_contentType = "text/plain; version=0.0.4", .m_body = node->metrics()}; })
               .take();
     logEvent(LogLevel::Info, "started", {{"zone", settings.m_zone.text()}, {"front", settings.m_frontAddress}, {"store", settings.m_storeAddress}});
     waitForStopSignal(signals, path);
@@ -119,7 +121,7 @@
     static_cast<void>(callerServer.release());
     static_cast<void>(readinessServer.release());
     static_cast<void>(metricsServer.release());
-    static_cast<void>(node.release());
+    static_cast<void>(ownedNode.release());
 }
 
 int runFleetNode(const std::string &settingsPath)
