Log a restarted worker once in a takeover, not each waiting task

Change: every worker whose runs of the former owner are no longer waited for logs one warning, former_runs_given_up, with the belief, the successor, the last answer and the number of jobs. The tasks are still named one by one if the belief is the end of leases or a successor on the machine.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -344,7 +344,7 @@
                   {"tasks", std::to_string(worker.m_tasks.size())}});
         const auto belief = sameIdentifier ? ReleaseBelief::WorkerRestarted : ReleaseBelief::SuccessorOnMachine;
         releaseTasks(state, worker, belief, now, sameIdentifier, report.m_incarnation.m_worker);
-        giveUpFormerRuns(state, worker, belief, report.m_incarnation.m_worker);
+        giveUpFormerRuns(state, worker, belief, now, report.m_incarnation.m_worker);
         if (sameIdentifier) {
             for (const auto &reference : worker.m_tasks) {
                 rememberUnresolvedStart(state, worker, reference);
--- a/service/lib/Fleetservice/ownerreleases.cpp
+++ b/service/lib/Fleetservice/ownerreleases.cpp
@@ -99,15 +99,29 @@
     }
 }
 
-void giveUpFormerRuns(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, const std::string &successor)
+void giveUpFormerRuns(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now, const std::string &successor)
 {
     if (!worker.m_formerRunsUnknown) {
         return;
     }
     worker.m_formerRunsUnknown = false;
+    const auto &jobs = worker.m_jobsIfCordoned ? *worker.m_jobsIfCordoned : state.m_lockedJobs;
+    if (jobs.empty()) {
+        return;
+    }
+    logEvent(LogLevel::Warn,
+             "former_runs_given_up",
+             {{"worker", worker.m_incarnation->m_worker},
+              {"belief", std::string(releaseBeliefName(belief))},
+              {"answered_ms_ago", answeredMsAgo(worker, now)},
+              {"successor", successor.empty() ? "none" : successor},
+              {"jobs", std::to_string(jobs.size())}});
+    if (belief == ReleaseBelief::WorkerRestarted) {
+        return; // A worker that starts again under its identifier loses its runs; a line for each waiting task would hide other lines.
+    }
     rememberFormerRuns(
         state,
-        worker.m_jobsIfCordoned.value_or(state.m_lockedJobs),
+        jobs,
         ReleasedRun{
             .m_runNumber = std::nullopt, .m_worker = *worker.m_incarnation, .m_belief = belief, .m_answeredAt = lastAnswer(worker), .m_successor = successor});
 }
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -403,7 +403,7 @@
             releaseTasks(state, worker, ReleaseBelief::LeasesExpired, now);
         }
         if (worker.m_formerRunsUnknown && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now)) {
-            giveUpFormerRuns(state, worker, ReleaseBelief::Takeover);
+            giveUpFormerRuns(state, worker, ReleaseBelief::Takeover, now);
         }
         if ((leasesExpired || idle) && !worker.m_entryPresent) {
             logEvent(LogLevel::Info,
@@ -436,7 +436,7 @@
               {"sole_owner", state.m_soleOwner ? "yes" : "no"}});
     for (const auto &name : state.m_awaitedWorkers) {
         if (const auto worker = state.m_workers.find(name); worker != state.m_workers.end()) {
-            giveUpFormerRuns(state, worker->second, ReleaseBelief::Takeover);
+            giveUpFormerRuns(state, worker->second, ReleaseBelief::Takeover, now);
         }
     }
     giveUpRunsOfUnknownRoster(state);
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -197,8 +197,9 @@
                          ReleaseBelief belief,
                          const std::string &successor = std::string());
 /// Remembers that @p worker may execute runs of the previous owner that are no longer waited for: of any task that is ready to start in the
-/// jobs that the worker locks. Does nothing unless TrackedWorker::m_formerRunsUnknown is set, and resets it.
-void giveUpFormerRuns(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, const std::string &successor = std::string());
+/// jobs that the worker locks. Logs it; with ReleaseBelief::WorkerRestarted it does nothing else. Does nothing unless
+/// TrackedWorker::m_formerRunsUnknown is set, and resets it.
+void giveUpFormerRuns(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now, const std::string &successor = std::string());
 /// The same for the locked jobs, if the roster of the previous owner is unknown.
 void giveUpRunsOfUnknownRoster(OwnerState &state);
 /// Remembers a run beside the task's present one, whose stop is ordered. A later run that was released stays remembered in its place.
--- a/service/unittests/Fleetservice/placedagain.cpp
+++ b/service/unittests/Fleetservice/placedagain.cpp
@@ -231,6 +231,23 @@
     CHECK(log.lines("task_placed_again").empty());
 }
 
+TEST_CASE("a takeover that finds a worker restarted under its identifier logs the worker and not each waiting task")
+{
+    const LogCapture log(LogLevel::Warn);
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({workerOnMachine("w1", "m1", 2), workerOnMachine("w2", "m2", 1)},
+                    {newJobState(Sim::job(jobId, "queue", Sim::policy(4)), 4, Sim::at(0))},
+                    {RosterEntry{.m_worker = workerOnMachine("w1", "m1", 1), .m_jobsIfCordoned = std::nullopt}});
+    sim.answer("w1", std::nullopt, {}, Sim::at(50));
+    sim.missPoll("w1", Sim::at(60));
+    sim.answer("w2", std::nullopt, {}, Sim::at(70));
+    sim.review(Sim::at(100));
+    placeOnSecondWorker(sim, 150);
+    CHECK(log.lines("former_runs_given_up") == Lines{"event=former_runs_given_up worker=w1 belief=worker_restarted answered_ms_ago=never successor=w1 jobs=1"});
+    CHECK(log.lines("task_placed_again").empty());
+}
+
 TEST_CASE("a takeover that every worker has answered logs no start as a second one")
 {
     const LogCapture log(LogLevel::Warn);
