--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -187,7 +187,7 @@
     const auto successor = worker.m_successor->m_incarnation;
     logLaterStart(worker, successor, "machine", now);
     releaseAllTasks(state, worker, ReleaseBelief::SuccessorOnMachine, now, successor.m_worker);
-    giveUpFormerRuns(state, worker, ReleaseBelief::SuccessorOnMachine, successor.m_worker);
+    giveUpFormerRuns(state, worker, ReleaseBelief::SuccessorOnMachine, now, successor.m_worker);
 }
 
 } // namespace PrimroseBridge
