Let only reports and leases end the runs of a worker

Change: nothing is concluded from another worker on the machine; the index by machine goes. The tasks of a worker that has crashed wait for the end of its leases.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -220,37 +220,13 @@
     return entry;
 }
 
-static void addToMachineIndex(OwnerState &state, const WorkerReport &report)
-{
-    if (!report.m_machine.empty()) {
-        state.m_workersByMachine[report.m_machine].insert(report.m_incarnation.m_worker);
-    }
-}
-
-static void removeFromMachineIndex(OwnerState &state, const WorkerReport &report)
-{
-    const auto machine = state.m_workersByMachine.find(report.m_machine);
-    if (machine == state.m_workersByMachine.end()) {
-        return;
-    }
-    machine->second.erase(report.m_incarnation.m_worker);
-    if (machine->second.empty()) {
-        state.m_workersByMachine.erase(machine);
-    }
-}
-
 std::pair<TrackedWorkerIterator, bool> trackWorker(OwnerState &state, const WorkerReportPointer &report, Instant now)
 {
-    const auto added = state.m_workers.try_emplace(report->m_incarnation.m_worker, newTrackedWorker(report, now));
-    if (added.second) {
-        addToMachineIndex(state, *report);
-    }
-    return added;
+    return state.m_workers.try_emplace(report->m_incarnation.m_worker, newTrackedWorker(report, now));
 }
 
 TrackedWorkerIterator forgetWorker(OwnerState &state, TrackedWorkerIterator entry)
 {
-    removeFromMachineIndex(state, *entry->second.m_report);
     state.m_awaitedWorkers.erase(entry->first);
     state.m_rosterChanged = true;
     return state.m_workers.erase(entry);
@@ -259,7 +235,6 @@
 void forgetAllWorkers(OwnerState &state)
 {
     state.m_workers.clear();
-    state.m_workersByMachine.clear();
     state.m_awaitedWorkers.clear();
 }
 
@@ -288,9 +263,7 @@
         worker.m_leavesAtClockMs = report->m_reportedAtClockMs ? std::optional(*report->m_reportedAtClockMs + leavesIn.count()) : std::nullopt;
         correctLeavingTime(worker);
     }
-    removeFromMachineIndex(state, *worker.m_report);
     worker.m_report = report;
-    addToMachineIndex(state, *report);
     worker.m_entryPresent = true;
     if (added) {
         if (earlier) {
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -5,8 +5,8 @@
 
 #include <algorithm>
 
-// Decides when the runs of a worker are over without an end of each of them. An entry in the store is never enough: it may come from another
-// writer, or from a worker that replaces one that has not left yet. See docs/platform.md, "Ownership".
+// Decides when the runs of a worker are over without an end of each of them: by its own report, or by the end of its leases. An entry in the
+// store is never enough: it may come from another writer, or from a worker that replaces one that has not left yet.
 
 namespace PrimroseBridge {
 
@@ -72,9 +72,9 @@
     state.m_placementNeeded = true;
 }
 
-void releaseAllTasks(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now, const std::string &successor)
+void releaseAllTasks(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now)
 {
-    releaseTasksIf(state, worker, belief, now, successor, [](const auto &, const auto &) { return true; });
+    releaseTasksIf(state, worker, belief, now, {}, [](const auto &, const auto &) { return true; });
 }
 
 void releaseRunsOfEarlierStart(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, ReleaseBelief belief, Instant now)
@@ -86,14 +86,11 @@
     });
 }
 
-static void logLaterStart(const TrackedWorker &worker, const WorkerIncarnation &successor, std::string_view reason, Instant now)
+static void logLaterStart(const TrackedWorker &worker, const WorkerIncarnation &successor, Instant now)
 {
     logEvent(LogLevel::Info,
              "worker_life_over",
              {{"worker", worker.m_incarnation->m_worker},
-              {"successor", successor.m_worker},
-              {"reason", std::string(reason)},
-              {"machine", worker.m_report->m_machine.empty() ? "none" : worker.m_report->m_machine},
               {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
               {"successor_started_ms", std::to_string(successor.m_startedAtMs)},
               {"answered_ms_ago", answeredMsAgo(worker, now)},
@@ -107,7 +104,7 @@
     if (entry == state.m_workers.end() || entry->second.m_incarnation->m_startedAtMs >= report.m_incarnation.m_startedAtMs) {
         return std::nullopt;
     }
-    logLaterStart(entry->second, report.m_incarnation, "identifier", now);
+    logLaterStart(entry->second, report.m_incarnation, now);
     auto earlier = entry->second;
     // The takeover awaited the earlier incarnation, or had its answer less than a task lease ago. Starts of the former owner may still
     // arrive, and only the earlier incarnation refuses its fence.
@@ -158,36 +155,4 @@
     worker.m_listedRuns.clear();
 }
 
-void recordAnswerOfSuccessor(OwnerState &state, const TrackedWorker &successor, Instant now)
-{
-    const auto sameMachine = state.m_workersByMachine.find(successor.m_report->m_machine);
-    if (sameMachine == state.m_workersByMachine.end() || sameMachine->second.size() < 2) {
-        return;
-    }
-    for (const auto &name : sameMachine->second) {
-        auto &worker = state.m_workers.at(name);
-        if (worker.m_successor || worker.m_incarnation->m_startedAtMs >= successor.m_incarnation->m_startedAtMs) {
-            continue;
-        }
-        worker.m_successor = std::make_shared<const SuccessorAnswer>(SuccessorAnswer{.m_incarnation = *successor.m_incarnation, .m_answeredAt = now});
-        if (worker.m_missedPolls > 0) {
-            worker.m_nextPollAt = now;
-        }
-    }
-}
-
-bool isReplacedBySuccessor(const TrackedWorker &worker)
-{
-    return worker.m_successor && !worker.m_report->m_draining && worker.m_missedPolls >= missedPollsToStopRenewal
-           && worker.m_lastMissedPollSentAt >= worker.m_successor->m_answeredAt;
-}
-
-void releaseReplacedWorker(OwnerState &state, TrackedWorker &worker, Instant now)
-{
-    const auto successor = worker.m_successor->m_incarnation;
-    logLaterStart(worker, successor, "machine", now);
-    releaseAllTasks(state, worker, ReleaseBelief::SuccessorOnMachine, now, successor.m_worker);
-    giveUpFormerRuns(state, worker, ReleaseBelief::SuccessorOnMachine, now, successor.m_worker);
-}
-
 } // namespace PrimroseBridge
--- a/service/lib/Fleetservice/ownerreleases.cpp
+++ b/service/lib/Fleetservice/ownerreleases.cpp
@@ -14,8 +14,6 @@
         return "worker_restarted";
     case ReleaseBelief::OtherStartAnswered:
         return "other_start_answered";
-    case ReleaseBelief::SuccessorOnMachine:
-        return "successor_on_machine";
     case ReleaseBelief::RunVanished:
         return "run_vanished";
     case ReleaseBelief::StopUnconfirmed:
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -306,7 +306,6 @@
     worker.m_otherStartMs.reset();
     worker.m_fenceConfirmed = true;
     worker.m_missedPolls = 0;
-    worker.m_successor.reset();
     worker.m_answeredAt = now;
     worker.m_workerClockAtAnswerMs = runReport.m_clockMs;
     correctLeavingTime(worker);
@@ -321,7 +320,6 @@
         return;
     }
     ++worker.m_missedPolls;
-    worker.m_lastMissedPollSentAt = event.m_sentAt;
     worker.m_nextPollAt = now + (worker.m_fenceConfirmed ? pollRetryPause : takeoverRetryPause(state));
     if (worker.m_missedPolls == 1) {
         logEvent(LogLevel::Warn, "worker_silent", {{"worker", worker.m_incarnation->m_worker}, {"tasks", std::to_string(worker.m_tasks.size())}});
@@ -375,7 +373,6 @@
     }
     recordPollAnswer(state, *worker, runReport, now);
     applyFirstReportOfInheritor(state, *worker, runReport, now);
-    recordAnswerOfSuccessor(state, *worker, now);
     handleRunEnds(state, *worker, runReport, now);
     removeUnlistedSupersededRuns(state, *worker, runReport, event.m_sentAt);
     for (const auto &runningTask : runReport.m_running) {
@@ -448,15 +445,11 @@
             worker.m_supersededRuns.clear();
             state.m_placementNeeded = true;
         }
-        const bool replaced = isReplacedBySuccessor(worker);
-        if (replaced) {
-            releaseReplacedWorker(state, worker, now);
-        }
-        if (replaced || ((leasesExpired || idle) && !worker.m_entryPresent)) {
+        if ((leasesExpired || idle) && !worker.m_entryPresent) {
             logEvent(LogLevel::Info,
                      "worker_forgotten",
                      {{"worker", entry->first},
-                      {"reason", replaced ? "replaced" : (leasesExpired ? "leases_lapsed" : "idle")},
+                      {"reason", leasesExpired ? "leases_lapsed" : "idle"},
                       {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
                       {"answered_ms_ago", answeredMsAgo(worker, now)},
                       {"missed", std::to_string(worker.m_missedPolls)},
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -61,9 +61,8 @@
 /// Why the owner takes a run for over although the run's worker has not said so.
 enum class ReleaseBelief {
     LeasesExpired, ///< Every lease of the worker's runs has expired by this VM's boot clock.
-    WorkerRestarted, ///< The store's entry of the worker names a later start.
+    WorkerRestarted, ///< The first report of a later start, which the store's entry names, does not list the run.
     OtherStartAnswered, ///< A poll of the worker was answered under another start time.
-    SuccessorOnMachine, ///< The store's entry of another worker names the same machine and a later start.
     RunVanished, ///< A list of the worker lacks the run, and no stop of the run was answered before.
     StopUnconfirmed, ///< Another run replaces this one, whose stop was ordered and is not confirmed.
     Takeover, ///< The worker has not told this owner which runs of the previous owner it executes, and their leases have expired.
@@ -84,14 +83,6 @@
     bool operator==(const ReleasedRun &) const = default;
 };
 
-/// A later worker on the same machine that has answered this owner.
-struct SuccessorAnswer {
-    const WorkerIncarnation m_incarnation;
-    const Instant m_answeredAt; ///< Boot clock at its first answer since the earlier worker's last one.
-
-    bool operator==(const SuccessorAnswer &) const = default;
-};
-
 /// The owner's state of one incarnation of a worker.
 struct TrackedWorker {
     WorkerReportPointer m_report;
@@ -104,8 +95,6 @@
     std::int64_t m_workerClockAtAnswerMs = 0; ///< The worker's own clock in the answer of m_answeredAt.
     Instant m_leasesExpiredBy; ///< Boot clock; by then every lease given to the worker's runs has expired, unless it is renewed by this VM or by a successor.
     int m_missedPolls = 0; ///< Consecutive polls without an answer.
-    Instant m_lastMissedPollSentAt; ///< Boot clock; when the last of these was sent.
-    std::shared_ptr<const SuccessorAnswer> m_successor; ///< Null if there is none, or if this worker has answered after it.
     bool m_inheritsRuns = false; ///< The first report of this incarnation decides on the runs of an earlier one; see inheritRuns().
     std::string m_lastFailedJob; ///< Job of the last failure that m_failureStreak counts.
     int m_failureStreak = 0; ///< Failed or stalled runs of different jobs since the last success.
@@ -159,7 +148,6 @@
     JobShards m_jobs;
     std::atomic<std::int64_t> m_fence = 0; ///< 0 while another VM owns the fleet.
     std::map<std::string, TrackedWorker> m_workers; ///< By identifier; changed only by trackWorker(), forgetWorker() and forgetAllWorkers().
-    std::map<std::string, std::set<std::string>> m_workersByMachine; ///< Identifiers of the tracked workers by the machine in TrackedWorker::m_report.
     std::map<TaskReference, ReleasedRun> m_releasedRuns; ///< Runs of tasks that have not been started since; a run is removed when its worker lists it.
     std::vector<std::string> m_jobOrder; ///< Identifiers of active jobs and of jobs with tasks on workers, in order of acceptance.
     std::set<std::string> m_lockedJobs; ///< Active jobs at the takeover; their waiting tasks are not started while m_awaitedWorkers may still run them.
@@ -216,8 +204,8 @@
 void setTask(OwnerState &state, const TaskReference &reference, const TaskPointer &task);
 /// Adds or replaces a job and updates TrackedWorker::m_tasks.
 void setJob(OwnerState &state, const JobPointer &job);
-/// Moves all tasks of a worker that runs nothing any more back to the waiting phase. @p successor as in ReleasedRun.
-void releaseAllTasks(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now, const std::string &successor = std::string());
+/// Moves all tasks of a worker that runs nothing any more back to the waiting phase.
+void releaseAllTasks(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now);
 /// Moves the tasks back to the waiting phase that the worker has run under an earlier start and that the report of a later start does not
 /// list. Keeps the tasks whose run the earlier start has never listed, because the later one may execute their orders.
 void releaseRunsOfEarlierStart(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, ReleaseBelief belief, Instant now);
@@ -229,13 +217,6 @@
 void inheritRuns(OwnerState &state, TrackedWorker &worker, const TrackedWorker &earlier, Instant now);
 /// Applies the first report of an incarnation that has inherited runs: releases those that it does not list.
 void applyFirstReportOfInheritor(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant now);
-/// Notes for the earlier workers on the machine of @p successor that it has answered this owner, and polls those that are silent.
-void recordAnswerOfSuccessor(OwnerState &state, const TrackedWorker &successor, Instant now);
-/// Returns true if the worker is over because a later one on its machine has answered and it has not since. A machine runs one worker at a time,
-/// except that a draining worker may go on beside its successor.
-bool isReplacedBySuccessor(const TrackedWorker &worker);
-/// Releases the tasks of a worker of which isReplacedBySuccessor() is true.
-void releaseReplacedWorker(OwnerState &state, TrackedWorker &worker, Instant now);
 /// Remembers a run that the owner takes for over without the word of @p worker, until the task's next start. A run with an unconfirmed stop
 /// stays remembered in its place.
 void rememberReleasedRun(OwnerState &state,
