--- a/service/unittests/Fleetservice/reviewofruns.cpp
+++ b/service/unittests/Fleetservice/reviewofruns.cpp
@@ -1,3 +1,4 @@
+#include "logcapture.h"
 #include "ownersimulation.h"
 
 #include "primrosebridge/Fleetservice/roster.h"
@@ -164,4 +165,268 @@
     CHECK(sim.m_startOrders.empty());
 }
 
+static RosterEntry listed(const std::string &worker)
+{
+    return RosterEntry{.m_worker = Sim::worker(worker), .m_jobsIfCordoned = std::nullopt};
+}
+
+static StopOrderCompleted stopAnswered(const Sim &sim, const std::string &worker, std::int64_t runNumber, OrderAnswer answer)
+{
+    return StopOrderCompleted{.m_task = Sim::reference(jobId),
+                              .m_runNumber = runNumber,
+                              .m_incarnation = *sim.m_state.m_workers.at(worker).m_incarnation,
+                              .m_fence = Sim::fence,
+                              .m_reply = OrderReply{.m_answer = answer, .m_workerClockMs = std::nullopt}};
+}
+
+// Guards against a job that waits for ever: a worker leaves the start of a run without an answer and refuses the stop as unhealthy, but answers each poll
+// and does not list the run. The lease end of the start has passed long ago, so that the worker refuses a late start.
+TEST_CASE("a superseded run that is never listed does not lock its job for longer than its lease")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w0", Duration(60'000)), Sim::worker("w1")},
+                    {newJobState(Sim::job(jobId, "queue", Sim::policy(4)), 4, Sim::at(0))},
+                    {RosterEntry{.m_worker = Sim::worker("w0", Duration(60'000)), .m_jobsIfCordoned = std::vector<std::string>()}, listed("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    reviewAndPlace(sim, 20);
+    REQUIRE(sim.workerOf(jobId) == "w1");
+    sim.answer("w0", Sim::running(jobId, 2), {}, Sim::at(50));
+    REQUIRE(sim.workerOf(jobId) == "w0");
+    sim.answer("w0", std::nullopt, {Sim::ended(jobId, 1, 2, RunEndKind::Failed)}, Sim::at(60));
+    sim.apply(WorkerReported{.m_report = Sim::worker("w2")}, Sim::at(70));
+    for (int nowMs = 100; nowMs < 20'000; nowMs += 500) {
+        sim.apply(stopAnswered(sim, "w1", 1, OrderAnswer::Unhealthy), Sim::at(nowMs));
+        sim.answer("w1", std::nullopt, {}, Sim::at(nowMs));
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        reviewAndPlace(sim, nowMs);
+    }
+    CHECK(sim.workerOf(jobId) == "w2");
+}
+
+static JobSpecPointer gangJob()
+{
+    const auto plain = Sim::job(jobId, "queue", Sim::policy(4));
+    const auto &step = plain->m_steps.front();
+    return std::make_shared<const JobSpec>(JobSpec{
+        .m_id = plain->m_id,
+        .m_queue = plain->m_queue,
+        .m_acceptedPolicy = plain->m_acceptedPolicy,
+        .m_organisation = plain->m_organisation,
+        .m_acceptedAt = plain->m_acceptedAt,
+        .m_payload = plain->m_payload,
+        .m_steps = {JobStep{.m_taskCount = 2,
+                            .m_taskResources = step.m_taskResources,
+                            .m_estimate = step.m_estimate,
+                            .m_after = {},
+                            .m_gang = true,
+                            .m_sameRack = false,
+                            .m_requiredLabel = {},
+                            .m_dataRack = {},
+                            .m_maxPerWorker = 0,
+                            .m_speculative = false,
+                            .m_checkpointing = false,
+                            .m_longRunning = false,
+                            .m_image = {},
+                            .m_tailLatencyTarget = Duration(0),
+                            .m_filler = false,
+                            .m_maxUnavailable = 0}},
+        .m_schedule = plain->m_schedule,
+    });
+}
+
+// Guards against the members of a gang that wait for each other until they give up (GANG): a superseded run locks the job, and the review of a locked job
+// stops no incomplete gang.
+TEST_CASE("an incomplete gang is stopped although a superseded run locks its job")
+{
+    const bool superseded = GENERATE(false, true);
+    CAPTURE(superseded);
+    Sim sim;
+    sim.configure(1, {"queue"});
+    auto job = newJobState(gangJob(), 4, Sim::at(0));
+    job = applyRunEnd(job, Sim::ended(jobId, 1, 1, RunEndKind::LeaseExpired), "w0", Sim::at(0)).m_job;
+    sim.becomeOwner({Sim::worker("w0", Duration(60'000)), Sim::worker("w1"), Sim::worker("w2")},
+                    {job},
+                    {RosterEntry{.m_worker = Sim::worker("w0", Duration(60'000)), .m_jobsIfCordoned = std::vector<std::string>()}, listed("w1"), listed("w2")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.answer("w2", std::nullopt, {}, Sim::at(5));
+    reviewAndPlace(sim, 20);
+    REQUIRE(sim.m_startOrders.size() == 2);
+    sim.acceptStart(jobId, Sim::at(30), 0);
+    sim.acceptStart(jobId, Sim::at(30), 1);
+    if (superseded) {
+        sim.answer("w0", Sim::running(jobId, 1), {}, Sim::at(50));
+        REQUIRE(sim.stopCount("w0", Sim::reference(jobId), 1) == 1);
+    }
+    const auto first = sim.m_startOrders.at(0);
+    const auto second = sim.m_startOrders.at(1);
+    const RunEnd end{.m_number = 1, .m_task = second.m_task, .m_runNumber = second.m_runNumber, .m_kind = RunEndKind::Failed, .m_checkpoint = {}};
+    sim.answer(second.m_worker, std::nullopt, {end}, Sim::at(60));
+    sim.review(Sim::at(110));
+    CHECK(sim.stopCount(first.m_worker, first.m_task, first.m_runNumber) == 1);
+}
+
+// Guards against a worker that is never used again: its clock is set back, and it restarts. Its entry and its answers agree on the new start, which is
+// earlier than the one that the owner knows.
+TEST_CASE("a worker that restarts with its clock set back is used again")
+{
+    Sim sim;
+    startOnMachine(sim);
+    sim.missPoll("w1", Sim::at(100));
+    sim.apply(WorkerReported{.m_report = onMachine("w1", 900)}, Sim::at(200));
+    for (int nowMs = 300; nowMs < 60'000; nowMs += 500) {
+        const auto startedAtMs = std::int64_t(900);
+        if (sim.m_state.m_workers.at("w1").m_incarnation->m_startedAtMs == startedAtMs) {
+            sim.answer("w1", std::nullopt, {}, Sim::at(nowMs));
+        } else {
+            sim.answerWithStart("w1", startedAtMs, {}, Sim::at(nowMs));
+        }
+        if (nowMs % 5'000 == 300) {
+            sim.apply(WorkerReported{.m_report = onMachine("w1", startedAtMs)}, Sim::at(nowMs));
+        }
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        sim.review(Sim::at(nowMs));
+    }
+    CHECK(isUsable(sim.m_state, sim.m_state.m_workers.at("w1"), Sim::at(60'000)));
+}
+
+// Answers a poll with other times than OwnerSimulation::answer(): it was sent at @p sentMs, answered at @p listedMs and arrives at @p nowMs.
+static void
+answerLate(Sim &sim, const std::string &name, std::vector<RunningTask> running, std::vector<RunEnd> ended, bool immediate, int sentMs, int listedMs, int nowMs)
+{
+    const auto incarnation = *sim.m_state.m_workers.at(name).m_incarnation;
+    sim.apply(PollCompleted{.m_incarnation = incarnation,
+                            .m_fence = Sim::fence,
+                            .m_sentAt = Sim::at(sentMs),
+                            .m_leaseRenewed = true,
+                            .m_immediate = immediate,
+                            .m_reply = RunReportReply{.m_answer = OrderAnswer::Accepted,
+                                                      .m_runReport = WorkerRunReport{.m_startedAtMs = incarnation.m_startedAtMs,
+                                                                                     .m_clockMs = listedMs,
+                                                                                     .m_running = std::move(running),
+                                                                                     .m_ends = std::move(ended)}}},
+              Sim::at(nowMs));
+}
+
+// Guards against a task that waits for a run whose end is known, and a false warning (run_vanished): the answers of the long poll and of the immediate
+// one overtake each other, so that a list from before the end arrives after it. Only the worker's clock in the two lists tells their order.
+TEST_CASE("a list from before the end of a run does not revive the run")
+{
+    const bool placedBetween = GENERATE(false, true);
+    CAPTURE(placedBetween);
+    Sim sim;
+    startOnMachine(sim);
+    answerLate(sim, "w1", {}, {Sim::ended(jobId, 1, 1, RunEndKind::Stopped)}, false, 100, 300, 305);
+    if (placedBetween) {
+        reviewAndPlace(sim, 310);
+        REQUIRE(sim.task(jobId)->m_runNumber == 2);
+        sim.acceptStart(jobId, Sim::at(315));
+    }
+    answerLate(sim, "w1", {Sim::running(jobId, 1)}, {}, true, 200, 210, 320);
+    if (placedBetween) {
+        CHECK(sim.task(jobId)->m_phase == TaskPhase::Running);
+        CHECK(sim.task(jobId)->m_runNumber == 2);
+    } else {
+        CHECK(sim.workerOf(jobId).empty());
+    }
+}
+
+// Guards against two runs of one task by two owners: a former owner goes on for half a task lease, and its successor may have adopted the run of a worker
+// that the former owner cannot reach. It must not place a task again because of silence.
+TEST_CASE("a former owner does not take a silent worker for replaced by a later one on its machine")
+{
+    Sim sim;
+    startOnMachine(sim);
+    sim.apply(WorkerReported{.m_report = onMachine("w9", 2'000)}, Sim::at(100));
+    sim.answer("w9", std::nullopt, {}, Sim::at(110));
+    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(120));
+    updateAuthority(sim.m_state, Sim::at(500), Sim::at(510));
+    REQUIRE_FALSE(sim.m_state.m_soleOwner);
+    sim.answer("w9", std::nullopt, {}, Sim::at(520));
+    sim.missPoll("w1", Sim::at(530));
+    sim.missPoll("w1", Sim::at(790));
+    sim.answer("w2", std::nullopt, {}, Sim::at(800));
+    reviewAndPlace(sim, 810);
+    CHECK(sim.workerOf(jobId) == "w1");
+    CHECK(sim.m_startOrders.size() == 1);
+}
+
+// Guards against a task that runs again after it is done (fleet simulation, seed 301058): the worker answers a long poll of the former owner after the
+// next owner has acknowledged the end of the run, so that the list shows neither the run nor its end.
+TEST_CASE("a former owner does not start a task again because a list lacks its run")
+{
+    const bool leaseHolds = GENERATE(true, false);
+    CAPTURE(leaseHolds);
+    Sim sim;
+    startOnMachine(sim);
+    updateAuthority(sim.m_state, Sim::at(leaseHolds ? 10'000 : 500), Sim::at(510));
+    REQUIRE(sim.m_state.m_soleOwner == leaseHolds);
+    sim.answer("w2", std::nullopt, {}, Sim::at(590));
+    answerLate(sim, "w1", {}, {}, false, 70, 600, 600);
+    reviewAndPlace(sim, 610);
+    CHECK(sim.m_startOrders.size() == (leaseHolds ? 2 : 1));
+}
+
+// Guards against two runs of one task (fleet simulation, seed 300888): a cut refuses two connections at once, 300 ms after the last answer. The worker,
+// which goes on, and a later one on its machine both run; every lease holds for seconds.
+TEST_CASE("two polls that are refused at once do not end a worker beside a later one on its machine")
+{
+    Sim sim;
+    startOnMachine(sim);
+    sim.apply(WorkerReported{.m_report = onMachine("w9", 2'000)}, Sim::at(100));
+    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(500));
+    sim.answer("w9", std::nullopt, {}, Sim::at(510));
+    sim.missPoll("w1", Sim::at(511));
+    sim.missPoll("w1", Sim::at(790));
+    sim.answer("w2", std::nullopt, {}, Sim::at(795));
+    reviewAndPlace(sim, 800);
+    CHECK(sim.workerOf(jobId) == "w1");
+    CHECK(sim.m_startOrders.size() == 1);
+}
+
+// Guards against a second start without a warning: the end of a long-running task as done does not end the task, which starts again, so it does not show
+// that the runs of the former owner are over.
+TEST_CASE("the start of a long-running task is logged with a run that may go on although another run has ended as done")
+{
+    const bool ends = GENERATE(false, true);
+    CAPTURE(ends);
+    constexpr int leasesOverMs = 4'000;
+    const LogCapture log(LogLevel::Warn);
+    Sim sim;
+    sim.configure(1, {"queue"});
+    const auto spec = Sim::job(jobId, "queue", Sim::policy(4), true);
+    const auto drains = Sim::worker("w2", Duration(60'000));
+    sim.becomeOwner({Sim::worker("w1"), drains},
+                    {newJobState(spec, 4, Sim::at(0))},
+                    {listed("w1"), RosterEntry{.m_worker = drains, .m_jobsIfCordoned = std::vector<std::string>{jobId}}});
+    for (int nowMs = 100; nowMs < leasesOverMs; nowMs += 400) {
+        sim.missPoll("w1", Sim::at(nowMs));
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        reviewAndPlace(sim, nowMs);
+    }
+    REQUIRE(sim.m_startOrders.empty());
+    if (ends) {
+        sim.answer("w2", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Done)}, Sim::at(leasesOverMs));
+    }
+    sim.apply(WorkerReported{.m_report = Sim::worker("w3")}, Sim::at(leasesOverMs));
+    sim.answer("w3", std::nullopt, {}, Sim::at(leasesOverMs));
+    reviewAndPlace(sim, leasesOverMs);
+    REQUIRE(sim.workerOf(jobId) == "w3");
+    CHECK(log.lines("task_placed_again").size() == 1);
+}
+
+// Guards against an acknowledgement before a record: the end of a run is listed before the owner knows its job. The worker drops an acknowledged end, so
+// that the job, once it is known, is run again.
+TEST_CASE("the end of a run of a job that is not known yet is not acknowledged")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1")}, {}, {listed("w1")});
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Done)}, Sim::at(20));
+    sim.apply(JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}, Sim::at(30));
+    CHECK(sim.m_state.m_workers.at("w1").m_lastAcknowledgedEnd == 0);
+    reviewAndPlace(sim, 40);
+    CHECK(sim.m_startOrders.empty());
+}
+
 } // namespace PrimroseBridge
