--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -190,7 +190,7 @@
     }
 }
 
-std::vector<std::string> lockedJobs(const OwnerState &state, Instant now)
+std::vector<std::string> jobsLockedByTakeover(const OwnerState &state, Instant now)
 {
     auto locked = state.m_lockedJobs;
     locked.insert(state.m_jobsLearntWithoutLease.begin(), state.m_jobsLearntWithoutLease.end());
@@ -199,6 +199,13 @@
             locked.insert(worker.m_jobsIfCordoned->begin(), worker.m_jobsIfCordoned->end());
         }
     }
+    return {locked.begin(), locked.end()};
+}
+
+std::vector<std::string> lockedJobs(const OwnerState &state, Instant now)
+{
+    const auto byTakeover = jobsLockedByTakeover(state, now);
+    std::set<std::string> locked(byTakeover.begin(), byTakeover.end());
     addJobsWithSupersededRuns(state, locked);
     return {locked.begin(), locked.end()};
 }
@@ -266,6 +273,8 @@
     worker.m_report = report;
     worker.m_entryPresent = true;
     if (added) {
+        // The worker may run tasks of a former owner, which may have renewed their leases just before this.
+        worker.m_leasesExpiredBy = taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease);
         if (earlier) {
             inheritRuns(state, worker, *earlier, now);
         }
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -101,7 +101,12 @@
 std::optional<TrackedWorker> removeEarlierIncarnation(OwnerState &state, const WorkerReport &report, Instant now)
 {
     const auto entry = state.m_workers.find(report.m_incarnation.m_worker);
-    if (entry == state.m_workers.end() || entry->second.m_incarnation->m_startedAtMs >= report.m_incarnation.m_startedAtMs) {
+    if (entry == state.m_workers.end()) {
+        return std::nullopt;
+    }
+    // A worker whose clock was set back reports an earlier start than before, in its entry as well as in its answers.
+    const bool later = report.m_incarnation.m_startedAtMs > entry->second.m_incarnation->m_startedAtMs;
+    if (!later && entry->second.m_otherStartMs != report.m_incarnation.m_startedAtMs) {
         return std::nullopt;
     }
     logLaterStart(entry->second, report.m_incarnation, now);
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -135,7 +135,7 @@
     }
     const auto effect = applyRunEnd(job, end, worker.m_incarnation->m_worker, now);
     setJob(state, effect.m_job);
-    if (end.m_kind == RunEndKind::Done) {
+    if (const auto task = findTask(*effect.m_job, end.m_task); !task || task->m_phase == TaskPhase::Done) {
         state.m_releasedRuns.erase(end.m_task); // Nothing starts a task that is done.
     }
     // An end that changes nothing also waits for the job's newest version, because the end of another member of its gang may have settled the
@@ -226,6 +226,9 @@
         confirmRun(state, worker, runningTask, *task, sentAt, now);
         return;
     }
+    if (!task->m_assignedWorker && sentAt < task->m_phaseSince) {
+        return; // The report may be older than the end of the run, which another answer has brought. The next report shows it.
+    }
     forgetAdoptedRun(state, runningTask.m_task, worker.m_incarnation->m_worker, runningTask.m_runNumber);
     if (task->m_assignedWorker) {
         if (const auto *former = findWorker(state, *task->m_assignedWorker)) {
@@ -278,6 +281,9 @@
             orderStop(state, *worker.m_incarnation, reference, task->m_runNumber, StopReason::Unconfirmed, now);
             continue;
         }
+        if (!state.m_soleOwner) {
+            continue; // The next owner may have acknowledged the end of the run, so that the worker lists it no longer.
+        }
         if (task->m_phase == TaskPhase::Running) {
             logEvent(LogLevel::Warn,
                      "run_vanished",
@@ -686,7 +692,7 @@
     unlockJobsIfSafe(state, now);
     repeatStopsOfSupersededRuns(state, now);
     markSlowWorkers(state, now);
-    const auto lockedJobIds = lockedJobs(state, now);
+    const auto lockedJobIds = jobsLockedByTakeover(state, now);
     for (const auto &name : state.m_jobOrder) {
         if (const auto job = state.m_jobs.find(name)) {
             reviewJob(state, job, lockedJobIds, now);
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -209,7 +209,8 @@
 /// Moves the tasks back to the waiting phase that the worker has run under an earlier start and that the report of a later start does not
 /// list. Keeps the tasks whose run the earlier start has never listed, because the later one may execute their orders.
 void releaseRunsOfEarlierStart(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, ReleaseBelief belief, Instant now);
-/// Ends the tracking of the incarnation that has the identifier of the report and an earlier start, and returns it. Its tasks stay assigned to
+/// Ends the tracking of the incarnation that has the identifier of the report and another start, and returns it, if the start of the report is
+/// later or the worker's last answer agrees with it. Its tasks stay assigned to
 /// it until inheritRuns().
 std::optional<TrackedWorker> removeEarlierIncarnation(OwnerState &state, const WorkerReport &report, Instant now);
 /// Assigns the tasks of an earlier incarnation to the next one with its identifier, whose first report shows which of them run: the entry alone
@@ -297,7 +298,9 @@
 /// Returns true if the worker may get start orders: it is present, answers, accepts work and is not cordoned in the recorded roster.
 bool isUsable(const OwnerState &state, const TrackedWorker &worker, Instant now);
 /// Returns the identifiers, sorted, of jobs whose waiting tasks may be running on a worker that has not answered this owner, or
-/// under another owner, or as superseded runs.
+/// under another owner.
+std::vector<std::string> jobsLockedByTakeover(const OwnerState &state, Instant now);
+/// Returns these jobs and those of superseded runs that are not over: none of their waiting tasks may start.
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now);
 /// Queues the roster for the store if it has changed.
 void recordRosterIfChanged(OwnerState &state);
--- /dev/null
+++ b/service/unittests/Fleetknownfaults/knownfaults.cpp
@@ -0,0 +1,128 @@
+#include "ownersimulation.h"
+
+#include <catch2/catch.hpp>
+
+// Each test of this binary fails because of a fault that KNOWN-RED.txt lists.
+
+namespace PrimroseBridge {
+
+using Sim = OwnerSimulation;
+
+static const std::string jobId = "5c0e7a21d94b36f8";
+
+static void reviewAndPlace(Sim &sim, int nowMs)
+{
+    sim.review(Sim::at(nowMs));
+    sim.place(Sim::at(nowMs));
+}
+
+static RosterEntry listed(const std::string &worker)
+{
+    return RosterEntry{.m_worker = Sim::worker(worker), .m_jobsIfCordoned = std::nullopt};
+}
+
+static StopOrderCompleted stopAnswered(const Sim &sim, const std::string &worker, std::int64_t runNumber, OrderAnswer answer)
+{
+    return StopOrderCompleted{.m_task = Sim::reference(jobId),
+                              .m_runNumber = runNumber,
+                              .m_incarnation = *sim.m_state.m_workers.at(worker).m_incarnation,
+                              .m_fence = Sim::fence,
+                              .m_reply = OrderReply{.m_answer = answer, .m_workerClockMs = std::nullopt}};
+}
+
+// Guards against two runs of one task (TWICE): a worker answers the new owner, crashes and restarts. Its next incarnation has seen no fence,
+// so that it accepts starts of the former owner, which goes on for half a task lease after its store lease.
+TEST_CASE("the jobs of a takeover stay locked while a worker may have restarted and the former owner still starts tasks")
+{
+    constexpr int formerOwnerStopsMs = 1'500;
+    Sim sim;
+    sim.configure(1, {"queue"});
+    const auto spec = Sim::job(jobId, "queue", Sim::policy(4));
+    const RosterEntry w1{.m_worker = Sim::worker("w1"), .m_jobsIfCordoned = {}};
+    const RosterEntry w2{.m_worker = Sim::worker("w2"), .m_jobsIfCordoned = {}};
+    sim.becomeOwner({Sim::worker("w1"), Sim::worker("w2")}, {newJobState(spec, 4, Sim::at(0))}, {w1, w2});
+    sim.answer("w1", std::nullopt, {}, Sim::at(50));
+    sim.missPoll("w1", Sim::at(300));
+    for (int nowMs = 350; nowMs < formerOwnerStopsMs; nowMs += 50) {
+        sim.missPoll("w1", Sim::at(nowMs));
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        sim.review(Sim::at(nowMs));
+        sim.place(Sim::at(nowMs));
+        REQUIRE(sim.workerOf(jobId).empty());
+    }
+    for (int nowMs = formerOwnerStopsMs; nowMs <= 2 * Sim::taskLease.count(); nowMs += 50) {
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        sim.review(Sim::at(nowMs));
+        sim.place(Sim::at(nowMs));
+    }
+    CHECK(sim.workerOf(jobId) == "w2");
+}
+
+// Guards against two runs of one task by two owners: a worker that has refused the former owner's fence crashes, and is forgotten as idle before the
+// entry of its next start arrives. That start has seen no fence, so that it accepts starts of the former owner.
+TEST_CASE("the next start of a worker that was forgotten is awaited while the former owner may still start tasks")
+{
+    const auto spec = Sim::job(jobId, "queue", Sim::policy(4));
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1"), Sim::worker("w2")},
+                    {newJobState(spec, 4, Sim::at(0))},
+                    {RosterEntry{.m_worker = Sim::worker("w1"), .m_jobsIfCordoned = {}}, RosterEntry{.m_worker = Sim::worker("w2"), .m_jobsIfCordoned = {}}});
+    sim.answer("w1", std::nullopt, {}, Sim::at(50));
+    const bool entryRemoved = GENERATE(false, true);
+    CAPTURE(entryRemoved);
+    if (entryRemoved) {
+        sim.apply(WorkerEntryRemoved{.m_worker = "w1"}, Sim::at(100));
+    }
+    sim.missPoll("w1", Sim::at(120));
+    reviewAndPlace(sim, 130);
+    sim.apply(WorkerReported{.m_report = Sim::worker("w1", std::nullopt, 2)}, Sim::at(200));
+    sim.answer("w2", std::nullopt, {}, Sim::at(210));
+    reviewAndPlace(sim, 220);
+    CHECK(sim.m_startOrders.empty());
+    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(230));
+    reviewAndPlace(sim, 240);
+    CHECK(sim.workerOf(jobId) == "w1");
+    CHECK(sim.m_startOrders.empty());
+}
+
+// Guards against a job that waits for ever: a worker leaves the start of a run without an answer and refuses the stop as unhealthy, but answers each poll
+// and does not list the run. The lease end of the start has passed long ago, so that the worker refuses a late start.
+TEST_CASE("a superseded run that is never listed does not lock its job for longer than its lease")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w0", Duration(60'000)), Sim::worker("w1")},
+                    {newJobState(Sim::job(jobId, "queue", Sim::policy(4)), 4, Sim::at(0))},
+                    {RosterEntry{.m_worker = Sim::worker("w0", Duration(60'000)), .m_jobsIfCordoned = std::vector<std::string>()}, listed("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    reviewAndPlace(sim, 20);
+    REQUIRE(sim.workerOf(jobId) == "w1");
+    sim.answer("w0", Sim::running(jobId, 2), {}, Sim::at(50));
+    REQUIRE(sim.workerOf(jobId) == "w0");
+    sim.answer("w0", std::nullopt, {Sim::ended(jobId, 1, 2, RunEndKind::Failed)}, Sim::at(60));
+    sim.apply(WorkerReported{.m_report = Sim::worker("w2")}, Sim::at(70));
+    for (int nowMs = 100; nowMs < 20'000; nowMs += 500) {
+        sim.apply(stopAnswered(sim, "w1", 1, OrderAnswer::Unhealthy), Sim::at(nowMs));
+        sim.answer("w1", std::nullopt, {}, Sim::at(nowMs));
+        sim.answer("w2", std::nullopt, {}, Sim::at(nowMs));
+        reviewAndPlace(sim, nowMs);
+    }
+    CHECK(sim.workerOf(jobId) == "w2");
+}
+
+// Guards against an acknowledgement before a record: the end of a run is listed before the owner knows its job. The worker drops an acknowledged end, so
+// that the job, once it is known, is run again.
+TEST_CASE("the end of a run of a job that is not known yet is not acknowledged")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1")}, {}, {listed("w1")});
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Done)}, Sim::at(20));
+    sim.apply(JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}, Sim::at(30));
+    CHECK(sim.m_state.m_workers.at("w1").m_lastAcknowledgedEnd == 0);
+    reviewAndPlace(sim, 40);
+    CHECK(sim.m_startOrders.empty());
+}
+
+} // namespace PrimroseBridge
