--- a/service/unittests/Fleetservice/reviewofruns.cpp
+++ b/service/unittests/Fleetservice/reviewofruns.cpp
@@ -429,4 +429,105 @@
     CHECK(sim.m_startOrders.empty());
 }
 
+// Guards against more attempts than the job allows (BUDGET): an owner that knows no run of its predecessor numbers its runs from 1 again, so that two
+// failed runs on different workers have one number.
+TEST_CASE("failed runs of two owners with the same number on different workers count as two attempts")
+{
+    auto job = newJobState(Sim::job(jobId, "queue", Sim::policy(2)), 2, Sim::at(0));
+    job = applyRunEnd(job, Sim::ended(jobId, 1, 1, RunEndKind::Failed), "w1", Sim::at(10)).m_job;
+    // The worker lists the end again until it is acknowledged.
+    job = applyRunEnd(job, Sim::ended(jobId, 1, 1, RunEndKind::Failed), "w1", Sim::at(20)).m_job;
+    REQUIRE(job->m_outcome == JobOutcome::Active);
+    job = applyRunEnd(job, Sim::ended(jobId, 1, 1, RunEndKind::Failed), "w2", Sim::at(30)).m_job;
+    CHECK(job->m_outcome == JobOutcome::Failed);
+}
+
+// Guards against two runs of one task, and a job that stays locked: a listed run is superseded by one with the same number elsewhere, which ends before the
+// stop of the first one is answered. The first run is then the only one, until its stop takes effect.
+TEST_CASE("a superseded run becomes the present one again if the other run ends before its stop")
+{
+    const bool stopLost = GENERATE(false, true);
+    CAPTURE(stopLost);
+    Sim sim;
+    sim.configure(1, {"queue"});
+    const auto drains = Sim::worker("w0", Duration(60'000));
+    sim.becomeOwner({drains, Sim::worker("w1")},
+                    {newJobState(Sim::job(jobId, "queue", Sim::policy(4)), 4, Sim::at(0))},
+                    {RosterEntry{.m_worker = drains, .m_jobsIfCordoned = std::vector<std::string>()}, listed("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    reviewAndPlace(sim, 20);
+    REQUIRE(sim.workerOf(jobId) == "w1");
+    sim.acceptStart(jobId, Sim::at(30));
+    sim.answer("w0", Sim::running(jobId, 1), {}, Sim::at(50));
+    REQUIRE(sim.stopCount("w0", Sim::reference(jobId), 1) == 1);
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Stopped)}, Sim::at(60));
+    reviewAndPlace(sim, 70);
+    REQUIRE(sim.m_startOrders.size() == 1);
+    sim.answer("w0", Sim::running(jobId, 1), {}, Sim::at(80));
+    sim.answer("w1", std::nullopt, {}, Sim::at(80));
+    reviewAndPlace(sim, 90);
+    REQUIRE(sim.workerOf(jobId) == "w0");
+    REQUIRE(sim.m_startOrders.size() == 1);
+    if (stopLost) {
+        reviewAndPlace(sim, 1'000);
+        CHECK(sim.stopCount("w0", Sim::reference(jobId), 1) == 2);
+    }
+    sim.apply(stopAnswered(sim, "w0", 1, OrderAnswer::Accepted), Sim::at(1'010));
+    reviewAndPlace(sim, 1'020);
+    REQUIRE(sim.m_startOrders.size() == 1);
+    sim.answer("w0", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Stopped)}, Sim::at(1'100));
+    sim.answer("w1", std::nullopt, {}, Sim::at(1'100));
+    reviewAndPlace(sim, 1'110);
+    CHECK(sim.m_startOrders.size() == 2);
+    CHECK(sim.workerOf(jobId) == "w1");
+}
+
+// Guards against two runs of one task and a task that waits for ever: the stop of a run is answered twice, and a list that was requested between the two
+// answers, which lacks the run, arrives after both.
+TEST_CASE("a stop that is answered twice leaves one run of the task")
+{
+    Sim sim;
+    startOnMachine(sim);
+    const auto incarnation = *sim.m_state.m_workers.at("w1").m_incarnation;
+    orderStop(sim.m_state, incarnation, Sim::reference(jobId), 1, StopReason::Superseded, Sim::at(100));
+    orderStop(sim.m_state, incarnation, Sim::reference(jobId), 1, StopReason::Superseded, Sim::at(800));
+    sim.apply(stopAnswered(sim, "w1", 1, OrderAnswer::Accepted), Sim::at(810));
+    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(815));
+    sim.apply(stopAnswered(sim, "w1", 1, OrderAnswer::Accepted), Sim::at(900));
+    answerLate(sim, "w1", {}, {}, true, 820, 830, 905);
+    reviewAndPlace(sim, 910);
+    CHECK(sim.m_startOrders.size() == 1);
+    sim.answer("w1", std::nullopt, {}, Sim::at(920));
+    sim.answer("w2", std::nullopt, {}, Sim::at(920));
+    reviewAndPlace(sim, 930);
+    CHECK(sim.m_startOrders.size() == 2);
+    CHECK(sim.task(jobId)->m_runNumber == 2);
+}
+
+// Guards against a start that is counted twice: the answer to a start arrives after its run has ended and the task is placed again.
+TEST_CASE("a late answer to the start of an ended run does not change the next run")
+{
+    Sim sim;
+    startOnMachine(sim);
+    const auto first = *sim.m_state.m_workers.at("w1").m_incarnation;
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Stopped)}, Sim::at(100));
+    sim.answer("w2", std::nullopt, {}, Sim::at(100));
+    reviewAndPlace(sim, 110);
+    REQUIRE(sim.task(jobId)->m_runNumber == 2);
+    const auto before = sim.task(jobId);
+    for (const auto answer : {OrderAnswer::Unanswered, OrderAnswer::Accepted, OrderAnswer::InsufficientCapacity}) {
+        sim.apply(StartOrderCompleted{.m_task = Sim::reference(jobId),
+                                      .m_runNumber = 1,
+                                      .m_checkpoint = {},
+                                      .m_incarnation = first,
+                                      .m_fence = Sim::fence,
+                                      .m_sentAt = Sim::at(20),
+                                      .m_reply = OrderReply{.m_answer = answer, .m_workerClockMs = std::nullopt}},
+                  Sim::at(200));
+        reviewAndPlace(sim, 210);
+    }
+    CHECK(sim.task(jobId) == before);
+    CHECK(sim.m_startOrders.size() == 2);
+}
+
 } // namespace PrimroseBridge
