--- a/service/unittests/Fleetknownfaults/knownfaults.cpp
+++ b/service/unittests/Fleetknownfaults/knownfaults.cpp
@@ -125,4 +125,17 @@
     CHECK(sim.m_startOrders.empty());
 }
 
+// Guards against more attempts than the job allows (BUDGET): an owner that knows no run of its predecessor numbers its runs from 1 again, so that two
+// failed runs on different workers have one number.
+TEST_CASE("failed runs of two owners with the same number on different workers count as two attempts")
+{
+    auto job = newJobState(Sim::job(jobId, "queue", Sim::policy(2)), 2, Sim::at(0));
+    job = applyRunEnd(job, Sim::ended(jobId, 1, 1, RunEndKind::Failed), "w1", Sim::at(10)).m_job;
+    // The worker lists the end again until it is acknowledged.
+    job = applyRunEnd(job, Sim::ended(jobId, 1, 1, RunEndKind::Failed), "w1", Sim::at(20)).m_job;
+    REQUIRE(job->m_outcome == JobOutcome::Active);
+    job = applyRunEnd(job, Sim::ended(jobId, 1, 1, RunEndKind::Failed), "w2", Sim::at(30)).m_job;
+    CHECK(job->m_outcome == JobOutcome::Failed);
+}
+
 } // namespace PrimroseBridge
