--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -127,10 +127,6 @@
     worker.m_jobsIfCordoned = earlier.m_fenceConfirmed ? std::nullopt : earlier.m_jobsIfCordoned;
     worker.m_formerRunsUnknown = earlier.m_formerRunsUnknown;
     worker.m_inheritsRuns = true;
-    worker.m_supersededRuns = earlier.m_supersededRuns;
-    for (auto &[run, superseded] : worker.m_supersededRuns) {
-        superseded.m_lastSeenAt = now;
-    }
     for (const auto &reference : earlier.m_tasks) {
         const auto job = state.m_jobs.find(reference.m_job);
         const auto task = job ? findTask(*job, reference) : nullptr;
