--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -104,7 +104,7 @@
     if (!job) {
         return nullptr;
     }
-    const auto changed = withOccurrencesUpTo(job, reference.m_occurrence, now);
+    auto changed = withOccurrencesUpTo(job, reference.m_occurrence, now);
     if (changed != job) {
         setJob(state, changed);
         state.m_placementNeeded = true;
