--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -8,8 +8,8 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 
@@ -118,15 +118,15 @@
 
 
 class Deployment:
-    def __init__(self, record, vms=4, workers=12, lease_ms=6000, zones=("zone-a", "zone-b"), run_ms=1500, stop_ms=200):
+    def __init__(self, record, vms=4, workers=12, lease_ms=6000, zones=("zone-a", "zone-b"), run_ms=1500, stop_ms=200, rack_size=4, spread=0.0):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="primrosebridge-review-"))
         self.bounds = {"holdMaxMs": lease_ms, "reclaimMs": 3400, "stopMs": 900, "graceS": 6, "remoteFactor": 3}
         self.store = Store()
         self.vms = [Vm(self, number, zones[number % len(zones)]) for number in range(vms)]
         self.workers = [
-            Worker(f"w{number}", self.store, record, rack=f"r{number // 4}", zone=zones[number // 4 % len(zones)], lease_ms=lease_ms, run_ms=run_ms,
-                   stop_ms=stop_ms)
+            Worker(f"w{number}", self.store, record, rack=f"r{number // rack_size}", zone=zones[number // rack_size % len(zones)], lease_ms=lease_ms, run_ms=run_ms,
+                   stop_ms=stop_ms, spread=spread)
             for number in range(workers)
         ]  # fmt: skip
         self.tasks = []
@@ -182,14 +182,16 @@
         self.record("state", vm=vm.name, job=job, status=status, answer=answer)
         return status, answer.get("state", "") if isinstance(answer, dict) else ""
 
-    async def stop(self):
-        for task in self.tasks:
-            task.cancel()
+    def kill_all(self):
         for vm in self.vms:
             if vm.process and vm.process.poll() is None:
-                vm.process.send_signal(signal.SIGCONT)
                 vm.process.kill()
                 vm.process.wait()
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        self.kill_all()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
@@ -204,21 +206,32 @@
 
     async def main():
         deployment = Deployment(record, **options)
+        deployment_holder.append(deployment)
         try:
             await deployment.start()
             return await scenario(deployment, record, with_trouble)
         finally:
             await deployment.stop()
 
+    def end_late():
+        record("cannot_run", reason="the case took too long")
+        deployment_holder[0].kill_all()
+        os._exit(2)
+
+    deployment_holder = []
+    watchdog = threading.Timer(116, end_late)
+    watchdog.daemon = True
+    watchdog.start()
+    loop = asyncio.new_event_loop()
     try:
-        violations = asyncio.run(asyncio.wait_for(main(), 115))
+        violations = loop.run_until_complete(main())
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         record("cannot_run", reason=f"{type(error).__name__}: {error}")
-        print(f"cannot run: {type(error).__name__}: {error}")
-        sys.exit(2)
+        print(f"cannot run: {type(error).__name__}: {error}", flush=True)
+        os._exit(2)
     for violation in violations:
         record("violation", what=violation)
         print(violation)
     record("result", broken=bool(violations))
-    print("the rule was broken" if violations else "the rule held")
-    sys.exit(1 if violations else 0)
+    print("the rule was broken" if violations else "the rule held", flush=True)
+    os._exit(1 if violations else 0)  # The tasks of the stand-ins need not end in order.
--- a/review/standins2/platform_standin.py
+++ b/review/standins2/platform_standin.py
@@ -6,6 +6,7 @@
 import random
 import time
 import urllib.parse
+import zlib
 
 HOST = "127.0.0.1"
 
@@ -89,7 +90,7 @@
         self.record = record
         self.ports = {}  # name -> Http
         self.faults = {}  # name -> async fn(method, path, execute) -> answer, or absent
-        self.calls = []
+        self.refused_values = 0  # Transactions with a value over the limit.
 
     async def add_port(self, name):
         async def handler(method, path, query, headers, body):
@@ -196,6 +197,7 @@
             if row.get("lease", 0) and row["lease"] not in self.leases:
                 return 404, {}
             if len(base64.b64decode(row["value"])) > self.value_bytes:
+                self.refused_values += 1
                 return 400, {}
         self.rev += 1
         for row in writes:
@@ -227,15 +229,17 @@
 class Worker:
     """One worker of the platform: orders by calls, fences, leases on its own clock, listed ends."""
 
-    def __init__(self, name, store, record, rack="r0", zone="zone-a", lease_ms=6000, run_ms=1500, stop_ms=200, capacity=None, pool="pool"):
+    def __init__(self, name, store, record, rack="r0", zone="zone-a", lease_ms=6000, run_ms=1500, stop_ms=200, capacity=None, pool="pool", spread=0.0):
         self.name, self.store, self.record = name, store, record
         self.rack, self.zone, self.pool = rack, zone, pool
         self.lease_ms, self.run_ms, self.stop_ms = lease_ms, run_ms, stop_ms
+        self.spread = spread  # The run times of tasks differ by up to this share, either way.
         self.capacity = capacity or {"cpu": 32000, "memMb": 131072, "gpu": 8}
         self.state, self.seq, self.remaining_ms = "ready", 0, None
         self.fault = None  # async fn(path, body, execute) -> answer
         self.changed = asyncio.Condition()
         self.up = True
+        self.cut = False  # Partitioned from all machines: it runs on, and no call or answer passes.
         self._fresh_life()
 
     def _fresh_life(self):
@@ -245,6 +249,7 @@
         self.running = {}  # task -> dict(run, ends_at, started, spec, stopping)
         self.highest = {}
         self.ends, self.next_end = [], 1
+        self.lapsed_ends = set()  # Numbers of ends that were listed when the lease lapsed.
 
     async def start(self):
         self.http = await Http(self._handle).start()
@@ -277,9 +282,11 @@
 
     async def _tick(self):
         while True:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.02)
             if not self.up:
                 continue
+            if self.ends and self.clock() > self.lease_end:
+                self.lapsed_ends.update(end[0] for end in self.ends)
             for task, run in list(self.running.items()):
                 if self.clock() > self.lease_end:
                     await self._end(task, "lapsed")
@@ -306,6 +313,8 @@
     async def _handle(self, method, path, query, headers, body):
         if not self.up:
             return None
+        if self.cut:
+            return await self._lose_call()
         if headers.get("expect-instance", self.name) != self.name:
             return 421, {}
         document = json.loads(body) if body else {}
@@ -313,9 +322,14 @@
         async def execute():
             return await self.execute(path, document)
 
-        if self.fault:
-            return await self.fault(path, document, execute)
-        return await execute()
+        answer = await self.fault(path, document, execute) if self.fault else await execute()
+        return await self._lose_call() if self.cut else answer
+
+    async def _lose_call(self):
+        """The call or its answer is lost in the partition; the connection breaks when that heals."""
+        while self.cut:
+            await asyncio.sleep(0.05)
+        return None
 
     async def execute(self, path, body):
         fence = body.get("fence", 0)
@@ -340,7 +354,7 @@
             seen = body.get("lastSeen", 0)
             for end in self.ends:
                 if end[0] <= seen:
-                    self.record("noted", worker=self.name, task=end[1], run=end[2], how=end[3])
+                    self.record("noted", worker=self.name, task=end[1], run=end[2], how=end[3], lapsed=end[0] in self.lapsed_ends)
             self.ends = [end for end in self.ends if end[0] > seen]
             ends_at = now_ms() + body.get("waitMs", 0)
             while not self.ends and now_ms() < ends_at:
@@ -369,6 +383,7 @@
             return self._reply(409, {"reason": "late"})
         spec = body.get("spec", "")
         run_ms = float(spec.rsplit("runMs=", 1)[1]) if "runMs=" in spec else self.run_ms
+        run_ms *= 1.0 + self.spread * (2.0 * zlib.crc32(task.encode()) / 0xFFFFFFFF - 1.0)
         self.running[task] = {"run": number, "started": now_ms(), "ends_at": now_ms() + run_ms, "stopping": 0, "spec": spec}
         self.record("start", worker=self.name, task=task, run=number, fence=body.get("fence", 0))
         return self._reply(200, {})
