Conclude nothing from a list of run ends that may go on

Cause: a worker lists 500 ends at a time. The owner took a run that is listed neither as running nor as ended for over, also when the list was full and further ends followed.

Change: the decoder says whether a report lists all ends or a part. From a part nothing is concluded: not in handleUnlistedTasks(), for superseded runs, by the first report of a restarted worker, or by a takeover, which awaits the worker, keeps its cordon and locks its jobs until it has listed all. The rest of the ends is asked for at once after an acknowledgement.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -195,7 +195,7 @@
     auto locked = state.m_lockedJobs;
     locked.insert(state.m_jobsLearntWithoutLease.begin(), state.m_jobsLearntWithoutLease.end());
     for (const auto &[name, worker] : state.m_workers) {
-        if (worker.m_jobsIfCordoned && !worker.m_fenceConfirmed && !haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now)) {
+        if (worker.m_jobsIfCordoned && !worker.m_runsKnown && !haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now)) {
             locked.insert(worker.m_jobsIfCordoned->begin(), worker.m_jobsIfCordoned->end());
         }
     }
@@ -213,7 +213,7 @@
 bool isUsable(const OwnerState &state, const TrackedWorker &worker, Instant now)
 {
     const bool recorded = !worker.m_jobsIfCordoned && worker.m_rosterVersion > 0 && worker.m_rosterVersion <= state.m_recordedRosterVersion;
-    const bool answers = worker.m_entryPresent && worker.m_fenceConfirmed && worker.m_missedPolls == 0;
+    const bool answers = worker.m_entryPresent && worker.m_runsKnown && worker.m_missedPolls == 0;
     return recorded && answers && !worker.m_report->m_draining && worker.m_supersededRuns.empty() && worker.m_noStartsUntil <= now;
 }
 
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -124,7 +124,7 @@
 void inheritRuns(OwnerState &state, TrackedWorker &worker, const TrackedWorker &earlier, Instant now)
 {
     worker.m_leasesExpiredBy = std::max(worker.m_leasesExpiredBy, earlier.m_leasesExpiredBy);
-    worker.m_jobsIfCordoned = earlier.m_fenceConfirmed ? std::nullopt : earlier.m_jobsIfCordoned;
+    worker.m_jobsIfCordoned = earlier.m_runsKnown ? std::nullopt : earlier.m_jobsIfCordoned;
     worker.m_formerRunsUnknown = earlier.m_formerRunsUnknown;
     worker.m_inheritsRuns = true;
     for (const auto &reference : earlier.m_tasks) {
@@ -148,7 +148,7 @@
 
 void applyFirstReportOfInheritor(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant now)
 {
-    if (!worker.m_inheritsRuns) {
+    if (!worker.m_inheritsRuns || runReport.m_listedEnds == ListedEnds::Part) {
         return;
     }
     worker.m_inheritsRuns = false;
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -90,7 +90,7 @@
     inFlight = true;
     const bool answers = worker.m_fenceConfirmed && worker.m_missedPolls < missedPollsToStopRenewal;
     const bool renew = state.m_soleOwner && answers;
-    const bool longPoll = !immediate && answers && worker.m_pendingRunEnds.empty() && state.m_soleOwner;
+    const bool longPoll = !immediate && answers && worker.m_pendingRunEnds.empty() && !worker.m_moreEnds && state.m_soleOwner;
     const auto wait = longPoll ? (worker.m_tasks.empty() ? maxPollWait : std::clamp(pollCycle(state), busyPollWait, maxPollWait)) : Duration(0);
     if (renew) {
         extendLeasesExpiredBy(state, worker, now);
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -255,9 +255,13 @@
     });
 }
 
-// Handles the tasks that are assigned to the worker but missing from its list of running tasks.
+// Handles the tasks that are assigned to the worker but missing from its list of running tasks. While the worker has ends that it has not
+// listed, the run of such a task may have ended as done.
 static void handleUnlistedTasks(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant sentAt, Instant now)
 {
+    if (runReport.m_listedEnds == ListedEnds::Part) {
+        return;
+    }
     const auto assignedTasks = worker.m_tasks;
     for (const auto &reference : assignedTasks) {
         const auto job = state.m_jobs.find(reference.m_job);
@@ -305,10 +309,16 @@
         logEvent(level, "worker_answers", {{"worker", worker.m_incarnation->m_worker}, {"missed", std::to_string(worker.m_missedPolls)}});
         state.m_placementNeeded = true;
     }
-    if (!worker.m_fenceConfirmed) {
-        forgetFormerRuns(state, *worker.m_incarnation);
+    worker.m_moreEnds = runReport.m_listedEnds == ListedEnds::Part;
+    if (!worker.m_moreEnds) {
+        if (!worker.m_runsKnown) {
+            forgetFormerRuns(state, *worker.m_incarnation);
+            state.m_placementNeeded = true;
+        }
+        worker.m_runsKnown = true;
+        worker.m_formerRunsUnknown = false;
+        state.m_awaitedWorkers.erase(worker.m_incarnation->m_worker);
     }
-    worker.m_formerRunsUnknown = false;
     worker.m_otherStartMs.reset();
     worker.m_fenceConfirmed = true;
     worker.m_missedPolls = 0;
@@ -316,7 +326,6 @@
     worker.m_answerRequestedAt = std::max(worker.m_answerRequestedAt, sentAt);
     worker.m_workerClockAtAnswerMs = runReport.m_clockMs;
     correctLeavingTime(worker);
-    state.m_awaitedWorkers.erase(worker.m_incarnation->m_worker);
 }
 
 static void recordMissedPoll(OwnerState &state, TrackedWorker &worker, const PollCompleted &event, Instant now)
@@ -371,7 +380,7 @@
         // until that entry arrives or their leases have expired. A report of an earlier start shows nothing: the entry is wrong, or the
         // worker's clock has been set back.
         reportOtherStart(*worker, runReport.m_startedAtMs, now);
-        if (runReport.m_startedAtMs > event.m_incarnation.m_startedAtMs) {
+        if (runReport.m_startedAtMs > event.m_incarnation.m_startedAtMs && runReport.m_listedEnds == ListedEnds::All) {
             releaseRunsOfEarlierStart(state, *worker, runReport, ReleaseBelief::OtherStartAnswered, now);
         }
         worker->m_missedPolls += worker->m_missedPolls == 0 ? missedPollsToStopRenewal : 1;
@@ -405,8 +414,8 @@
 static void updateCordon(OwnerState &state, TrackedWorker &worker)
 {
     const bool cordoned = worker.m_report->m_draining || worker.m_missedPolls >= missedPollsToStopRenewal;
-    if (cordoned == worker.m_jobsIfCordoned.has_value() || (!cordoned && !worker.m_fenceConfirmed)) {
-        return; // A cordon stays until the worker answers, because its runs from the previous owner are unknown until then.
+    if (cordoned == worker.m_jobsIfCordoned.has_value() || (!cordoned && !worker.m_runsKnown)) {
+        return; // A cordon stays until the worker has listed all its runs, because those from the previous owner are unknown until then.
     }
     state.m_rosterChanged = true;
     if (!cordoned) {
@@ -414,7 +423,7 @@
         worker.m_rosterVersion = 0;
         return;
     }
-    auto jobs = worker.m_fenceConfirmed ? std::set<std::string>() : state.m_lockedJobs;
+    auto jobs = worker.m_runsKnown ? std::set<std::string>() : state.m_lockedJobs;
     for (const auto &task : worker.m_tasks) {
         jobs.insert(task.m_job);
     }
@@ -441,7 +450,7 @@
         }
         const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now);
         const auto tasks = worker.m_tasks.size();
-        const bool idle = worker.m_missedPolls > 0 && worker.m_fenceConfirmed && worker.m_tasks.empty() && worker.m_supersededRuns.empty();
+        const bool idle = worker.m_missedPolls > 0 && worker.m_runsKnown && worker.m_tasks.empty() && worker.m_supersededRuns.empty();
         if (leasesExpired && !worker.m_tasks.empty()) {
             releaseAllTasks(state, worker, ReleaseBelief::LeasesExpired, now);
         }
@@ -468,13 +477,27 @@
     }
 }
 
-// Unlocks the jobs of the takeover once every awaited worker has answered or every task lease of the previous owner has expired.
+// Returns true if an awaited worker answers but has not listed all its run ends. Ends stay listed when leases expire, so that only a lapse of this
+// worker's own leases replaces the list.
+static bool awaitsFurtherEnds(const OwnerState &state, Instant now)
+{
+    return std::any_of(state.m_awaitedWorkers.begin(), state.m_awaitedWorkers.end(), [&](const auto &name) {
+        const auto worker = state.m_workers.find(name);
+        return worker != state.m_workers.end() && worker->second.m_fenceConfirmed
+               && !haveTaskLeasesExpired(authorityOf(state), worker->second.m_leasesExpiredBy, now);
+    });
+}
+
+// Unlocks the jobs of the takeover once every awaited worker has listed all its runs and ends or every task lease of the previous owner has expired.
 static void unlockJobsIfSafe(OwnerState &state, Instant now)
 {
     const bool answered = state.m_awaitedWorkers.empty() && !state.m_formerRosterUnknown;
     if (state.m_lockedJobs.empty() || (!answered && !haveTaskLeasesExpired(authorityOf(state), state.m_jobsLockedUntil, now))) {
         return;
     }
+    if (awaitsFurtherEnds(state, now)) {
+        return;
+    }
     logEvent(LogLevel::Info,
              "jobs_unlocked",
              {{"jobs", std::to_string(state.m_lockedJobs.size())},
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -89,7 +89,10 @@
     std::shared_ptr<const WorkerIncarnation> m_incarnation;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
     bool m_fenceConfirmed = false; ///< The worker has answered a poll under the current fence.
-    bool m_formerRunsUnknown = false; ///< The previous owner may have started runs on the worker, which has not answered this owner since.
+    bool m_runsKnown = false; ///< The worker has listed all its runs and run ends under the current fence.
+    bool m_moreEnds = false; ///< The last report listed only a part of the run ends.
+    bool m_formerRunsUnknown
+        = false; ///< The previous owner may have started runs on the worker, which has not listed all its runs and run ends to this owner since.
     std::optional<std::int64_t> m_otherStartMs; ///< The other start time, in Unix milliseconds, under which the last poll was answered.
     Instant m_answeredAt; ///< Boot clock at the last answered poll.
     Instant m_answerRequestedAt; ///< Boot clock at which that poll was sent, so that this incarnation was up then or later.
@@ -152,7 +155,7 @@
     std::map<TaskReference, ReleasedRun> m_releasedRuns; ///< Runs of tasks that have not been started since; a run is removed when its worker lists it.
     std::vector<std::string> m_jobOrder; ///< Identifiers of active jobs and of jobs with tasks on workers, in order of acceptance.
     std::set<std::string> m_lockedJobs; ///< Active jobs at the takeover; their waiting tasks are not started while m_awaitedWorkers may still run them.
-    std::set<std::string> m_awaitedWorkers; ///< Workers that have not answered this owner yet and that the previous owner had not cordoned.
+    std::set<std::string> m_awaitedWorkers; ///< Workers that have not listed all to this owner yet and that the previous owner had not cordoned.
     bool m_formerRosterUnknown = false; ///< Any worker may run tasks of the previous owner, so that only m_jobsLockedUntil unlocks the jobs.
     Instant m_jobsLockedUntil; ///< Boot clock; by then every task lease that the previous owner gave has expired.
     std::int64_t m_rosterVersion = 0; ///< Newest roster version that was queued for the store.
--- a/service/lib/Fleetservice/supersededruns.cpp
+++ b/service/lib/Fleetservice/supersededruns.cpp
@@ -73,6 +73,9 @@
 
 void removeUnlistedSupersededRuns(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant sentAt)
 {
+    if (runReport.m_listedEnds == ListedEnds::Part) {
+        return; // The end of the run may follow, and show that its task is done.
+    }
     const auto isOver = [&](const auto &entry) {
         const auto &[run, superseded] = entry;
         const bool listed = std::any_of(runReport.m_running.begin(), runReport.m_running.end(), [&reference = run](const auto &runningTask) {
--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -142,7 +142,7 @@
         updateAuthority(m_state, fromMilliseconds(1'000'000'000), now);
     }
 
-    /// The worker answers a poll that was sent at @p now. Without @p ended it lists @p running as its only run, if that is set.
+    /// The worker answers a poll that was sent at @p now. It lists @p running as its only run, if that is set.
     void answer(const std::string &name, std::optional<RunningTask> running, std::vector<RunEnd> ended, Instant now, bool immediate = false)
     {
         std::vector<RunningTask> runs;
@@ -150,6 +150,7 @@
             runs.push_back(std::move(*running));
         }
         const auto workerClockMs = toMilliseconds(now) - bootTimeMs;
+        const auto listed = listedEnds(ended.size());
         apply(PollCompleted{.m_incarnation = incarnation(name),
                             .m_fence = fence,
                             .m_sentAt = now,
@@ -159,7 +160,8 @@
                                                       .m_runReport = WorkerRunReport{.m_startedAtMs = incarnation(name).m_startedAtMs,
                                                                                      .m_clockMs = workerClockMs,
                                                                                      .m_running = std::move(runs),
-                                                                                     .m_ends = std::move(ended)}}},
+                                                                                     .m_ends = std::move(ended),
+                                                                                     .m_listedEnds = listed}}},
               now);
     }
 
@@ -226,9 +228,9 @@
         return RunningTask{.m_task = reference(job, index), .m_runNumber = runNumber, .m_checkpoint = {}, .m_percent = percent, .m_load = 0.0};
     }
 
-    static RunEnd ended(const std::string &job, std::int64_t number, std::int64_t runNumber, RunEndKind kind)
+    static RunEnd ended(const std::string &job, std::int64_t number, std::int64_t runNumber, RunEndKind kind, int index = 0)
     {
-        return RunEnd{.m_number = number, .m_task = reference(job), .m_runNumber = runNumber, .m_kind = kind, .m_checkpoint = {}};
+        return RunEnd{.m_number = number, .m_task = reference(job, index), .m_runNumber = runNumber, .m_kind = kind, .m_checkpoint = {}};
     }
 
     [[nodiscard]] JobPointer jobState(const std::string &job) const
@@ -267,6 +269,7 @@
     std::vector<DurableRecord> m_records;
     std::vector<RecordedOrder> m_startOrders;
     std::vector<RecordedOrder> m_stopOrders;
+    std::vector<RunReportRequest> m_reportRequests;
     std::vector<std::optional<Instant>> m_connectionBounds; ///< OrderTarget::m_connectedBefore of each start and stop order.
     Duration m_wallClockOffset{0}; ///< Added to the wall clock of the owner.
     OwnerState m_state;
@@ -285,7 +288,7 @@
                     m_connectionBounds.push_back(target.m_connectedBefore);
                     m_stopOrders.push_back(RecordedOrder{.m_worker = target.m_worker, .m_task = task, .m_runNumber = runNumber});
                 },
-            .m_requestRunReport = [](const auto &...) {},
+            .m_requestRunReport = [this](const OrderTarget &, const RunReportRequest &request, const auto &) { m_reportRequests.push_back(request); },
         };
     }
 
--- a/service/unittests/Fleetsimulation/simulatedworkers.cpp
+++ b/service/unittests/Fleetsimulation/simulatedworkers.cpp
@@ -12,8 +12,6 @@
 
 namespace PrimroseBridge {
 
-// Longest list of ends in a run report, by the platform's protocol.
-static constexpr std::size_t maxListedEnds = 500;
 // A long-running task is at work this long after its start.
 static constexpr Duration startupTime(500);
 // The rate of a worker's clock is counted in these parts, so that times on the clock convert exactly in both directions.
@@ -449,8 +447,11 @@
     for (std::size_t i = 0; i < listed; ++i) {
         ends.push_back(worker.m_state.m_ends[i].m_end);
     }
-    return WorkerRunReport{
-        .m_startedAtMs = worker.m_state.m_startedAtMs, .m_clockMs = clockOf(worker, m_now), .m_running = std::move(running), .m_ends = std::move(ends)};
+    return WorkerRunReport{.m_startedAtMs = worker.m_state.m_startedAtMs,
+                           .m_clockMs = clockOf(worker, m_now),
+                           .m_running = std::move(running),
+                           .m_ends = std::move(ends),
+                           .m_listedEnds = listedEnds(listed)};
 }
 
 SimulatedWorkers::SimulatedWorkers(std::vector<JobSpecPointer> jobs)
