Hold a window of a job's due occurrences in memory

Cause: a placement pass took time with the square of the due occurrences of a job, and nothing limited how many occurrences one job puts into the owner's memory and into a pass.

Change: due occurrences are created in order, at most 256 that have not started, 4,096 in all, and fewer if the job's record would exceed 512 KiB. Candidates refer to their step's state; one that cannot be placed decides for the same step of later occurrences in the pass. Unstarted occurrences at the end of the window are not recorded, which keeps the record readable for former releases and theirs for this one.

--- a/recovery/include/primrosebridge/Progress/jobstate.h
+++ b/recovery/include/primrosebridge/Progress/jobstate.h
@@ -93,8 +93,9 @@
     /// fail until then. It is fixed once known, so that a job is judged by one number across takeovers and later configurations.
     const std::optional<int> m_maxAttempts;
     const JobOutcome m_outcome;
-    const std::vector<OccurrencePointer> m_occurrences; ///< Occurrences that are due and not complete. A job that runs once keeps its occurrence.
-    const std::int64_t m_nextOccurrence; ///< Number of the first occurrence that is not due yet.
+    /// Occurrences that have been created and are not complete, in ascending order. A job that runs once keeps its occurrence.
+    const std::vector<OccurrencePointer> m_occurrences;
+    const std::int64_t m_nextOccurrence; ///< Number of the first occurrence that has not been created yet; it may be due, see OccurrenceLimits.
     const std::int64_t m_version; ///< Increases with each change that must be written to the store.
     const std::int64_t m_recordedVersion; ///< Newest version that the store has acknowledged.
     const JobOutcome m_recordedOutcome; ///< Outcome in m_recordedVersion. Only this outcome is reported to callers.
@@ -126,10 +127,31 @@
     bool operator==(const RunEnd &) const = default;
 };
 
+/// Limits of the occurrences of one job that are held in memory at a time. A job may be due a million times; the others are only counted.
+struct OccurrenceLimits {
+    /// Occurrences that are created ahead of their first start. One pass starts at most these; the next pass has further ones.
+    static constexpr std::size_t maxUnstarted = 256;
+    static constexpr std::size_t maxOpen = 4096;
+    /// Estimated size of the progress record, which also limits the open occurrences: half of the smallest value limit of the platform's store.
+    static constexpr std::size_t maxRecordBytes = std::size_t(512) * 1024;
+    /// Occurrences beyond JobState::m_nextOccurrence that a reported run may create. Former releases created all that were due.
+    static constexpr std::int64_t maxAhead = 65'536;
+};
+
 /// Returns the initial state of a job that was just accepted, or that has no progress record in the store; @p maxAttempts as in
 /// JobState::m_maxAttempts. Thread-safe.
 JobPointer newJobState(JobSpecPointer spec, std::optional<int> maxAttempts, Instant now);
 
+/// Returns the occurrence, or null if the job does not have it at present. Thread-safe.
+OccurrencePointer findOccurrence(const JobState &job, std::int64_t number);
+
+/// Returns true if no task of the occurrence was ever started or is done. Thread-safe.
+bool isUnstarted(const OccurrenceState &occurrence);
+
+/// Returns the number from which on the created occurrences of a repeated job are unstarted and none is missing. They need no record: a successor
+/// creates them again, because they are due. Returns JobState::m_nextOccurrence if there are none. Thread-safe.
+std::int64_t firstOfUnstartedTail(const JobState &job);
+
 /// Returns the task, or null if the job has no such task at present. Thread-safe.
 TaskPointer findTask(const JobState &job, const TaskReference &task);
 
@@ -139,12 +161,13 @@
 /// Returns the job with one task replaced. Precondition: findTask() finds @p reference. Thread-safe.
 JobPointer withTask(const JobState &job, const TaskReference &reference, TaskPointer task);
 
-/// Returns a copy of the job that also has the occurrences that have become due by @p wallNow, or @p job itself if there are none.
-/// @p wallNow is a wall clock time, and @p now is a boot clock time. Thread-safe.
+/// Returns a copy of the job that also has the occurrences that have become due by @p wallNow, as far as OccurrenceLimits allows, or @p job itself
+/// if there are none. @p wallNow is a wall clock time, and @p now is a boot clock time. Thread-safe.
 JobPointer withDueOccurrences(const JobPointer &job, Instant wallNow, Instant now);
 
-/// Returns a copy of the job that also has the occurrences up to @p number, or @p job itself if it has them or its schedule does not contain
-/// @p number. A run of an occurrence shows that it is due, whatever the wall clock of this VM says. Thread-safe.
+/// Returns a copy of the job that also has the occurrences up to @p number, or @p job itself if it has them, if its schedule does not contain
+/// @p number, or if @p number is more than OccurrenceLimits::maxAhead away. A run of an occurrence shows that it is due, whatever the wall clock of this VM
+/// says. Thread-safe.
 JobPointer withOccurrencesUpTo(const JobPointer &job, std::int64_t number, Instant now);
 
 /// Returns the task after an order to start run number @p runNumber on @p assignedWorker was issued. Thread-safe.
--- a/recovery/lib/Progress/jobrecord.cpp
+++ b/recovery/lib/Progress/jobrecord.cpp
@@ -190,8 +190,12 @@
 std::string encodeProgress(const JobState &job)
 {
     Json occurrences = Json::array();
+    const auto next = firstOfUnstartedTail(job);
     if (job.m_outcome == JobOutcome::Active) {
         for (const auto &occurrence : job.m_occurrences) {
+            if (occurrence->m_number >= next && job.m_spec->m_schedule.m_count > 0) {
+                break;
+            }
             Json steps = Json::array();
             for (const auto &step : occurrence->m_steps) {
                 steps.push_back(Json{{"done", encodeDoneFlags(*step)}, {"tasks", encodeUnfinishedTasks(*step)}});
@@ -203,7 +207,7 @@
         {"layout", recordLayoutVersion},
         {"outcome", std::string(outcomeName(job.m_outcome))},
         {"version", job.m_version},
-        {"next", job.m_nextOccurrence},
+        {"next", next},
         {"occurrences", std::move(occurrences)},
     };
     return record.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -266,6 +270,7 @@
         for (const auto &occurrence : record.at("occurrences")) {
             occurrences.push_back(restoreOccurrence(occurrence, *spec, now));
         }
+        std::sort(occurrences.begin(), occurrences.end(), [](const auto &left, const auto &right) { return left->m_number < right->m_number; });
         const auto version = record.at("version").get<std::int64_t>();
         const auto nextOccurrence = record.at("next").get<std::int64_t>();
         if (nextOccurrence < 0 || nextOccurrence > std::max<std::int64_t>(spec->m_schedule.m_count, 1)) {
--- a/recovery/lib/Progress/jobstate.cpp
+++ b/recovery/lib/Progress/jobstate.cpp
@@ -105,14 +105,33 @@
     });
 }
 
-static OccurrencePointer findOccurrence(const JobState &job, std::int64_t number)
+OccurrencePointer findOccurrence(const JobState &job, std::int64_t number)
 {
-    for (const auto &occurrence : job.m_occurrences) {
-        if (occurrence->m_number == number) {
-            return occurrence;
+    const auto &all = job.m_occurrences;
+    const auto found
+        = std::lower_bound(all.begin(), all.end(), number, [](const auto &occurrence, std::int64_t wanted) { return occurrence->m_number < wanted; });
+    return found != all.end() && (*found)->m_number == number ? *found : nullptr;
+}
+
+bool isUnstarted(const OccurrenceState &occurrence)
+{
+    return std::all_of(occurrence.m_steps.begin(), occurrence.m_steps.end(), [](const auto &step) {
+        return step->m_doneTaskCount == 0 && std::all_of(step->m_tasks.begin(), step->m_tasks.end(), [](const auto &task) {
+                   return task->m_phase == TaskPhase::Waiting && task->m_highestRunNumber == 0 && task->m_failedRuns.empty();
+               });
+    });
+}
+
+std::int64_t firstOfUnstartedTail(const JobState &job)
+{
+    auto first = job.m_nextOccurrence;
+    for (auto occurrence = job.m_occurrences.rbegin(); job.m_spec->m_schedule.m_count > 0 && occurrence != job.m_occurrences.rend(); ++occurrence) {
+        if ((*occurrence)->m_number != first - 1 || !isUnstarted(**occurrence)) {
+            break;
         }
+        first = (*occurrence)->m_number;
     }
-    return nullptr;
+    return first;
 }
 
 StepPointer findStep(const JobState &job, std::int64_t occurrence, int step)
@@ -142,15 +161,12 @@
 static std::vector<OccurrencePointer> occurrencesWithStep(const JobState &job, std::int64_t number, int step, StepPointer changed)
 {
     auto occurrences = job.m_occurrences;
-    for (auto &occurrence : occurrences) {
-        if (occurrence->m_number != number) {
-            continue;
-        }
-        auto steps = occurrence->m_steps;
-        steps[static_cast<std::size_t>(step)] = std::move(changed);
-        occurrence = std::make_shared<const OccurrenceState>(OccurrenceState{.m_number = number, .m_steps = std::move(steps)});
-        break;
-    }
+    const auto found = std::lower_bound(
+        occurrences.begin(), occurrences.end(), number, [](const auto &occurrence, std::int64_t wanted) { return occurrence->m_number < wanted; });
+    assert(found != occurrences.end() && (*found)->m_number == number && "occurrencesWithStep() requires an existing occurrence");
+    auto steps = (*found)->m_steps;
+    steps[static_cast<std::size_t>(step)] = std::move(changed);
+    *found = std::make_shared<const OccurrenceState>(OccurrenceState{.m_number = number, .m_steps = std::move(steps)});
     return occurrences;
 }
 
@@ -165,14 +181,39 @@
     return jobFrom(job, std::move(update));
 }
 
+// Returns an upper estimate of the bytes that a progress record needs for one occurrence, with a checkpoint of 32 bytes for each task.
+static std::size_t estimatedRecordBytes(const JobSpec &spec)
+{
+    constexpr std::size_t bytesPerItem = 32; // An occurrence, and a step, without their tasks.
+    constexpr std::size_t bytesPerTask = 64;
+    std::size_t bytes = bytesPerItem;
+    for (const auto &step : spec.m_steps) {
+        bytes += bytesPerItem + bytesPerTask * static_cast<std::size_t>(step.m_taskCount);
+    }
+    return bytes;
+}
+
+// Returns how many occurrences may be added to the job.
+static std::size_t occurrencesToAdd(const JobState &job)
+{
+    const auto open = job.m_occurrences.size();
+    const auto maxOpen = std::clamp<std::size_t>(OccurrenceLimits::maxRecordBytes / estimatedRecordBytes(*job.m_spec), 1, OccurrenceLimits::maxOpen);
+    std::size_t unstarted = 0;
+    for (auto occurrence = job.m_occurrences.rbegin(); occurrence != job.m_occurrences.rend() && unstarted < OccurrenceLimits::maxUnstarted; ++occurrence) {
+        unstarted += isUnstarted(**occurrence) ? 1 : 0;
+    }
+    return open < maxOpen ? std::min(maxOpen - open, OccurrenceLimits::maxUnstarted - unstarted) : 0;
+}
+
 JobPointer withDueOccurrences(const JobPointer &job, Instant wallNow, Instant now)
 {
     const auto &schedule = job->m_spec->m_schedule;
-    if (job->m_outcome != JobOutcome::Active || job->m_nextOccurrence >= schedule.m_count) {
+    const auto isDue = [&](std::int64_t number) { return number < schedule.m_count && schedule.m_firstDue + schedule.m_interval * number <= wallNow; };
+    if (job->m_outcome != JobOutcome::Active || !isDue(job->m_nextOccurrence)) {
         return job;
     }
     auto update = updateFrom(*job);
-    while (update.m_nextOccurrence < schedule.m_count && schedule.m_firstDue + schedule.m_interval * update.m_nextOccurrence <= wallNow) {
+    for (auto left = occurrencesToAdd(*job); left > 0 && isDue(update.m_nextOccurrence); --left) {
         update.m_occurrences.push_back(newOccurrence(*job->m_spec, update.m_nextOccurrence, now));
         ++update.m_nextOccurrence;
     }
@@ -181,7 +222,8 @@
 
 JobPointer withOccurrencesUpTo(const JobPointer &job, std::int64_t number, Instant now)
 {
-    if (job->m_outcome != JobOutcome::Active || number < job->m_nextOccurrence || number >= job->m_spec->m_schedule.m_count) {
+    if (job->m_outcome != JobOutcome::Active || number < job->m_nextOccurrence || number >= job->m_spec->m_schedule.m_count
+        || number - job->m_nextOccurrence >= OccurrenceLimits::maxAhead) {
         return job;
     }
     auto update = updateFrom(*job);
--- a/recovery/unittests/Progress/progress.cpp
+++ b/recovery/unittests/Progress/progress.cpp
@@ -170,6 +170,111 @@
     CHECK(job->m_outcome == JobOutcome::Complete);
 }
 
+static JobPointer withAllStarted(JobPointer job)
+{
+    const auto occurrences = job->m_occurrences;
+    for (const auto &occurrence : occurrences) {
+        for (std::size_t step = 0; step < occurrence->m_steps.size(); ++step) {
+            const auto reference = task(static_cast<int>(step), 0, occurrence->m_number);
+            if (findTask(*job, reference)->m_phase == TaskPhase::Waiting) {
+                job = runningOn(job, reference, "worker", 1);
+                job = applyRunEnd(
+                          job,
+                          RunEnd{.m_number = 1, .m_task = reference, .m_runNumber = 1, .m_kind = RunEndKind::Failed, .m_checkpoint = "0123456789abcdef"},
+                          "worker",
+                          start)
+                          .m_job;
+                job = runningOn(job, reference, "worker", 2);
+            }
+        }
+    }
+    return job;
+}
+
+// Guards against an owner whose memory and passes grow with the number of times that a job is due (LOST, review case 9).
+TEST_CASE("a job that is due a million times has a bounded number of occurrences")
+{
+    constexpr std::int64_t times = 1'000'000;
+    const auto wallNow = fromMilliseconds(100 + 50 * times);
+    auto job = withDueOccurrences(newJobState(specOf({stepOf(1, false)}, times), 3, start), wallNow, start);
+    CHECK(job->m_occurrences.size() == OccurrenceLimits::maxUnstarted);
+    CHECK(withDueOccurrences(job, wallNow, start) == job);
+    std::size_t open = 0;
+    while (open < job->m_occurrences.size()) {
+        open = job->m_occurrences.size();
+        job = withDueOccurrences(withAllStarted(job), wallNow, start);
+    }
+    CHECK(open == OccurrenceLimits::maxOpen);
+    CHECK(encodeProgress(*job).size() < OccurrenceLimits::maxRecordBytes);
+    // Each occurrence that ends makes room for another one, in order.
+    job = applyRunEnd(job, endOf(task(0, 0, 7), 2, RunEndKind::Done), "worker", start).m_job;
+    job = withDueOccurrences(job, wallNow, start);
+    CHECK(job->m_occurrences.size() == OccurrenceLimits::maxOpen);
+    CHECK(job->m_occurrences.back()->m_number == static_cast<std::int64_t>(OccurrenceLimits::maxOpen));
+    CHECK(withOccurrencesUpTo(job, times - 1, start) == job);
+}
+
+// Guards against a progress record that outgrows a value of the store (Acks, review case 8).
+TEST_CASE("the open occurrences of a job with many steps fit into a record")
+{
+    constexpr std::int64_t times = 2'190;
+    const auto wallNow = fromMilliseconds(100 + 50 * times);
+    auto job = newJobState(specOf(std::vector<JobStep>(20, stepOf(1, false)), times), 3, start);
+    std::size_t open = 0;
+    do {
+        open = job->m_occurrences.size();
+        job = withDueOccurrences(withAllStarted(job), wallNow, start);
+    } while (open < job->m_occurrences.size());
+    CHECK(open > 200);
+    CHECK(encodeProgress(*job).size() < OccurrenceLimits::maxRecordBytes);
+}
+
+// Guards against an occurrence that is lost or run again at a takeover because the record leaves it out.
+TEST_CASE("unstarted occurrences are left out of the record and are created again")
+{
+    const auto spec = specOf({stepOf(2, false)}, 100);
+    const auto wallNow = fromMilliseconds(100 + 50 * 9); // Ten are due.
+    auto job = withDueOccurrences(newJobState(spec, 3, start), wallNow, start);
+    REQUIRE(job->m_occurrences.size() == 10);
+    CHECK(firstOfUnstartedTail(*job) == 0);
+    job = runningOn(job, task(0, 1, 6), "w", 1);
+    job = applyRunEnd(job, endOf(task(0, 1, 6), 1, RunEndKind::Done), "w", start).m_job;
+    for (const int index : {0, 1}) {
+        job = applyRunEnd(runningOn(job, task(0, index, 3), "w", 1), endOf(task(0, index, 3), 1, RunEndKind::Done), "w", start).m_job;
+    }
+    CHECK(firstOfUnstartedTail(*job) == 7);
+    const auto record = encodeProgress(*job);
+    CHECK(record.find(R"("number":6)") != std::string::npos);
+    CHECK(record.find(R"("number":7)") == std::string::npos);
+    auto restored = restoreJob(spec, 3, record, start).value();
+    CHECK(restored->m_nextOccurrence == 7);
+    restored = withDueOccurrences(restored, wallNow, start);
+    std::vector<std::int64_t> numbers;
+    for (const auto &occurrence : restored->m_occurrences) {
+        numbers.push_back(occurrence->m_number);
+    }
+    CHECK(numbers == std::vector<std::int64_t>{0, 1, 2, 4, 5, 6, 7, 8, 9}); // 3 is complete.
+    CHECK(findTask(*restored, task(0, 1, 6))->m_phase == TaskPhase::Done);
+    CHECK(findTask(*restored, task(0, 0, 6))->m_phase == TaskPhase::Waiting);
+    // The owner's wall clock is behind: a run that a worker reports shows that its occurrence is due.
+    CHECK(withOccurrencesUpTo(restoreJob(spec, 3, record, start).value(), 9, start)->m_occurrences.size() == 9);
+}
+
+// Guards against a rolling upgrade that loses occurrences: a former release records each occurrence that it has created.
+TEST_CASE("a record of a former release is restored")
+{
+    const auto spec = specOf({stepOf(1, false)}, 5);
+    const std::string record = R"({"layout":1,"next":4,"outcome":"active","version":3,"occurrences":[)"
+                               R"({"number":1,"steps":[{"done":"0","tasks":[[0,2,[1],""]]}]},{"number":3,"steps":[{"done":"0","tasks":[]}]}]})";
+    const auto job = restoreJob(spec, 3, record, start).value();
+    REQUIRE(job->m_occurrences.size() == 2);
+    CHECK(job->m_nextOccurrence == 4);
+    CHECK(findTask(*job, task(0, 0, 1))->m_highestRunNumber == 2);
+    CHECK(findTask(*job, task(0, 0, 3))->m_phase == TaskPhase::Waiting);
+    CHECK(firstOfUnstartedTail(*job) == 3);
+    CHECK(restoreJob(spec, 3, encodeProgress(*job), start).value()->m_nextOccurrence == 3);
+}
+
 // Guards against a new owner that repeats or loses work because a field is missing from the records.
 TEST_CASE("decoded records equal the encoded state")
 {
--- a/scheduling/benchmarks/fleetpass/main.cpp
+++ b/scheduling/benchmarks/fleetpass/main.cpp
@@ -88,6 +88,39 @@
     measureBacklog(state, 13'000);
 }
 
+// Measures a pass at 1,100 workers and 3,100 running tasks with two repeated jobs that have come due as often as the argument says. The tasks of one
+// fit on no worker, those of the other one at a time on any. The counter is the number of occurrences in memory.
+static void dueOccurrences(benchmark::State &state)
+{
+    constexpr int racks = 55;
+    constexpr int rackSize = 20;
+    constexpr int runningTasks = 3100;
+    FleetBuilder fleet;
+    fleet.addRacks(racks, rackSize).setGuarantee("org", 64);
+    for (int first = 0; first < runningTasks; first += tasksPerJob) {
+        std::vector<std::string> workers;
+        for (int task = first; task < first + tasksPerJob; ++task) {
+            const int worker = task % (racks * rackSize);
+            workers.push_back("w" + std::to_string(worker / rackSize) + "-" + std::to_string(worker % rackSize));
+        }
+        fleet.addRunningJob(
+            "running-" + std::to_string(first), first % 4 == 0 ? "normal" : "background", {.m_tasks = tasksPerJob, .m_accelerators = 1}, workers, 90'000);
+    }
+    fleet.addJob("never", "background", {.m_accelerators = 16, .m_occurrences = state.range(0)});
+    fleet.addJob("often", "background", {.m_accelerators = 8, .m_occurrences = state.range(0)});
+    fleet.addJob("new", "urgent", {.m_tasks = 3, .m_accelerators = 2, .m_gang = true, .m_sameRack = true});
+    const auto input = fleet.input();
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(decidePlacement(input));
+    }
+    std::size_t occurrences = 0;
+    for (const auto &job : input.m_jobs) {
+        occurrences += job->m_spec->m_schedule.m_count > 0 ? job->m_occurrences.size() : 0;
+    }
+    state.counters["occurrences"] = static_cast<double>(occurrences);
+}
+
+BENCHMARK(dueOccurrences)->Arg(1)->Arg(1'000)->Arg(52'560)->Arg(1'000'000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(onePlacement)->Arg(1)->Arg(4)->Arg(16)->Arg(64)->Unit(benchmark::kMicrosecond)->Complexity();
 BENCHMARK(reclaim)->Arg(1)->Arg(4)->Arg(16)->Unit(benchmark::kMicrosecond)->Complexity();
 BENCHMARK(backlog)->Arg(1)->Arg(4)->Arg(16)->Unit(benchmark::kMicrosecond)->Complexity();
--- a/scheduling/lib/Fleet/candidates.cpp
+++ b/scheduling/lib/Fleet/candidates.cpp
@@ -113,19 +113,39 @@
     return std::any_of(step.m_tasks.begin(), step.m_tasks.end(), [](const auto &task) { return task->m_runNumber > 0; });
 }
 
-static void addReadySteps(const PlacementInput &input,
-                          std::size_t index,
-                          const QueuePolicy *policy,
-                          const OccurrenceState &occurrence,
-                          UrgencyRank rank,
-                          std::vector<Candidate> &candidates)
+namespace {
+
+// What all candidates of a job have in common.
+struct JobTraits {
+    std::size_t m_index; // In PlacementInput::m_jobs.
+    UrgencyRank m_rank;
+    bool m_locked;
+    Duration m_objective;
+    std::vector<Duration> m_remainingPath; // Estimated run time of the critical path from each step on.
+};
+
+} // namespace
+
+static JobTraits traitsOf(const PlacementInput &input, std::size_t index, const QueuePolicy &policy, UrgencyRank rank)
 {
     const auto &spec = *input.m_jobs[index]->m_spec;
-    const bool locked = std::binary_search(input.m_lockedJobs.begin(), input.m_lockedJobs.end(), spec.m_id);
-    // Workers refuse starts without a ticket from the placement advice service. No ticket is requested yet, so these jobs stay queued.
-    if (!policy || policy->m_needsPlacementAdvice) {
-        return;
+    std::vector<Duration> remainingPath;
+    remainingPath.reserve(spec.m_steps.size());
+    for (std::size_t step = 0; step < spec.m_steps.size(); ++step) {
+        remainingPath.push_back(criticalPathEstimate(spec, static_cast<int>(step)));
     }
+    const auto objective = std::chrono::duration_cast<Duration>(remainingPath.front() * policy.m_slackFactor) + policy.m_latencyGoal;
+    return JobTraits{.m_index = index,
+                     .m_rank = rank,
+                     .m_locked = std::binary_search(input.m_lockedJobs.begin(), input.m_lockedJobs.end(), spec.m_id),
+                     .m_objective = objective,
+                     .m_remainingPath = std::move(remainingPath)};
+}
+
+static void addReadySteps(const PlacementInput &input, const JobTraits &traits, const OccurrenceState &occurrence, std::vector<Candidate> &candidates)
+{
+    const auto &spec = *input.m_jobs[traits.m_index]->m_spec;
+    const auto rank = traits.m_rank;
     for (std::size_t step = 0; step < spec.m_steps.size(); ++step) {
         const auto &state = *occurrence.m_steps[step];
         if (state.m_doneTaskCount == static_cast<int>(state.m_tasks.size()) || !isStepReady(spec, occurrence, static_cast<int>(step))) {
@@ -136,15 +156,14 @@
         if (waiting.empty() || (spec.m_steps[step].m_gang && waiting.size() != state.m_tasks.size())) {
             continue;
         }
-        const auto criticalPath = criticalPathEstimate(spec, 0);
-        const auto objective = std::chrono::duration_cast<Duration>(criticalPath * policy->m_slackFactor) + policy->m_latencyGoal;
-        const auto end = input.m_wallNow + criticalPathEstimate(spec, static_cast<int>(step));
+        const auto objective = traits.m_objective;
+        const auto end = input.m_wallNow + traits.m_remainingPath[step];
         const auto due = dueTime(spec, occurrence.m_number);
         const bool missesFinalDeadline = end > due + std::chrono::duration_cast<Duration>(objective * finalDeadlineObjectives);
         const bool aged
             = !isUrgent(rank) && !missesFinalDeadline && input.m_wallNow - due >= std::chrono::duration_cast<Duration>(objective * agedAfterObjectives);
         candidates.push_back(Candidate{
-            .m_job = index,
+            .m_job = traits.m_index,
             .m_occurrence = occurrence.m_number,
             .m_step = static_cast<int>(step),
             .m_rank = rank,
@@ -152,9 +171,10 @@
             .m_missesObjective = end > due + objective,
             .m_aged = aged,
             .m_overdue = rank == UrgencyRank::Guaranteed && !hasStartedTask(state) && input.m_wallNow - due >= input.m_reclaimDelay,
-            .m_jobLocked = locked,
+            .m_jobLocked = traits.m_locked,
             .m_latencyObjective = objective,
             .m_age = input.m_wallNow - due,
+            .m_state = &state,
             .m_waitingTasks = std::move(waiting),
         });
     }
@@ -165,11 +185,14 @@
     std::vector<Candidate> candidates;
     for (std::size_t index = 0; index < input.m_jobs.size(); ++index) {
         const auto &job = *input.m_jobs[index];
-        if (job.m_outcome != JobOutcome::Active) {
+        const auto *policy = policies[index];
+        // Workers refuse starts without a ticket from the placement advice service. No ticket is requested yet, so these jobs stay queued.
+        if (job.m_outcome != JobOutcome::Active || !policy || policy->m_needsPlacementAdvice) {
             continue;
         }
+        const auto traits = traitsOf(input, index, *policy, ranks[index]);
         for (const auto &occurrence : job.m_occurrences) {
-            addReadySteps(input, index, policies[index], *occurrence, ranks[index], candidates);
+            addReadySteps(input, traits, *occurrence, candidates);
         }
     }
     // Work that misses its latency objective goes after work of its rank that can still meet it, until it has aged. The sort is stable,
--- a/scheduling/lib/Fleet/placement.cpp
+++ b/scheduling/lib/Fleet/placement.cpp
@@ -174,6 +174,13 @@
     bool m_remote; // The group allows tasks outside the rack of their data, or a same-rack gang on several racks.
 };
 
+// The last candidate of a step, in any occurrence, for which nothing was placed and nothing was stopped.
+struct UnplacedCandidate {
+    Duration m_age;
+    bool m_overdue;
+    WaitReason m_reason;
+};
+
 struct Pass {
     const PlacementInput &m_input;
     const std::vector<const QueuePolicy *> m_policies; // By index in PlacementInput::m_jobs.
@@ -183,6 +190,8 @@
     std::vector<StartDecision> m_starts;
     std::vector<StopDecision> m_stops;
     std::vector<WaitingStep> m_waiting = {};
+    std::map<std::pair<std::size_t, int>, UnplacedCandidate> m_unplaced = {}; // By job and step.
+    std::size_t m_placements = 0; // Starts and reservations so far.
     int m_reservationCount = 0;
     const Candidate *m_drainedFor = nullptr; // The gang for which workers are drained, or null.
     double m_urgentReserveAccelerators = 0.0; // Accelerators that only urgent work may take.
@@ -195,16 +204,6 @@
     return pass.m_input.m_jobs[candidate.m_job]->m_spec->m_steps[static_cast<std::size_t>(candidate.m_step)];
 }
 
-static const StepState &stepStateOf(const Pass &pass, const Candidate &candidate)
-{
-    for (const auto &occurrence : pass.m_input.m_jobs[candidate.m_job]->m_occurrences) {
-        if (occurrence->m_number == candidate.m_occurrence) {
-            return *occurrence->m_steps[static_cast<std::size_t>(candidate.m_step)];
-        }
-    }
-    throw Error(ErrorKind::Internal, "a placement candidate refers to an occurrence that its job does not contain", "report this as a fault of the scheduler");
-}
-
 static bool isEligible(const PlacementWorker &worker, const JobStep &step, const std::string &pool)
 {
     const auto &report = *worker.m_report;
@@ -259,7 +258,7 @@
     if (allowUnreliable && !excludesDrained) {
         return all;
     }
-    const auto failed = allowUnreliable ? std::set<std::string_view>() : workersWithFailedRuns(stepStateOf(pass, candidate));
+    const auto failed = allowUnreliable ? std::set<std::string_view>() : workersWithFailedRuns(*candidate.m_state);
     std::vector<std::size_t> workers;
     workers.reserve(all.size());
     for (const auto index : all) {
@@ -452,6 +451,7 @@
 static void subtractPlacement(Pass &pass, const Candidate &candidate, const StepPlacement &placement)
 {
     const auto &step = stepOf(pass, candidate);
+    ++pass.m_placements;
     for (const auto worker : placement.m_workers) {
         subtractTaskNeeds(pass.m_allocation.m_free[worker], step, 1);
         if (isUrgent(candidate.m_rank)) {
@@ -485,7 +485,7 @@
 static void addStartDecisions(Pass &pass, const Candidate &candidate, const StepPlacement &placement)
 {
     const auto &step = stepOf(pass, candidate);
-    const auto &state = stepStateOf(pass, candidate);
+    const auto &state = *candidate.m_state;
     const auto gangRun = nextRunNumber(state, {}, true);
     const auto shared = step.m_gang && step.m_checkpointing ? gangCheckpoint(state) : std::string();
     for (std::size_t position = 0; position < placement.m_workers.size(); ++position) {
@@ -511,6 +511,7 @@
             continue;
         }
         pass.m_allocation.m_evicted[victim] = true;
+        pass.m_unplaced.clear(); // Later candidates may use what the victims release.
         addTaskNeeds(pass.m_allocation.m_releasing[placed.m_worker], *placed.m_step, 1);
         pass.m_stops.push_back(StopDecision{.m_task = taskReferenceOf(pass.m_allocation, placed),
                                             .m_assignedWorker = *placed.m_state->m_assignedWorker,
@@ -585,7 +586,8 @@
     return true;
 }
 
-static void placeCandidate(Pass &pass, Candidate candidate)
+// Places, preempts for or reserves for the candidate, or adds the reasons for which its tasks wait.
+static void searchPlacement(Pass &pass, Candidate candidate)
 {
     if (candidate.m_jobLocked) {
         addWaitingStep(pass, candidate, candidate.m_waitingTasks.size(), WaitReason::Locked);
@@ -628,6 +630,44 @@
     addWaitingStep(pass, candidate, candidate.m_waitingTasks.size(), isBlockedByDrain ? WaitReason::DrainedForGang : WaitReason::NoEligibleWorker);
 }
 
+// Returns true if all tasks of the step wait and none has failed, so that the placement depends only on the step and not on the occurrence.
+static bool isFreshStep(const Candidate &candidate)
+{
+    const auto &tasks = candidate.m_state->m_tasks;
+    return candidate.m_waitingTasks.size() == tasks.size()
+           && std::all_of(tasks.begin(), tasks.end(), [](const auto &task) { return task->m_failedWorkers.empty(); });
+}
+
+// Returns the reason for which the candidate waits if an equal one, the same step in another occurrence, could not be placed before. Capacity only
+// shrinks during a pass, but an older or overdue candidate may use more of it.
+static std::optional<WaitReason> waitReasonOfEqualCandidate(const Pass &pass, const Candidate &candidate)
+{
+    const auto found = pass.m_unplaced.find({candidate.m_job, candidate.m_step});
+    if (found == pass.m_unplaced.end() || !isFreshStep(candidate) || isDrainedFor(pass, candidate)) {
+        return std::nullopt;
+    }
+    const auto &earlier = found->second;
+    const bool mayUseMore = candidate.m_age > earlier.m_age || (candidate.m_overdue && !earlier.m_overdue);
+    return mayUseMore ? std::nullopt : std::optional(earlier.m_reason);
+}
+
+// A repeated job may have thousands of occurrences that wait for the same capacity, so that they are not searched one by one.
+static void placeCandidate(Pass &pass, const Candidate &candidate)
+{
+    if (const auto reason = waitReasonOfEqualCandidate(pass, candidate)) {
+        addWaitingStep(pass, candidate, candidate.m_waitingTasks.size(), *reason);
+        return;
+    }
+    const auto placements = pass.m_placements;
+    const auto waiting = pass.m_waiting.size();
+    searchPlacement(pass, candidate);
+    if (pass.m_placements == placements && pass.m_waiting.size() == waiting + 1 && isFreshStep(candidate)) {
+        pass.m_unplaced.insert_or_assign(
+            std::pair(candidate.m_job, candidate.m_step),
+            UnplacedCandidate{.m_age = candidate.m_age, .m_overdue = candidate.m_overdue, .m_reason = pass.m_waiting.back().m_reason});
+    }
+}
+
 // Drains workers for the first aged gang that cannot start. It chooses the workers whose runs end soonest. Without a drain, a wide gang
 // would starve: as long as smaller jobs arrive, there are never enough free workers at the same time.
 static void drainForAgedGang(Pass &pass, const std::vector<Candidate> &candidates)
--- a/scheduling/unittests/Fleet/fleetbuilder.h
+++ b/scheduling/unittests/Fleet/fleetbuilder.h
@@ -20,6 +20,7 @@
     int m_maxUnavailable = 0;
     std::string m_label = {};
     int m_estimateMs = 2500;
+    std::int64_t m_occurrences = 0; ///< Number of times that the job is due, all at its acceptance; 0 for a job that is not repeated.
 };
 
 /// Builds the input of a placement pass. Its queues are named "urgent", "normal" and "background" and have the priorities 0, 1 and 2.
@@ -74,7 +75,8 @@
     /// Adds a job with one step, all tasks of which wait.
     FleetBuilder &addJob(const std::string &name, const std::string &queue, const TestStep &step, const std::string &organisation = "org")
     {
-        m_jobs.push_back(newJobState(specOf(name, queue, step, organisation), 3, fromMilliseconds(nowMs)));
+        const auto job = newJobState(specOf(name, queue, step, organisation), 3, fromMilliseconds(nowMs));
+        m_jobs.push_back(withDueOccurrences(job, fromMilliseconds(nowMs), fromMilliseconds(nowMs)));
         return *this;
     }
 
@@ -181,7 +183,7 @@
                                 .m_tailLatencyTarget = Duration(0),
                                 .m_filler = false,
                                 .m_maxUnavailable = step.m_maxUnavailable}},
-            .m_schedule = JobSchedule{.m_count = 0, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(0)},
+            .m_schedule = JobSchedule{.m_count = step.m_occurrences, .m_firstDue = fromMilliseconds(nowMs - m_ageMs), .m_interval = Duration(0)},
         });
     }
 
--- a/scheduling/unittests/Fleet/placement.cpp
+++ b/scheduling/unittests/Fleet/placement.cpp
@@ -409,6 +409,31 @@
     CHECK(updatedUrgentDemandPeak(peak, demand(50.0), fromMilliseconds(10'000)).m_largestJobAccelerators == Approx(12.5));
 }
 
+// Guards against a pass that takes time with the square of the due occurrences of a job (LOST, review case 9).
+TEST_CASE("due occurrences that fit on no worker do not keep other jobs from starting")
+{
+    FleetBuilder fleet;
+    fleet.addRacks(2, 6);
+    fleet.addJob("never", "background", {.m_accelerators = 16, .m_occurrences = 52'560});
+    fleet.addJob("wide", "normal", {.m_tasks = 13, .m_accelerators = 8, .m_gang = true, .m_occurrences = 52'560});
+    fleet.addJob("urgent", "urgent", {.m_accelerators = 1});
+    const auto decisions = decidePlacement(fleet.input());
+    REQUIRE(decisions.m_starts.size() == 1);
+    CHECK(decisions.m_starts.front().m_task.m_job == "urgent");
+    CHECK(decisions.m_waiting.size() == 2 * OccurrenceLimits::maxUnstarted);
+}
+
+// Guards against occurrences that stay behind although there is capacity for them.
+TEST_CASE("due occurrences start as far as there is capacity")
+{
+    FleetBuilder fleet;
+    fleet.addRacks(2, 6);
+    fleet.addJob("often", "background", {.m_accelerators = 1, .m_occurrences = 1'000});
+    const auto decisions = decidePlacement(fleet.input());
+    CHECK(decisions.m_starts.size() == 96);
+    CHECK(decisions.m_waiting.size() == OccurrenceLimits::maxUnstarted - 96);
+}
+
 // Guards against attempts that fail on a worker that answers but fails every run.
 TEST_CASE("isolated workers are used only if no other worker fits")
 {
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -91,13 +91,6 @@
     }
 }
 
-static OccurrencePointer findOccurrence(const JobState &job, std::int64_t number)
-{
-    const auto &all = job.m_occurrences;
-    const auto found = std::find_if(all.begin(), all.end(), [&](const auto &occurrence) { return occurrence->m_number == number; });
-    return found == all.end() ? nullptr : *found;
-}
-
 // Visits the tasks of @p job that are not shared with @p other. The end of a run changes only one task of a job that may have hundreds.
 template<class Visit>
 static void visitChangedTasks(const JobState &job, const JobState &other, Visit visit)
--- /dev/null
+++ b/service/unittests/Fleetservice/dueoccurrences.cpp
@@ -0,0 +1,87 @@
+#include "ownersimulation.h"
+
+#include <catch2/catch.hpp>
+
+namespace PrimroseBridge {
+
+using Sim = OwnerSimulation;
+
+// A job that is due @p times times at once, whose only task needs @p accelerators.
+static JobSpecPointer repeatedJob(const std::string &name, std::int64_t times, std::int64_t accelerators)
+{
+    const auto spec = Sim::job(name, "queue", Sim::policy(4));
+    const auto &step = spec->m_steps.front();
+    return std::make_shared<const JobSpec>(
+        JobSpec{.m_id = name,
+                .m_queue = spec->m_queue,
+                .m_acceptedPolicy = spec->m_acceptedPolicy,
+                .m_organisation = {},
+                .m_acceptedAt = spec->m_acceptedAt,
+                .m_payload = spec->m_payload,
+                .m_steps = {JobStep{.m_taskCount = 1,
+                                    .m_taskResources = Resources{.m_milliCores = 100, .m_memoryMb = 10, .m_accelerators = accelerators},
+                                    .m_estimate = step.m_estimate,
+                                    .m_after = {},
+                                    .m_gang = false,
+                                    .m_sameRack = false,
+                                    .m_requiredLabel = {},
+                                    .m_dataRack = {},
+                                    .m_maxPerWorker = 0,
+                                    .m_speculative = false,
+                                    .m_checkpointing = false,
+                                    .m_longRunning = false,
+                                    .m_image = {},
+                                    .m_tailLatencyTarget = Duration(0),
+                                    .m_filler = false,
+                                    .m_maxUnavailable = 0}},
+                .m_schedule = JobSchedule{.m_count = times, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(1)}});
+}
+
+// Guards against an owner that a single job keeps from deciding anything (LOST, review case 9): 52,560 due occurrences that fit on no worker.
+TEST_CASE("a job with very many due occurrences does not keep other jobs from starting")
+{
+    const std::string urgent = "5c0e7a21d94b36f8";
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.apply(JobSubmitted{.m_spec = repeatedJob("5c0e7a21d94b36f0", 52'560, 16)}, Sim::at(10));
+    sim.apply(JobSubmitted{.m_spec = Sim::job(urgent, "queue", Sim::policy(4))}, Sim::at(20));
+    sim.place(Sim::at(30));
+    CHECK(sim.workerOf(urgent) == "w1");
+    CHECK(sim.jobState("5c0e7a21d94b36f0")->m_occurrences.size() == OccurrenceLimits::maxUnstarted);
+    sim.review(Sim::at(100));
+    sim.place(Sim::at(110));
+    CHECK(sim.jobState("5c0e7a21d94b36f0")->m_occurrences.size() == OccurrenceLimits::maxUnstarted);
+}
+
+// Guards against occurrences that are left out: every one has to run, in order, once those before it have started.
+TEST_CASE("all occurrences of a job that is due very often are run")
+{
+    constexpr std::int64_t times = 700;
+    const std::string name = "5c0e7a21d94b36f0";
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(5));
+    sim.apply(JobSubmitted{.m_spec = repeatedJob(name, times, 0)}, Sim::at(10));
+    std::size_t ended = 0;
+    for (int nowMs = 20; sim.jobState(name)->m_outcome == JobOutcome::Active && nowMs < 20'000; nowMs += 100) {
+        sim.place(Sim::at(nowMs));
+        std::vector<RunEnd> ends;
+        for (; ended < sim.m_startOrders.size() && ends.size() < maxListedEnds - 1; ++ended) {
+            const auto &order = sim.m_startOrders[ended];
+            REQUIRE(order.m_task.m_occurrence == static_cast<std::int64_t>(ended));
+            ends.push_back(RunEnd{.m_number = static_cast<std::int64_t>(ended) + 1,
+                                  .m_task = order.m_task,
+                                  .m_runNumber = order.m_runNumber,
+                                  .m_kind = RunEndKind::Done,
+                                  .m_checkpoint = {}});
+        }
+        sim.answer("w1", std::nullopt, std::move(ends), Sim::at(nowMs + 50));
+    }
+    CHECK(sim.jobState(name)->m_outcome == JobOutcome::Complete);
+    CHECK(sim.m_startOrders.size() == times);
+}
+
+} // namespace PrimroseBridge
