Give the ownership up while the owner's thread makes no progress

Cause: nothing compared the progress of the owner's thread with the renewals of its lease.

Change: each renewal looks at the number of iterations of the owner's thread. After 20 renewals without progress, at least 5 s, the VM logs owner_stalled at Error, ends the ownership with that reason and does not take it again before the thread makes progress. Renewals are counted rather than time, because a suspended process makes no progress on any thread.

--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -409,6 +409,7 @@
                                         .m_electionDelay = [this] { return electionDelay(); },
                                         .m_onOwnershipGained = [this](std::int64_t fence) { handleOwnershipGained(fence); },
                                         .m_onOwnershipLost = [this](std::int64_t fence, const std::string &reason) { handleOwnershipLost(fence, reason); },
+                                        .m_ownerIterations = [this] { return m_owner->iterations(); },
                                     });
     m_writer = std::make_unique<ProgressWriter>(
         m_store,
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -6,6 +6,7 @@
 #include "primrosebridge/Observe/log.h"
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 
 namespace PrimroseBridge {
@@ -36,6 +37,7 @@
     }
 
     OwnerState m_state;
+    std::atomic<std::uint64_t> m_iterations = 0;
     std::thread m_thread;
 
     void run();
@@ -94,6 +96,7 @@
         const auto wait = maxWaitForEvents(m_state, pacing, bootClockNow());
         const auto events = m_state.m_events->popBatchFor(maxEventBatch, wait);
         runOwnerIteration(m_state, pacing, events, bootClockNow());
+        ++m_iterations;
     }
 }
 
@@ -137,6 +140,11 @@
     return false;
 }
 
+std::uint64_t FleetOwner::iterations() const
+{
+    return m_private->m_iterations;
+}
+
 std::optional<std::int64_t> FleetOwner::fence() const
 {
     const auto fence = m_private->m_state.m_fence.load();
--- a/service/lib/Fleetservice/session.cpp
+++ b/service/lib/Fleetservice/session.cpp
@@ -17,6 +17,9 @@
 static constexpr Duration ownerRenewalPeriod(250);
 // A VM that is not the owner loses only its registration if a renewal is late, so that more frequent calls would gain nothing.
 static constexpr Duration renewalPeriod(550);
+// Renewals, at least 5 s, without progress of the owner's thread after which the ownership is given up. Renewals are counted rather than time, because a
+// suspended process makes no progress on any thread.
+static constexpr int maxRenewalsWithoutProgress = 20;
 // The pause between renewals is at least this long, even if the store answers late or refuses.
 static constexpr Duration minRenewalPause(50);
 // While no owner is known, this VM tries to take the ownership key at this period, in case the watch has missed the key's removal.
@@ -53,6 +56,9 @@
     Instant m_nextHandOver; // Boot clock. No handover is requested before this time.
     std::string m_releaseReason; // Set while a request to give up the ownership is pending.
     std::atomic<std::int64_t> m_leaseEndMs = 0; // Boot clock.
+    std::uint64_t m_ownerIterations = 0; // As of the last renewal; only the renewal thread uses this and the next member.
+    int m_renewalsWithoutProgress = 0;
+    std::atomic<bool> m_ownerStalled = false; // The owner's thread has made no progress for too long.
     std::thread m_renewalThread;
     std::thread m_electionThread;
 
@@ -65,6 +71,7 @@
     void beginOwnership(std::int64_t fence, std::int64_t lease);
     void endOwnership(const std::string &reason);
     void requestHandOverToLargerVm();
+    void superviseOwner();
     void releaseOwnershipIfRequested();
     // Waits for @p time, or until a release of the ownership is requested. Returns false if the session is being closed.
     bool waitForNextRenewal(Duration time);
@@ -153,6 +160,28 @@
     m_releaseReason = "a VM with a larger processor share can own the fleet";
 }
 
+// Requests the release of the ownership if the owner's thread makes no progress although this thread does. An owner that decides nothing would
+// otherwise keep the fleet for as long as its lease is renewed.
+void Session::Private::superviseOwner()
+{
+    if (!m_callbacks.m_ownerIterations) {
+        return;
+    }
+    const auto iterations = m_callbacks.m_ownerIterations();
+    m_renewalsWithoutProgress = iterations == m_ownerIterations ? m_renewalsWithoutProgress + 1 : 0;
+    m_ownerIterations = iterations;
+    const bool stalled = m_renewalsWithoutProgress >= maxRenewalsWithoutProgress;
+    const std::lock_guard lock(m_mutex);
+    if (m_ownerStalled.exchange(stalled) != stalled) {
+        logEvent(stalled ? LogLevel::Error : LogLevel::Warn,
+                 stalled ? "owner_stalled" : "owner_resumed",
+                 {{"fence", std::to_string(m_fence)}, {"renewals", std::to_string(maxRenewalsWithoutProgress)}});
+    }
+    if (stalled && m_fence != 0) {
+        m_releaseReason = "the owner's thread has decided nothing during " + std::to_string(maxRenewalsWithoutProgress) + " renewals of the lease";
+    }
+}
+
 // Ends the lease, which removes the ownership key if it is still held by this VM, so that another VM can take it.
 void Session::Private::releaseOwnershipIfRequested()
 {
@@ -185,6 +214,7 @@
     while (waitForNextRenewal(pause)) {
         const auto startedAt = bootClockNow();
         requestHandOverToLargerVm();
+        superviseOwner();
         releaseOwnershipIfRequested();
         std::int64_t lease = 0;
         Duration period(0);
@@ -300,7 +330,7 @@
         }
         if (namedAsOwner) {
             adoptOwnershipKey();
-        } else if (m_callbacks.m_mayTakeOwnership()) {
+        } else if (!m_ownerStalled && m_callbacks.m_mayTakeOwnership()) {
             tryAcquireOwnership();
         }
         std::unique_lock lock(m_mutex);
--- a/service/lib/Fleetservice/session.h
+++ b/service/lib/Fleetservice/session.h
@@ -4,6 +4,7 @@
 #include "primrosebridge/Kv/platformstore.h"
 #include "primrosebridge/Model/time.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +18,9 @@
     std::function<Duration()> m_electionDelay; ///< The time for which this VM waits for a preferred VM to become the owner.
     std::function<void(std::int64_t fence)> m_onOwnershipGained; ///< May block.
     std::function<void(std::int64_t fence, const std::string &reason)> m_onOwnershipLost;
+    /// Returns a number that rises while the thread that decides as the owner makes progress. While it stands still, this VM gives the ownership up
+    /// and does not take it again. Null if that thread is not supervised.
+    std::function<std::uint64_t()> m_ownerIterations = nullptr;
 };
 
 /// Holds this VM's lease at the store and its registration, and takes part in the election of the owner.
