Isolate a record that the store refuses, and know the limit of a value

Cause: the limit was not among the settings, records were not bounded, and a transaction that the store refused with 400 was queued again as a whole for ever.

Change: storeValueBytes is a setting. A refused transaction is split until the refused record is alone; that one is logged with its key and size, counted and dropped, and the next one with its key is written alone. Records over the limit are refused without a call. Checkpoints are left out of a record that would be too large with them, the roster writes equal job lists once or leaves cordons out, and a submission that is too large is refused at once.

--- a/core/lib/Config/fleetsettings.cpp
+++ b/core/lib/Config/fleetsettings.cpp
@@ -14,6 +14,7 @@
 constexpr IntegerRange millisecondsRange{.m_min = 1, .m_max = 24 * 3600 * 1000};
 constexpr NumberRange secondsRange{.m_min = 0.5, .m_max = 24.0 * 3600.0};
 constexpr NumberRange processorRange{.m_min = 0.01, .m_max = 1024.0};
+constexpr IntegerRange valueBytesRange{.m_min = 4096, .m_max = std::int64_t(1) << 30};
 constexpr NumberRange factorRange{.m_min = 1.0, .m_max = 1000.0};
 
 static Duration readMilliseconds(ObjectReader &fields, std::string_view name, std::int64_t defaultValue)
@@ -63,6 +64,7 @@
         .m_processorCores = fields.readNumber("processorShare", processorRange, 1.0) * fields.readNumber("processorSpeed", processorRange, 1.0),
         .m_remoteFactor = fields.readNumber("remoteFactor", factorRange, 3.0),
         .m_logLevel = readLogLevel(fields),
+        .m_maxValueBytes = static_cast<std::size_t>(fields.readInteger("storeValueBytes", valueBytesRange, 1024 * 1024)),
     };
     fields.reportUnknownMembers();
     if (!faults.empty()) {
--- a/recovery/include/primrosebridge/Progress/jobstate.h
+++ b/recovery/include/primrosebridge/Progress/jobstate.h
@@ -132,7 +132,7 @@
     /// Occurrences that are created ahead of their first start. One pass starts at most these; the next pass has further ones.
     static constexpr std::size_t maxUnstarted = 256;
     static constexpr std::size_t maxOpen = 4096;
-    /// Estimated size of the progress record, which also limits the open occurrences: half of the smallest value limit of the platform's store.
+    /// Estimated size of the progress record, which also limits the open occurrences. Half of the usual value limit of the platform's store.
     static constexpr std::size_t maxRecordBytes = std::size_t(512) * 1024;
     /// Occurrences beyond JobState::m_nextOccurrence that a reported run may create. Former releases created all that were due.
     static constexpr std::int64_t maxAhead = 65'536;
@@ -162,8 +162,9 @@
 JobPointer withTask(const JobState &job, const TaskReference &reference, TaskPointer task);
 
 /// Returns a copy of the job that also has the occurrences that have become due by @p wallNow, as far as OccurrenceLimits allows, or @p job itself
-/// if there are none. @p wallNow is a wall clock time, and @p now is a boot clock time. Thread-safe.
-JobPointer withDueOccurrences(const JobPointer &job, Instant wallNow, Instant now);
+/// if there are none. @p wallNow is a wall clock time, and @p now is a boot clock time; @p maxRecordBytes replaces the limit of that name.
+/// Thread-safe.
+JobPointer withDueOccurrences(const JobPointer &job, Instant wallNow, Instant now, std::size_t maxRecordBytes = OccurrenceLimits::maxRecordBytes);
 
 /// Returns a copy of the job that also has the occurrences up to @p number, or @p job itself if it has them, if its schedule does not contain
 /// @p number, or if @p number is more than OccurrenceLimits::maxAhead away. A run of an occurrence shows that it is due, whatever the wall clock of this VM
--- a/recovery/lib/Progress/jobrecord.cpp
+++ b/recovery/lib/Progress/jobrecord.cpp
@@ -165,13 +165,13 @@
 }
 
 // Returns an entry [index, highest run number, failed runs, checkpoint] for each unfinished task that was started at least once.
-static Json encodeUnfinishedTasks(const StepState &step)
+static Json encodeUnfinishedTasks(const StepState &step, bool withCheckpoints)
 {
     Json entries = Json::array();
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
         const auto &task = *step.m_tasks[index];
         if (task.m_phase != TaskPhase::Done && (task.m_highestRunNumber > 0 || !task.m_failedRuns.empty())) {
-            entries.push_back(Json::array({index, task.m_highestRunNumber, task.m_failedRuns, task.m_checkpoint}));
+            entries.push_back(Json::array({index, task.m_highestRunNumber, task.m_failedRuns, withCheckpoints ? task.m_checkpoint : std::string()}));
         }
     }
     return entries;
@@ -187,7 +187,7 @@
     return malformedRecordError("progress", "unknown outcome '" + name + "'");
 }
 
-std::string encodeProgress(const JobState &job)
+static std::string encodeProgress(const JobState &job, bool withCheckpoints)
 {
     Json occurrences = Json::array();
     const auto next = firstOfUnstartedTail(job);
@@ -198,7 +198,7 @@
             }
             Json steps = Json::array();
             for (const auto &step : occurrence->m_steps) {
-                steps.push_back(Json{{"done", encodeDoneFlags(*step)}, {"tasks", encodeUnfinishedTasks(*step)}});
+                steps.push_back(Json{{"done", encodeDoneFlags(*step)}, {"tasks", encodeUnfinishedTasks(*step, withCheckpoints)}});
             }
             occurrences.push_back(Json{{"number", occurrence->m_number}, {"steps", std::move(steps)}});
         }
@@ -213,6 +213,12 @@
     return record.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+std::string encodeProgress(const JobState &job, std::size_t maxBytes)
+{
+    auto record = encodeProgress(job, true);
+    return record.size() <= maxBytes ? record : encodeProgress(job, false);
+}
+
 static StepPointer restoreStep(const Json &json, std::size_t taskCount, Instant now)
 {
     const auto flags = json.at("done").get<std::string>();
--- a/recovery/lib/Progress/jobstate.cpp
+++ b/recovery/lib/Progress/jobstate.cpp
@@ -194,10 +194,10 @@
 }
 
 // Returns how many occurrences may be added to the job.
-static std::size_t occurrencesToAdd(const JobState &job)
+static std::size_t occurrencesToAdd(const JobState &job, std::size_t maxRecordBytes)
 {
     const auto open = job.m_occurrences.size();
-    const auto maxOpen = std::clamp<std::size_t>(OccurrenceLimits::maxRecordBytes / estimatedRecordBytes(*job.m_spec), 1, OccurrenceLimits::maxOpen);
+    const auto maxOpen = std::clamp<std::size_t>(maxRecordBytes / estimatedRecordBytes(*job.m_spec), 1, OccurrenceLimits::maxOpen);
     std::size_t unstarted = 0;
     for (auto occurrence = job.m_occurrences.rbegin(); occurrence != job.m_occurrences.rend() && unstarted < OccurrenceLimits::maxUnstarted; ++occurrence) {
         unstarted += isUnstarted(**occurrence) ? 1 : 0;
@@ -205,7 +205,7 @@
     return open < maxOpen ? std::min(maxOpen - open, OccurrenceLimits::maxUnstarted - unstarted) : 0;
 }
 
-JobPointer withDueOccurrences(const JobPointer &job, Instant wallNow, Instant now)
+JobPointer withDueOccurrences(const JobPointer &job, Instant wallNow, Instant now, std::size_t maxRecordBytes)
 {
     const auto &schedule = job->m_spec->m_schedule;
     const auto isDue = [&](std::int64_t number) { return number < schedule.m_count && schedule.m_firstDue + schedule.m_interval * number <= wallNow; };
@@ -213,7 +213,7 @@
         return job;
     }
     auto update = updateFrom(*job);
-    for (auto left = occurrencesToAdd(*job); left > 0 && isDue(update.m_nextOccurrence); --left) {
+    for (auto left = occurrencesToAdd(*job, maxRecordBytes); left > 0 && isDue(update.m_nextOccurrence); --left) {
         update.m_occurrences.push_back(newOccurrence(*job->m_spec, update.m_nextOccurrence, now));
         ++update.m_nextOccurrence;
     }
--- a/recovery/unittests/Progress/progress.cpp
+++ b/recovery/unittests/Progress/progress.cpp
@@ -229,6 +229,24 @@
     CHECK(encodeProgress(*job).size() < OccurrenceLimits::maxRecordBytes);
 }
 
+// Guards against a record that is refused although it could be shortened: checkpoints are chosen by the tasks.
+TEST_CASE("checkpoints are left out of a record that would be too large with them")
+{
+    auto job = newJobState(specOf({stepOf(1, false)}), 3, start);
+    job = runningOn(job, task(0, 0), "w", 3);
+    job = applyRunEnd(job,
+                      RunEnd{.m_number = 1, .m_task = task(0, 0), .m_runNumber = 3, .m_kind = RunEndKind::Stopped, .m_checkpoint = std::string(5'000, 'c')},
+                      "w",
+                      start)
+              .m_job;
+    CHECK(encodeProgress(*job).size() > 5'000);
+    const auto text = encodeProgress(*job, 4'000);
+    CHECK(text.size() < 1'000);
+    const auto restored = findTask(*restoreJob(job->m_spec, 3, text, start).value(), task(0, 0));
+    CHECK(restored->m_highestRunNumber == 3);
+    CHECK(restored->m_checkpoint.empty());
+}
+
 // Guards against an occurrence that is lost or run again at a takeover because the record leaves it out.
 TEST_CASE("unstarted occurrences are left out of the record and are created again")
 {
--- a/service/include/primrosebridge/Fleetservice/fleetmetrics.h
+++ b/service/include/primrosebridge/Fleetservice/fleetmetrics.h
@@ -17,6 +17,7 @@
     TasksPlacedAgain, ///< Counts starts of tasks whose former run was released without the word of its worker. Label: belief.
     JobsEnded, ///< Label: outcome.
     Takeovers,
+    RecordsRefused, ///< Counts records that the store refused for what they hold.
     RecordsSkipped, ///< Counts entries of the store that cannot be decoded.
     StepWaitSeconds, ///< Sums the time in which steps have tasks that are not placed. Labels: rank, reason.
 };
--- a/service/include/primrosebridge/Fleetservice/inbox.h
+++ b/service/include/primrosebridge/Fleetservice/inbox.h
@@ -14,6 +14,7 @@
     Recorded, ///< The request is in the store, written by this call or an earlier one.
     NotRecorded, ///< The request was not written and will not be.
     Unknown, ///< The request may have been written or may still be written.
+    Refused, ///< The store refuses the request for what it holds, for example its size, and always will.
     NoSuchJob, ///< The job to cancel was never accepted.
 };
 
--- a/service/include/primrosebridge/Fleetservice/progresswriter.h
+++ b/service/include/primrosebridge/Fleetservice/progresswriter.h
@@ -4,7 +4,9 @@
 #include "primrosebridge/Model/result.h"
 #include "primrosebridge/Progress/jobstate.h"
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,12 +40,16 @@
 /// Pipeline stage that writes the owner's records to the store in batches, one transaction per batch.
 ///
 /// Every transaction requires the ownership key to be at the owner's fence and each record to be at its last known revision.
-/// Neither a former owner nor a delayed write can therefore overwrite newer progress. Thread-safe.
+/// Neither a former owner nor a delayed write can therefore overwrite newer progress. A transaction that the store refuses for what it holds is
+/// split until the refused record is alone. That record is logged and dropped, and the next one with its key is written alone. Thread-safe.
 class ProgressWriter
 {
 public:
-    /// Creates the writer without its thread, so that @p callbacks may refer to objects that are created later.
-    ProgressWriter(std::shared_ptr<PlatformStore> store, ProgressWriterCallbacks callbacks);
+    /// Creates the writer without its thread, so that @p callbacks may refer to objects that are created later. Records with more than
+    /// @p maxValueBytes count as refused without a call to the store.
+    ProgressWriter(std::shared_ptr<PlatformStore> store,
+                   ProgressWriterCallbacks callbacks,
+                   std::size_t maxValueBytes = std::numeric_limits<std::size_t>::max());
     ~ProgressWriter();
     ProgressWriter(const ProgressWriter &) = delete;
     ProgressWriter &operator=(const ProgressWriter &) = delete;
--- a/service/include/primrosebridge/Fleetservice/roster.h
+++ b/service/include/primrosebridge/Fleetservice/roster.h
@@ -3,7 +3,9 @@
 #include "primrosebridge/Fleet/worker.h"
 #include "primrosebridge/Model/result.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,8 +30,9 @@
     const std::vector<RosterEntry> m_workers;
 };
 
-/// Encodes the roster as JSON for the store. Thread-safe.
-std::string encodeRoster(const Roster &roster);
+/// Encodes the roster as JSON for the store. If it would exceed @p maxBytes, equal lists of jobs are written once; if that is still too much, workers
+/// are written without their cordon, so that a successor waits for them. It may exceed @p maxBytes all the same. Thread-safe.
+std::string encodeRoster(const Roster &roster, std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
 
 /// Decodes the output of encodeRoster(). Returns Internal if the text is not a valid roster. Thread-safe.
 Result<Roster> decodeRoster(const std::string &text);
--- a/service/lib/Fleetservice/fleetapi.cpp
+++ b/service/lib/Fleetservice/fleetapi.cpp
@@ -80,6 +80,8 @@
         return jsonReply(200, "{}");
     case InboxOutcome::NotRecorded:
         return unavailableReply("the submission could not be stored and was not accepted");
+    case InboxOutcome::Refused:
+        return errorReply(400, "the submission is larger than the platform's store accepts; use fewer or shorter steps and labels");
     case InboxOutcome::Unknown:
     case InboxOutcome::NoSuchJob:
         return errorReply(504, "it is not known whether the submission was stored; send it again");
@@ -95,6 +97,7 @@
     case InboxOutcome::NoSuchJob:
         return errorReply(410, "there is no such job");
     case InboxOutcome::NotRecorded:
+    case InboxOutcome::Refused:
         return unavailableReply("the cancellation could not be stored");
     case InboxOutcome::Unknown:
         return errorReply(504, "it is not known whether the cancellation was stored; send it again");
--- a/service/lib/Fleetservice/fleetmetrics.cpp
+++ b/service/lib/Fleetservice/fleetmetrics.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-static constexpr std::array<FleetMetricInfo<FleetCounter>, 10> counterInfos = {{
+static constexpr std::array<FleetMetricInfo<FleetCounter>, 11> counterInfos = {{
     {FleetCounter::CallsAnswered, "primrosebridge_fleet_calls_total", "Calls of callers answered", {"status"}},
     {FleetCounter::StartOrdersAnswered, "primrosebridge_fleet_start_orders_total", "Start orders by the worker's answer", {"answer"}},
     {FleetCounter::RunsEnded, "primrosebridge_fleet_runs_ended_total", "Runs by how they ended", {"how"}},
@@ -35,6 +35,7 @@
      {"belief"}},
     {FleetCounter::JobsEnded, "primrosebridge_fleet_jobs_ended_total", "Jobs by recorded outcome", {"outcome"}},
     {FleetCounter::Takeovers, "primrosebridge_fleet_takeovers_total", "Times that this VM became the owner"},
+    {FleetCounter::RecordsRefused, "primrosebridge_fleet_records_refused_total", "Records that the store refused for what they hold"},
     {FleetCounter::RecordsSkipped, "primrosebridge_fleet_records_skipped_total", "Entries of the store that could not be read"},
     {FleetCounter::StepWaitSeconds, "primrosebridge_fleet_step_wait_seconds_total", "Time that steps had tasks without a place", {"rank", "reason"}},
 }};
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -416,7 +416,8 @@
         ProgressWriterCallbacks{
             .m_recorded = [this](std::int64_t fence, const DurableRecord &record) { postRecorded(fence, record); },
             .m_ownershipLost = [this](std::int64_t fence) { m_session->requestOwnershipRelease(fence, "the store refused a write"); },
-        });
+        },
+        m_settings.m_maxValueBytes);
     m_owner = std::make_unique<FleetOwner>(
         OwnerContext{.m_settings = m_settings,
                      .m_workerCalls = workerCallsOver(HttpClient::create().take()),
@@ -506,6 +507,9 @@
 InboxOutcome FleetNode::submit(const JobSpec &spec)
 {
     const auto record = encodeSubmission(spec);
+    if (record.size() > m_private->m_settings.m_maxValueBytes) {
+        return InboxOutcome::Refused;
+    }
     if (m_private->m_store->answeredWithin(maxStoreSilence)) {
         const auto outcome = recordSubmission(*m_private->m_store, spec.m_id, record);
         if (outcome != InboxOutcome::NotRecorded) {
--- a/service/lib/Fleetservice/fleetpeer.cpp
+++ b/service/lib/Fleetservice/fleetpeer.cpp
@@ -195,6 +195,7 @@
             reply->set_outcome(wire::RecordReply::RECORDED);
             break;
         case InboxOutcome::NotRecorded:
+        case InboxOutcome::Refused: // The VM that sent the request has compared its size with the limit.
             reply->set_outcome(wire::RecordReply::NOT_RECORDED);
             break;
         case InboxOutcome::NoSuchJob:
--- a/service/lib/Fleetservice/inbox.cpp
+++ b/service/lib/Fleetservice/inbox.cpp
@@ -17,6 +17,8 @@
         return "not_recorded";
     case InboxOutcome::Unknown:
         return "unknown";
+    case InboxOutcome::Refused:
+        return "refused";
     case InboxOutcome::NoSuchJob:
         return "no_such_job";
     }
@@ -36,6 +38,9 @@
     if (result.ok()) {
         return InboxOutcome::Recorded; // An existing key also counts: an earlier attempt of the same submission wrote it.
     }
+    if (result.error().kind() == ErrorKind::InvalidArgument) {
+        return InboxOutcome::Refused;
+    }
     if (certainlyNotWritten(result.error())) {
         return InboxOutcome::NotRecorded;
     }
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -160,7 +160,8 @@
     state.m_context.m_enqueueRecord(state.m_fence,
                                     DurableRecord{.m_key = std::string(StoreKeys::roster),
                                                   .m_job = nullptr,
-                                                  .m_value = encodeRoster(Roster{.m_version = state.m_rosterVersion, .m_workers = std::move(workers)}),
+                                                  .m_value = encodeRoster(Roster{.m_version = state.m_rosterVersion, .m_workers = std::move(workers)},
+                                                                          state.m_context.m_settings.m_maxValueBytes),
                                                   .m_version = state.m_rosterVersion});
 }
 
--- a/service/lib/Fleetservice/ownerplacement.cpp
+++ b/service/lib/Fleetservice/ownerplacement.cpp
@@ -61,7 +61,7 @@
             return true;
         }
         job = applyMaxAttempts(state, job, configuration, now);
-        const auto due = withDueOccurrences(job, wallNow, now);
+        const auto due = withDueOccurrences(job, wallNow, now, state.m_context.m_settings.m_maxValueBytes / 2);
         if (due != job) {
             setJob(state, due);
             job = due;
--- a/service/lib/Fleetservice/progresswriter.cpp
+++ b/service/lib/Fleetservice/progresswriter.cpp
@@ -1,5 +1,6 @@
 #include "primrosebridge/Fleetservice/progresswriter.h"
 
+#include "primrosebridge/Fleetservice/fleetmetrics.h"
 #include "primrosebridge/Fleetservice/storekeys.h"
 #include "primrosebridge/Observe/log.h"
 #include "primrosebridge/Progress/jobrecord.h"
@@ -9,6 +10,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 
 namespace PrimroseBridge {
@@ -17,6 +19,8 @@
 static constexpr std::size_t maxRecordsPerTransaction = (maxTransactionEntries - 1) / 2;
 // Lets jobs that end at about the same time share a transaction; it delays the acknowledgement of the runs' ends by as much.
 static constexpr Duration batchDelay(4);
+// Total size of the values of one transaction, unless a single value is larger. A call with several of the largest values could time out on a slow link.
+static constexpr std::size_t maxTransactionBytes = std::size_t(1024) * 1024;
 // Delay before the next write after the store refused a transaction or did not answer.
 static constexpr Duration retryDelay(100);
 
@@ -27,6 +31,8 @@
     std::condition_variable m_changed;
     std::map<std::string, std::shared_ptr<const DurableRecord>> m_queued; // By key.
     std::map<std::string, std::int64_t> m_revisions;
+    std::set<std::string> m_refusedKeys; // Keys of which the last record was refused in this term; their next records are written alone.
+    std::size_t m_maxValueBytes = 0;
     std::optional<std::int64_t> m_fence;
     std::uint64_t m_term = 0; // Incremented by beginTerm() and endTerm(); a batch of an earlier term is neither reported as recorded nor requeued.
     bool m_stopped = false;
@@ -48,6 +54,7 @@
 
 } // namespace
 
+// Takes records in the order of their keys. A record whose key was refused before is taken alone.
 template<class State>
 static std::optional<Batch> takeBatch(State &state)
 {
@@ -63,19 +70,37 @@
     }
     batch.m_fence = *state.m_fence;
     batch.m_term = state.m_term;
-    while (!state.m_queued.empty() && batch.m_records.size() < maxRecordsPerTransaction) {
+    bool alone = false;
+    while (!alone && !state.m_queued.empty() && batch.m_records.size() < maxRecordsPerTransaction) {
         const auto first = state.m_queued.begin();
+        alone = state.m_refusedKeys.contains(first->first);
+        if (alone && !batch.m_records.empty()) {
+            break;
+        }
         batch.m_records.push_back(first->second);
         batch.m_revisions.push_back(state.m_revisions[first->first]);
         state.m_queued.erase(first);
     }
     lock.unlock();
     for (const auto &record : batch.m_records) {
-        batch.m_values.push_back(record->m_job ? encodeProgress(*record->m_job) : record->m_value);
+        batch.m_values.push_back(record->m_job ? encodeProgress(*record->m_job, state.m_maxValueBytes) : record->m_value);
     }
     return batch;
 }
 
+// Returns the records of the batch from @p first up to but not including @p last.
+static Batch partOf(const Batch &batch, std::size_t first, std::size_t last)
+{
+    const auto range = [first, last](const auto &all) {
+        return std::vector(all.begin() + static_cast<std::ptrdiff_t>(first), all.begin() + static_cast<std::ptrdiff_t>(last));
+    };
+    return Batch{.m_fence = batch.m_fence,
+                 .m_term = batch.m_term,
+                 .m_records = range(batch.m_records),
+                 .m_values = range(batch.m_values),
+                 .m_revisions = range(batch.m_revisions)};
+}
+
 static StoreTransaction transactionFor(const Batch &batch)
 {
     std::vector<StoreExpectation> expectations{{.m_key = std::string(StoreKeys::owner), .m_revision = batch.m_fence}};
@@ -98,6 +123,7 @@
             return;
         }
         state.m_revisions[record.m_key] = revision;
+        state.m_refusedKeys.erase(record.m_key);
     }
     state.m_callbacks.m_recorded(batch.m_fence, record);
 }
@@ -143,6 +169,25 @@
     }
 }
 
+// Drops a record that the store refuses for what it holds. The ends of runs that it would have recorded stay listed by their workers.
+template<class State>
+static void reportRefused(State &state, const Batch &batch, std::size_t index, const std::string &reason)
+{
+    const auto &key = batch.m_records[index]->m_key;
+    FleetMetrics::instance().increment(FleetCounter::RecordsRefused);
+    logEvent(LogLevel::Error,
+             "record_refused",
+             {{"key", key},
+              {"bytes", std::to_string(batch.m_values[index].size())},
+              {"limit", std::to_string(state.m_maxValueBytes)},
+              {"version", std::to_string(batch.m_records[index]->m_version)},
+              {"error", reason}});
+    const std::lock_guard lock(state.m_mutex);
+    if (state.m_term == batch.m_term) {
+        state.m_refusedKeys.insert(key);
+    }
+}
+
 template<class State>
 static void writeBatch(State &state, const Batch &batch)
 {
@@ -157,6 +202,16 @@
         resolveConflict(state, batch, result.value().m_current);
         return;
     }
+    if (result.error().kind() == ErrorKind::InvalidArgument) {
+        const auto size = batch.m_records.size();
+        if (size == 1) {
+            reportRefused(state, batch, 0, result.error().message());
+            return;
+        }
+        writeBatch(state, partOf(batch, 0, size / 2));
+        writeBatch(state, partOf(batch, size / 2, size));
+        return;
+    }
     logEvent(LogLevel::Warn,
              "progress_not_recorded",
              {{"records", std::to_string(batch.m_records.size())}, {"error", result.error().message()}, {"outcome", "retried"}});
@@ -168,18 +223,46 @@
     state.m_changed.wait_for(lock, retryDelay, [&] { return state.m_stopped; });
 }
 
+// Writes the records in transactions of a limited size, without those that are too large for the store.
+template<class State>
+static void writeInParts(State &state, const Batch &batch)
+{
+    std::size_t first = 0;
+    std::size_t bytes = 0;
+    const auto writeUpTo = [&](std::size_t end) {
+        if (first < end) {
+            writeBatch(state, partOf(batch, first, end));
+        }
+        first = end;
+        bytes = 0;
+    };
+    for (std::size_t index = 0; index < batch.m_records.size(); ++index) {
+        const auto size = batch.m_values[index].size();
+        if (size > state.m_maxValueBytes) {
+            writeUpTo(index);
+            reportRefused(state, batch, index, "the record is larger than a value of the store");
+            first = index + 1;
+            continue;
+        }
+        if (bytes + size > maxTransactionBytes) {
+            writeUpTo(index);
+        }
+        bytes += size;
+    }
+    writeUpTo(batch.m_records.size());
+}
+
 void ProgressWriter::Private::run()
 {
     while (const auto batch = takeBatch(*this)) {
-        if (!batch->m_records.empty()) {
-            writeBatch(*this, *batch);
-        }
+        writeInParts(*this, *batch);
     }
 }
 
-ProgressWriter::ProgressWriter(std::shared_ptr<PlatformStore> store, ProgressWriterCallbacks callbacks)
+ProgressWriter::ProgressWriter(std::shared_ptr<PlatformStore> store, ProgressWriterCallbacks callbacks, std::size_t maxValueBytes)
     : m_private(std::make_unique<Private>())
 {
+    m_private->m_maxValueBytes = maxValueBytes;
     m_private->m_store = std::move(store);
     m_private->m_callbacks = std::move(callbacks);
 }
@@ -212,6 +295,7 @@
     ++m_private->m_term;
     m_private->m_fence = fence;
     m_private->m_queued.clear();
+    m_private->m_refusedKeys.clear();
     m_private->m_revisions.clear();
     for (const auto &entry : revisions) {
         m_private->m_revisions[entry.m_key] = entry.m_revision;
--- a/service/lib/Fleetservice/roster.cpp
+++ b/service/lib/Fleetservice/roster.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
+
 namespace PrimroseBridge {
 
 using Json = nlohmann::json;
@@ -25,9 +27,6 @@
     if (report.m_reportedAtClockMs) {
         json["clock"] = *report.m_reportedAtClockMs;
     }
-    if (entry.m_jobsIfCordoned) {
-        json["onlyJobs"] = *entry.m_jobsIfCordoned;
-    }
     return json;
 }
 
@@ -51,28 +50,68 @@
     });
 }
 
-static std::optional<std::vector<std::string>> decodeJobsIfCordoned(const Json &json)
+// A former release ignores "jobSet" and takes the worker for one that is not cordoned, so that it waits for the worker.
+static std::optional<std::vector<std::string>> decodeJobsIfCordoned(const Json &json, const Json &jobSets)
 {
+    if (const auto set = json.find("jobSet"); set != json.end()) {
+        return jobSets.at(set->get<std::size_t>()).get<std::vector<std::string>>();
+    }
     const auto found = json.find("onlyJobs");
     return found == json.end() ? std::nullopt : std::optional(found->get<std::vector<std::string>>());
 }
 
-std::string encodeRoster(const Roster &roster)
+namespace {
+
+enum class JobLists {
+    ByWorker,
+    Shared, // Equal lists are written once.
+    None,
+};
+
+} // namespace
+
+static std::string encodeRoster(const Roster &roster, JobLists lists)
 {
+    std::map<std::vector<std::string>, std::size_t> setNumbers;
+    Json jobSets = Json::array();
     Json workers = Json::array();
     for (const auto &entry : roster.m_workers) {
-        workers.push_back(encodeEntry(entry));
+        auto json = encodeEntry(entry);
+        if (entry.m_jobsIfCordoned && lists == JobLists::ByWorker) {
+            json["onlyJobs"] = *entry.m_jobsIfCordoned;
+        } else if (entry.m_jobsIfCordoned && lists == JobLists::Shared) {
+            const auto [set, added] = setNumbers.try_emplace(*entry.m_jobsIfCordoned, jobSets.size());
+            if (added) {
+                jobSets.push_back(*entry.m_jobsIfCordoned);
+            }
+            json["jobSet"] = set->second;
+        }
+        workers.push_back(std::move(json));
+    }
+    Json json{{"version", roster.m_version}, {"workers", std::move(workers)}};
+    if (!jobSets.empty()) {
+        json["jobSets"] = std::move(jobSets);
+    }
+    return json.dump();
+}
+
+std::string encodeRoster(const Roster &roster, std::size_t maxBytes)
+{
+    auto text = encodeRoster(roster, JobLists::ByWorker);
+    if (text.size() > maxBytes) {
+        text = encodeRoster(roster, JobLists::Shared);
     }
-    return Json{{"version", roster.m_version}, {"workers", std::move(workers)}}.dump();
+    return text.size() <= maxBytes ? text : encodeRoster(roster, JobLists::None);
 }
 
 Result<Roster> decodeRoster(const std::string &text)
 {
     try {
         const auto json = Json::parse(text);
+        const auto jobSets = json.value("jobSets", Json::array());
         std::vector<RosterEntry> workers;
         for (const auto &worker : json.at("workers")) {
-            workers.push_back(RosterEntry{.m_worker = decodeWorker(worker), .m_jobsIfCordoned = decodeJobsIfCordoned(worker)});
+            workers.push_back(RosterEntry{.m_worker = decodeWorker(worker), .m_jobsIfCordoned = decodeJobsIfCordoned(worker, jobSets)});
         }
         return Roster{.m_version = json.at("version").get<std::int64_t>(), .m_workers = std::move(workers)};
     } catch (const Json::exception &error) {
--- a/service/unittests/Fleetservice/records.cpp
+++ b/service/unittests/Fleetservice/records.cpp
@@ -31,7 +31,7 @@
 class ProgressWriterFixture
 {
 public:
-    ProgressWriterFixture()
+    explicit ProgressWriterFixture(std::size_t maxValueBytes = std::numeric_limits<std::size_t>::max())
     {
         m_store.put(std::string(StoreKeys::owner), "owner");
         m_writer
@@ -39,7 +39,8 @@
                                                ProgressWriterCallbacks{
                                                    .m_recorded = [this](std::int64_t, const DurableRecord &record) { m_recordedVersion = record.m_version; },
                                                    .m_ownershipLost = [this](std::int64_t) { m_lostOwnership = true; },
-                                               });
+                                               },
+                                               maxValueBytes);
         REQUIRE(m_writer->start().ok());
         m_fence = m_store.revisionOf(std::string(StoreKeys::owner));
         m_writer->beginTerm(m_fence, {});
@@ -62,6 +63,42 @@
 
 } // namespace
 
+// Guards against a record that keeps all others from being recorded (Acks, review case 8): the store refuses the transaction for one of its values.
+TEST_CASE("a record that the store refuses does not keep others from being recorded")
+{
+    constexpr std::size_t limit = 1'000;
+    const bool knowsLimit = GENERATE(true, false); // Otherwise the writer learns of it from the store only.
+    CAPTURE(knowsLimit);
+    ProgressWriterFixture fixture(knowsLimit ? limit : std::numeric_limits<std::size_t>::max());
+    fixture.m_store.setMaxValueBytes(limit);
+    const auto recordOf = [](int number, std::size_t bytes, std::int64_t version) {
+        return DurableRecord{
+            .m_key = "primrosebridge/test/" + std::to_string(10 + number), .m_job = nullptr, .m_value = std::string(bytes, 'x'), .m_version = version};
+    };
+    constexpr int records = 40; // More than fit into two transactions.
+    for (const int tooLarge : {0, 7, 39}) {
+        CAPTURE(tooLarge);
+        for (int number = 0; number < records; ++number) {
+            fixture.m_writer->enqueue(fixture.m_fence, recordOf(number, number == tooLarge ? limit + 1 : limit, 1));
+        }
+        for (int number = 0; number < records; ++number) {
+            const auto key = recordOf(number, 0, 1).m_key;
+            const bool recorded = number == tooLarge || fixture.waitFor([&] { return fixture.m_store.value(key).has_value(); });
+            CHECK(recorded);
+            fixture.m_store.remove(key);
+        }
+        CHECK_FALSE(fixture.m_store.value(recordOf(tooLarge, 0, 1).m_key));
+        fixture.m_writer->beginTerm(fixture.m_fence, {});
+    }
+    // A later record of the same key is written once it fits.
+    fixture.m_writer->enqueue(fixture.m_fence, recordOf(3, limit + 1, 1));
+    fixture.m_writer->enqueue(fixture.m_fence, recordOf(4, limit, 1));
+    REQUIRE(fixture.waitFor([&] { return fixture.m_store.value(recordOf(4, 0, 1).m_key).has_value(); }));
+    fixture.m_writer->enqueue(fixture.m_fence, recordOf(3, limit, 2));
+    CHECK(fixture.waitFor([&] { return fixture.m_store.value(recordOf(3, 0, 1).m_key).has_value(); }));
+    CHECK_FALSE(fixture.m_lostOwnership);
+}
+
 // Guards against progress that is not recorded, or recorded twice under different revisions, because an answer was lost.
 TEST_CASE("a write whose answer is lost is reported as recorded")
 {
@@ -176,4 +213,49 @@
     CHECK_FALSE(decodeRoster("{}").ok());
 }
 
+// Guards against a roster that outgrows a value of the store, so that new workers get no work: hundreds of silent workers with the same locked jobs.
+TEST_CASE("a roster that would exceed a value of the store is shortened")
+{
+    StandinWorker worker("w1", "r1", Duration(10));
+    const auto report = std::make_shared<const WorkerReport>(decodeWorkerReport("w1", worker.entry("ready")).value());
+    const auto rosterOf = [&](int workers, bool sameJobs) {
+        std::vector<RosterEntry> entries;
+        for (int number = 0; number < workers; ++number) {
+            std::vector<std::string> jobs;
+            for (int job = 0; job < 300; ++job) {
+                jobs.push_back("5c0e7a21d94b" + std::to_string(1'000 + job + (sameJobs ? 0 : number)));
+            }
+            entries.push_back(RosterEntry{.m_worker = report, .m_jobsIfCordoned = std::move(jobs)});
+        }
+        return Roster{.m_version = 1, .m_workers = std::move(entries)};
+    };
+    constexpr std::size_t limit = 1024 * 1024;
+    REQUIRE(encodeRoster(rosterOf(370, true)).size() > limit);
+    for (const int workers : {1, 370}) {
+        for (const bool sameJobs : {true, false}) {
+            CAPTURE(workers, sameJobs);
+            const auto roster = rosterOf(workers, sameJobs);
+            const auto text = encodeRoster(roster, limit);
+            CHECK(text.size() <= limit);
+            const auto decoded = decodeRoster(text).value();
+            REQUIRE(decoded.m_workers.size() == static_cast<std::size_t>(workers));
+            // Without its cordon, a worker is waited for by a successor.
+            const bool cordoned = workers == 1 || sameJobs;
+            CHECK(decoded.m_workers.back().m_jobsIfCordoned == (cordoned ? roster.m_workers.back().m_jobsIfCordoned : std::nullopt));
+        }
+    }
+    CHECK_FALSE(decodeRoster(R"({"version":1,"workers":[{"jobSet":5}]})").ok());
+}
+
+// Guards against a submission that is tried again for ever because the store never accepts it.
+TEST_CASE("a submission that the store refuses for its size is not tried again")
+{
+    StandinStore store;
+    store.setMaxValueBytes(100);
+    const auto client = makeStoreClient(store);
+    CHECK(recordSubmission(*client, "job", std::string(100, 'x')) == InboxOutcome::Recorded);
+    CHECK(recordSubmission(*client, "other", std::string(101, 'x')) == InboxOutcome::Refused);
+    CHECK_FALSE(store.value(submissionKey("other")));
+}
+
 } // namespace PrimroseBridge
--- a/standins/include/primrosebridge/Fleetstandin/standinstore.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinstore.h
@@ -45,6 +45,8 @@
     void replaceAddress(std::size_t zone, const std::string &address, const std::string &addressInZone);
     /// Sets the function that chooses the fault of each HTTP call. It is called under the store's lock.
     void setFaults(std::function<StoreFault(StoreCall)> faults);
+    /// Refuses transactions with a longer value from now on, with status 400, as the platform's store does.
+    void setMaxValueBytes(std::size_t bytes);
     /// Executes a call without faults. A test can put its own server with its own faults in front of this function.
     StandinAnswer handle(const StandinCall &call);
     /// Writes a key unconditionally and without a lease, as an operator or a worker would.
--- a/standins/lib/Fleetstandin/standinstore.cpp
+++ b/standins/lib/Fleetstandin/standinstore.cpp
@@ -113,6 +113,7 @@
     std::int64_t m_revision = 1;
     std::int64_t m_nextLease = 100;
     bool m_stopping = false;
+    std::size_t m_maxValueBytes = std::size_t(1024) * 1024;
     std::function<StoreFault(StoreCall)> m_faults;
     std::vector<std::thread> m_lateCalls;
     std::unique_ptr<LoopbackHttpServer> m_httpServer;
@@ -232,6 +233,9 @@
         if (wanted != 0 && !m_leases.contains(wanted)) {
             return StandinAnswer{.m_status = 404, .m_body = "{}"};
         }
+        if (decodeBase64(row.at("value").get<std::string>()).size() > m_maxValueBytes) {
+            return StandinAnswer{.m_status = 400, .m_body = "{}"};
+        }
     }
     ++m_revision;
     for (const auto &row : body.value("setKeys", Json::array())) {
@@ -393,6 +397,12 @@
     m_private->m_zonePorts.at(zone).m_replacements.emplace_back(address, addressInZone);
 }
 
+void StandinStore::setMaxValueBytes(std::size_t bytes)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->m_maxValueBytes = bytes;
+}
+
 StandinAnswer StandinStore::handle(const StandinCall &call)
 {
     return m_private->executeCall(call);
