Acknowledge ends only to the process that listed them

Cause: a worker numbers its ends from 1 in each process, and a poll with the numbers of the earlier process reached the next one, which dropped ends that nobody had handled.

Change: a poll that acknowledges goes over a connection that was established before the last answered poll was sent; over a later connection it is sent without the acknowledgement.

--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -387,6 +387,7 @@
         worker->m_nextPollAt = now + pollRetryPause;
         return;
     }
+    const auto acknowledgedBefore = worker->m_lastAcknowledgedEnd;
     recordPollAnswer(state, *worker, runReport, event.m_sentAt, now);
     applyFirstReportOfInheritor(state, *worker, runReport, now);
     handleRunEnds(state, *worker, runReport, now);
@@ -399,7 +400,11 @@
     if (event.m_immediate) {
         return;
     }
-    const auto idlePause = !state.m_soleOwner ? pollPauseWithoutLease(state) : (worker->m_tasks.empty() ? idlePollPause(state) : Duration(0));
+    // The request has acknowledged nothing if it went over a new connection. The next one may use that connection.
+    const bool acknowledgementMissing = !runReport.m_ends.empty() && runReport.m_ends.front().m_number <= acknowledgedBefore;
+    const auto idlePause = acknowledgementMissing ? pollRetryPause
+                           : !state.m_soleOwner   ? pollPauseWithoutLease(state)
+                                                  : (worker->m_tasks.empty() ? idlePollPause(state) : Duration(0));
     if (worker->m_pendingRunEnds.empty() && idlePause == Duration(0)) {
         pollWorker(state, *worker, false, now);
     } else {
--- a/service/unittests/Fleetservice/formerowner.cpp
+++ b/service/unittests/Fleetservice/formerowner.cpp
@@ -10,7 +10,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <atomic>
+#include <future>
 #include <thread>
 
 namespace PrimroseBridge {
@@ -280,6 +283,63 @@
     CHECK(sim.m_connectionBounds.back() == Sim::at(leaseEndMs));
 }
 
+// Guards against an end that nobody has handled and that its worker drops (TWICE, seeds 1011116 and 1015565 of the simulation on b8e037e): numbers of ends
+// start anew with each process of a worker, so an acknowledgement must not reach the next one.
+TEST_CASE("an acknowledgement is bound to connections of the process that listed the ends")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1")});
+    CHECK(sim.m_reportBounds == std::vector<std::optional<Instant>>{std::nullopt});
+    sim.answer("w1", std::nullopt, {Sim::ended("5c0e7a21d94b36f9", 1, 1, RunEndKind::Stopped)}, Sim::at(20));
+    REQUIRE(sim.m_reportRequests.back().m_lastAcknowledgedEnd == 1);
+    CHECK(sim.m_reportBounds.back() == Sim::at(20));
+    // The worker lists the end again, because the request went over a new connection; the next request follows soon.
+    const auto requests = sim.m_reportRequests.size();
+    sim.answer("w1", std::nullopt, {Sim::ended("5c0e7a21d94b36f9", 1, 1, RunEndKind::Stopped)}, Sim::at(40));
+    sim.review(Sim::at(300));
+    REQUIRE(sim.m_reportRequests.size() == requests + 1);
+    CHECK(sim.m_reportRequests.back().m_lastAcknowledgedEnd == 1);
+    CHECK(sim.m_reportBounds.back() == Sim::at(40));
+}
+
+// The same with real connections: the worker restarts and counts its ends anew before the owner asks again.
+TEST_CASE("a restarted worker keeps an end that nobody has handled")
+{
+    StandinWorker worker("w1", "r1", Duration(30));
+    const auto client = HttpClient::create().take();
+    const auto address = nlohmann::json::parse(worker.entry("ready")).at("addr").get<std::string>();
+    const auto targetBefore = [&](std::optional<Instant> connectedBefore) {
+        return OrderTarget{.m_worker = "w1", .m_address = address, .m_fence = 1, .m_timeout = Duration(1000), .m_connectedBefore = connectedBefore};
+    };
+    const auto runOneTask = [&](const std::string &job) {
+        sendStartOrder(*client,
+                       targetBefore(std::nullopt),
+                       StartOrder{.m_task = Sim::reference(job), .m_runNumber = 1, .m_payload = {}, .m_checkpoint = {}, .m_leaseEndMs = 60'000},
+                       [](const OrderReply &) {});
+        return waitUntil([&] {
+            const auto runs = worker.runHistory(); // Ends the runs that are due.
+            return !runs.empty() && worker.unacknowledgedEndCount() == 1;
+        });
+    };
+    const auto acknowledgeFirstEnd = [&](std::optional<Instant> connectedBefore) {
+        std::promise<std::size_t> listed;
+        requestRunReport(*client,
+                         targetBefore(connectedBefore),
+                         RunReportRequest{.m_lastAcknowledgedEnd = 1, .m_leaseEndMs = std::nullopt, .m_wait = Duration(0)},
+                         [&](const RunReportReply &reply) { listed.set_value(reply.m_runReport ? reply.m_runReport->m_ends.size() : 99); });
+        return listed.get_future().get();
+    };
+    REQUIRE(runOneTask("5c0e7a21d94b36f8"));
+    std::this_thread::sleep_for(Duration(5));
+    const auto connected = bootClockNow();
+    CHECK(acknowledgeFirstEnd(connected) == 0);
+    worker.restart(true);
+    REQUIRE(runOneTask("5c0e7a21d94b36f9"));
+    CHECK(acknowledgeFirstEnd(connected) == 1);
+    CHECK(worker.unacknowledgedEndCount() == 1);
+}
+
 namespace {
 
 // Runs the iterations of an owner by hand, with calls over HTTP, so that a test decides which answers the owner has seen.
--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -270,6 +270,7 @@
     std::vector<RecordedOrder> m_startOrders;
     std::vector<RecordedOrder> m_stopOrders;
     std::vector<RunReportRequest> m_reportRequests;
+    std::vector<std::optional<Instant>> m_reportBounds; ///< OrderTarget::m_connectedBefore of each report request.
     std::vector<std::optional<Instant>> m_connectionBounds; ///< OrderTarget::m_connectedBefore of each start and stop order.
     Duration m_wallClockOffset{0}; ///< Added to the wall clock of the owner.
     OwnerState m_state;
@@ -288,7 +289,11 @@
                     m_connectionBounds.push_back(target.m_connectedBefore);
                     m_stopOrders.push_back(RecordedOrder{.m_worker = target.m_worker, .m_task = task, .m_runNumber = runNumber});
                 },
-            .m_requestRunReport = [this](const OrderTarget &, const RunReportRequest &request, const auto &) { m_reportRequests.push_back(request); },
+            .m_requestRunReport =
+                [this](const OrderTarget &target, const RunReportRequest &request, const auto &) {
+                    m_reportRequests.push_back(request);
+                    m_reportBounds.push_back(target.m_connectedBefore);
+                },
         };
     }
 
--- a/service/unittests/Fleetsimulation/simulatedvm.cpp
+++ b/service/unittests/Fleetsimulation/simulatedvm.cpp
@@ -329,17 +329,17 @@
 
 template<class Reply>
 void SimulatedVm::callWorker(const OrderTarget &target,
-                             bool mayBeLate,
+                             bool isReport,
                              std::function<void(OrderDelivery delivery, std::function<void(const Reply &)>)> execute,
                              std::function<Reply(OrderAnswer)> failure,
                              std::function<void(const Reply &)> handler)
 {
-    const auto send = [this, target, mayBeLate, execute = std::move(execute), failure = std::move(failure), handler = std::move(handler)] {
+    const auto send = [this, target, isReport, execute = std::move(execute), failure = std::move(failure), handler = std::move(handler)] {
         auto &world = m_world;
         const auto now = world.m_queue.now();
         auto fate = drawFate(world.m_random, world.m_faults.m_workers);
-        if (!mayBeLate) {
-            fate.m_late.reset();
+        if (isReport) {
+            fate.m_late.reset(); // The platform executes only orders late.
         }
         auto done = std::make_shared<bool>(false);
         const auto finishAt = [this, process = m_process, done, handler](Instant at, const Reply &reply) {
@@ -351,7 +351,8 @@
             });
         };
         const auto connection = usableConnection(target);
-        if (!connection && target.m_connectedBefore && bootNow() >= *target.m_connectedBefore) {
+        const bool onLaterConnection = isReport && !connection && target.m_connectedBefore;
+        if (!connection && !onLaterConnection && target.m_connectedBefore && bootNow() >= *target.m_connectedBefore) {
             finishAt(now, failure(OrderAnswer::NotSent));
             return;
         }
@@ -379,30 +380,33 @@
             }
         };
         const auto startsAtSending = world.m_workerStarts[target.m_worker];
-        world.m_queue.add(now + fate.m_late.value_or(fate.m_out),
-                          [this, process = m_process, &world, target, connection, startsAtSending, fate, answer, execute, failure, finishAt] {
-                              world.checkWorkers();
-                              const auto &name = target.m_worker;
-                              const bool restarted = world.m_workerStarts[name] != startsAtSending;
-                              if (!fate.m_late && connection && restarted) {
-                                  finishAt(world.m_queue.now(),
-                                           failure(OrderAnswer::Unanswered)); // The connection ended with the process that had accepted it.
-                                  return;
-                              }
-                              if (!fate.m_late && !connection && process->isAlive()) {
-                                  const WorkerConnection opened{.m_workerStarts = world.m_workerStarts[name], .m_establishedAt = bootNow()};
-                                  if (target.m_connectedBefore && opened.m_establishedAt >= *target.m_connectedBefore) {
-                                      finishAt(world.m_queue.now(), failure(OrderAnswer::NotSent));
-                                      return;
-                                  }
-                                  m_workerConnections.emplace(name, opened);
-                              }
-                              // While the worker is down, the call gets no answer, or its machine refuses the connection or passes it to another worker.
-                              if (world.m_workers.isUp(name) || fate.m_closesEarly) {
-                                  execute(OrderDelivery{.m_late = fate.m_late.has_value(), .m_afterRestart = fate.m_late && restarted}, answer);
-                                  world.checkWorkers();
-                              }
-                          });
+        world.m_queue.add(
+            now + fate.m_late.value_or(fate.m_out),
+            [this, process = m_process, &world, target, connection, startsAtSending, onLaterConnection, fate, answer, execute, failure, finishAt] {
+                world.checkWorkers();
+                const auto &name = target.m_worker;
+                const bool restarted = world.m_workerStarts[name] != startsAtSending;
+                if (!fate.m_late && connection && restarted) {
+                    finishAt(world.m_queue.now(),
+                             failure(OrderAnswer::Unanswered)); // The connection ended with the process that had accepted it.
+                    return;
+                }
+                if (!fate.m_late && !connection && process->isAlive()) {
+                    const WorkerConnection opened{.m_workerStarts = world.m_workerStarts[name], .m_establishedAt = bootNow()};
+                    if (!onLaterConnection && target.m_connectedBefore && opened.m_establishedAt >= *target.m_connectedBefore) {
+                        finishAt(world.m_queue.now(), failure(OrderAnswer::NotSent));
+                        return;
+                    }
+                    m_workerConnections.emplace(name, opened);
+                }
+                // While the worker is down, the call gets no answer, or its machine refuses the connection or passes it to another worker.
+                if (world.m_workers.isUp(name) || fate.m_closesEarly) {
+                    execute(
+                        OrderDelivery{.m_late = fate.m_late.has_value(), .m_afterRestart = fate.m_late && restarted, .m_onLaterConnection = onLaterConnection},
+                        answer);
+                    world.checkWorkers();
+                }
+            });
     };
     if (m_sendDelay == Duration(0)) {
         send();
@@ -430,7 +434,7 @@
                 trace("sends " + text);
                 callWorker<OrderReply>(
                     target,
-                    true,
+                    false,
                     [&world, target, order, sender = m_node.m_name, text](OrderDelivery delivery, const std::function<void(const OrderReply &)> &answer) {
                         const auto reply = world.m_workers.startOrder(target, order, sender, delivery, world.m_queue.now());
                         if (world.m_trace.enabled()) {
@@ -455,7 +459,7 @@
                 trace("sends " + text);
                 callWorker<OrderReply>(
                     target,
-                    true,
+                    false,
                     [&world, target, task, runNumber, text](OrderDelivery delivery, const std::function<void(const OrderReply &)> &answer) {
                         const auto reply = world.m_workers.stopOrder(target, task, runNumber, world.m_queue.now());
                         if (world.m_trace.enabled()) {
@@ -474,9 +478,12 @@
                 auto &world = m_world;
                 callWorker<RunReportReply>(
                     target,
-                    false,
-                    [&world, target, request, reportFailure](OrderDelivery, const std::function<void(const RunReportReply &)> &answer) {
+                    true,
+                    [&world, target, sent = request, reportFailure](OrderDelivery delivery, const std::function<void(const RunReportReply &)> &answer) {
                         const auto now = world.m_queue.now();
+                        const RunReportRequest request{.m_lastAcknowledgedEnd = delivery.m_onLaterConnection ? 0 : sent.m_lastAcknowledgedEnd,
+                                                       .m_leaseEndMs = sent.m_leaseEndMs,
+                                                       .m_wait = sent.m_wait};
                         const auto reply = world.m_workers.report(target, request, now);
                         if (world.m_trace.enabled() && request.m_lastAcknowledgedEnd > 0) {
                             world.m_trace.add(target.m_worker + " gets a request with fence " + std::to_string(target.m_fence) + " that acknowledges "
--- a/service/unittests/Fleetsimulation/simulatedvm.h
+++ b/service/unittests/Fleetsimulation/simulatedvm.h
@@ -94,7 +94,7 @@
     // Calls to workers.
     template<class Reply>
     void callWorker(const OrderTarget &target,
-                    bool mayBeLate,
+                    bool isReport,
                     std::function<void(OrderDelivery delivery, std::function<void(const Reply &)>)> execute,
                     std::function<Reply(OrderAnswer)> failure,
                     std::function<void(const Reply &)> handler);
--- a/service/unittests/Fleetsimulation/simulatedworkers.h
+++ b/service/unittests/Fleetsimulation/simulatedworkers.h
@@ -33,6 +33,7 @@
 struct OrderDelivery {
     bool m_late = false; ///< The sender got no answer, and the worker executed the order seconds later.
     bool m_afterRestart = false; ///< The worker has crashed or restarted since the order was sent.
+    bool m_onLaterConnection = false; ///< There was no connection that OrderTarget::m_connectedBefore allows.
 
     bool operator==(const OrderDelivery &) const = default;
 };
