List the jobs of unrecorded ends in a worker's cordon

Cause: a cordon tells a successor which jobs may have runs on a silent or draining worker. It was computed from the tasks, listed and superseded runs of the worker, but not from its ends that were not recorded. Only the order of the keys in a transaction, progress/ before roster, kept a successor from starting such a task at once elsewhere, and since refused records are dropped that order is no guard.

Change: the cordon also lists the jobs of the ends that wait for their records.

--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -438,6 +438,10 @@
     for (const auto &[run, superseded] : worker.m_supersededRuns) {
         jobs.insert(run.m_task.m_job);
     }
+    // The roster may be recorded although the end of a run is not, for example if the store refuses the job's record.
+    for (const auto &end : worker.m_pendingRunEnds) {
+        jobs.insert(end.m_job);
+    }
     worker.m_jobsIfCordoned = std::move(jobs);
 }
 
--- a/service/unittests/Fleetservice/reviewofruns.cpp
+++ b/service/unittests/Fleetservice/reviewofruns.cpp
@@ -450,4 +450,31 @@
     CHECK(sim.m_startOrders.size() == 2);
 }
 
+// Guards against a start after a run that is done (TWICE on szsa-clamp, issue 42): a worker drains when it has just listed the end of a run. The successor
+// reads a roster whose cordon lacks the job, and no record of the end, because the store has refused it or had not got it yet.
+TEST_CASE("a successor holds back a job whose end its predecessor had not recorded when it cordoned the worker")
+{
+    const auto spec = Sim::job(jobId, "queue", Sim::policy(4));
+    Sim sim;
+    startOnMachine(sim);
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Done)}, Sim::at(100));
+    REQUIRE(sim.jobState(jobId)->m_outcome == JobOutcome::Complete);
+    sim.apply(WorkerReported{.m_report = onMachine("w1", 1'000, Duration(5'000))}, Sim::at(110));
+    sim.review(Sim::at(160));
+    const auto roster = std::find_if(sim.m_records.rbegin(), sim.m_records.rend(), [](const auto &record) { return !record.m_job; });
+    REQUIRE(roster != sim.m_records.rend());
+    const auto entries = decodeRoster(roster->m_value).value().m_workers;
+
+    Sim successor;
+    successor.configure(1, {"queue"});
+    successor.becomeOwner({onMachine("w1", 1'000, Duration(5'000)), Sim::worker("w2")}, {newJobState(spec, 4, Sim::at(0))}, entries);
+    successor.answer("w2", std::nullopt, {}, Sim::at(10));
+    reviewAndPlace(successor, 20);
+    CHECK(successor.m_startOrders.empty());
+    successor.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::Done)}, Sim::at(30));
+    reviewAndPlace(successor, 40);
+    CHECK(successor.m_startOrders.empty());
+    CHECK(successor.jobState(jobId)->m_outcome == JobOutcome::Complete);
+}
+
 } // namespace PrimroseBridge
