Adopt a reported run of an occurrence that is younger than the report

Cause: a new owner creates the occurrence of a repeated job when it is due by its own clock or when a worker reports a run of it, which is later than the request of that report. The report was then taken for older than the end of the run and ignored, the worker counted as heard, and the task was started elsewhere.

Change: a report is ignored for its age only if the run has a number that the owner knows to be over.

Measured: "a run of an occurrence that was created after the report was requested is adopted" fails before, in both forms, and passes after.

--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -226,8 +226,10 @@
         confirmRun(state, worker, runningTask, *task, sentAt, now);
         return;
     }
-    if (!task->m_assignedWorker && sentAt < task->m_phaseSince) {
-        return; // The report may be older than the end of the run, which another answer has brought. The next report shows it.
+    // The report may be older than the end of the run, which another answer has brought. The next report shows it. A run with a higher number than any
+    // known one has not ended to this owner's knowledge; the task may just be younger than the report, as an occurrence that was created since.
+    if (!task->m_assignedWorker && runningTask.m_runNumber <= task->m_highestRunNumber && sentAt < task->m_phaseSince) {
+        return;
     }
     forgetAdoptedRun(state, runningTask.m_task, worker.m_incarnation->m_worker, runningTask.m_runNumber);
     if (task->m_assignedWorker) {
