Simulate planned stops of owners in a row and wall clocks that differ

The simulation of the fleet had planned stops, but none among the frequent ends of ownership, and one wall clock for all VMs. Owners are now also stopped as planned in a row, and the wall clocks of the VMs differ by up to 400 ms.

--- a/service/unittests/Fleetservice/dueoccurrences.cpp
+++ b/service/unittests/Fleetservice/dueoccurrences.cpp
@@ -84,8 +84,8 @@
     CHECK(sim.m_startOrders.size() == times);
 }
 
-// Guards against two runs of one task (TWICE, seed 1014733 of the simulation): a new owner creates an occurrence of a repeated job when it is due, or when a worker
-// reports a run of it, which is later than the request of that report. The report is no older than anything that the owner knows of the run.
+// Guards against two runs of one task (TWICE, seed 1014733 of the simulation): a new owner creates an occurrence of a repeated job when it is due, or when a
+// worker reports a run of it, which is later than the request of that report. The report is no older than anything that the owner knows of the run.
 TEST_CASE("a run of an occurrence that was created after the report was requested is adopted")
 {
     const std::string name = "5c0e7a21d94b36f0";
@@ -101,15 +101,16 @@
                      RosterEntry{.m_worker = Sim::worker("w2"), .m_jobsIfCordoned = std::nullopt}});
     sim.place(Sim::at(10)); // Creates the occurrence if there is a configuration.
     sim.answer("w2", std::nullopt, {}, Sim::at(15));
-    sim.apply(PollCompleted{.m_incarnation = *sim.m_state.m_workers.at("w1").m_incarnation,
-                            .m_fence = Sim::fence,
-                            .m_sentAt = Sim::at(5),
-                            .m_leaseRenewed = false,
-                            .m_immediate = false,
-                            .m_reply = RunReportReply{.m_answer = OrderAnswer::Accepted,
-                                                      .m_runReport = WorkerRunReport{
-                                                          .m_startedAtMs = 1, .m_clockMs = 5, .m_running = {Sim::running(name, 1)}, .m_ends = {}}}},
-              Sim::at(20));
+    sim.apply(
+        PollCompleted{.m_incarnation = *sim.m_state.m_workers.at("w1").m_incarnation,
+                      .m_fence = Sim::fence,
+                      .m_sentAt = Sim::at(5),
+                      .m_leaseRenewed = false,
+                      .m_immediate = false,
+                      .m_reply
+                      = RunReportReply{.m_answer = OrderAnswer::Accepted,
+                                       .m_runReport = WorkerRunReport{.m_startedAtMs = 1, .m_clockMs = 5, .m_running = {Sim::running(name, 1)}, .m_ends = {}}}},
+        Sim::at(20));
     sim.configure(1, {"queue"});
     sim.review(Sim::at(60));
     sim.place(Sim::at(60));
--- a/service/unittests/Fleetsimulation/fleetsimulation.cpp
+++ b/service/unittests/Fleetsimulation/fleetsimulation.cpp
@@ -18,6 +18,8 @@
 static constexpr std::int64_t faultsUntilMs = 20'000;
 static constexpr std::int64_t simulationMs = 30'000;
 static constexpr int zoneCount = 3;
+// The wall clocks of two VMs may differ by up to twice this.
+static constexpr std::int64_t wallClockErrorMs = 200;
 static constexpr double faultClassShare = 0.35;
 // Seeds from here on add frequent takeovers, to which faults are tied that matter only during a takeover.
 static constexpr std::uint64_t firstTakeoverSeed = 1'000'000;
@@ -172,6 +174,7 @@
         NetworkNode m_node;
         double m_processorCores = 1.0;
         Duration m_bootClockOffset{0};
+        Duration m_wallClockOffset{0};
         int m_starts = 0;
         std::unique_ptr<SimulatedVm> m_process;
     };
@@ -307,7 +310,7 @@
     }
     ++vm.m_starts;
     vm.m_process = std::make_unique<SimulatedVm>(
-        m_world, vm.m_node, vm.m_processorCores, std::to_string(vm.m_starts), vm.m_bootClockOffset, m_configuration, m_threadFaults);
+        m_world, vm.m_node, vm.m_processorCores, std::to_string(vm.m_starts), vm.m_bootClockOffset, vm.m_wallClockOffset, m_configuration, m_threadFaults);
 }
 
 void Fleet::killVm(std::size_t index)
@@ -322,6 +325,7 @@
         m_vms.push_back(Vm{.m_node = NetworkNode{.m_name = numbered("vm-", index), .m_zone = numbered("zone-", index % zoneCount)},
                            .m_processorCores = m_random.chance(0.5) ? 1.0 : 2.0,
                            .m_bootClockOffset = Duration(1'000'003 * (index + 1)),
+                           .m_wallClockOffset = m_random.duration(-wallClockErrorMs, wallClockErrorMs),
                            .m_starts = 0,
                            .m_process = nullptr});
         at(simulationStart + m_random.duration(0, 300), [this, index] { startVm(static_cast<std::size_t>(index)); });
@@ -408,7 +412,14 @@
             at(m_world.m_queue.now() + m_random.duration(1, 800), [this, worker] { restartWorker(worker, m_random.duration(0, 2'000)); });
         });
     }
-    switch (m_random.between(0, 3)) {
+    switch (m_random.between(0, 4)) {
+    case 4: // A planned stop, as in a rolling restart.
+        vm.m_process->handOver();
+        at(now + m_random.duration(50, 1'000), [this, index = *index] {
+            killVm(index);
+            at(m_world.m_queue.now() + m_random.duration(100, 1'000), [this, index] { startVm(index); });
+        });
+        return;
     case 0:
         killVm(*index);
         at(now + m_random.duration(100, 1'500), [this, index = *index] { startVm(index); });
--- a/service/unittests/Fleetsimulation/simulatedvm.cpp
+++ b/service/unittests/Fleetsimulation/simulatedvm.cpp
@@ -61,12 +61,14 @@
                          double processorCores,
                          std::string incarnation,
                          Duration bootClockOffset,
+                         Duration wallClockOffset,
                          const FleetConfigurationPointer &configuration,
                          const ThreadFaults &faults)
     : m_world(world)
     , m_node(node)
     , m_self{.m_vm = node.m_name, .m_address = "127.0.0.1:1", .m_incarnation = std::move(incarnation), .m_processorCores = processorCores}
     , m_bootClockOffset(bootClockOffset)
+    , m_wallClockOffset(wallClockOffset)
     , m_faults(faults)
     , m_startedAt(world.m_queue.now() + bootClockOffset)
     , m_process(std::make_shared<SimulatedProcess>(world.m_queue))
@@ -86,7 +88,7 @@
           .m_leaseEnd = [this](std::int64_t fence) { return leaseEnd(fence); },
           .m_onSuperseded = [this](std::int64_t fence, const std::string &reason) { requestOwnershipRelease(fence, reason); },
           .m_bootClock = [this] { return bootNow() + m_sendDelay; },
-          .m_wallClock = [this] { return m_world.m_queue.now(); },
+          .m_wallClock = [this] { return m_world.m_queue.now() + m_wallClockOffset; },
       })
 {
     m_state.m_events = std::make_shared<BoundedQueue<OwnerEvent>>(maxQueuedEvents);
--- a/service/unittests/Fleetsimulation/simulatedvm.h
+++ b/service/unittests/Fleetsimulation/simulatedvm.h
@@ -31,6 +31,7 @@
                 double processorCores,
                 std::string incarnation,
                 Duration bootClockOffset,
+                Duration wallClockOffset,
                 const FleetConfigurationPointer &configuration,
                 const ThreadFaults &faults);
     ~SimulatedVm();
@@ -155,6 +156,7 @@
     const NetworkNode m_storeNode{.m_name = "store", .m_zone = {}};
     const PeerVm m_self;
     const Duration m_bootClockOffset;
+    const Duration m_wallClockOffset;
     const ThreadFaults m_faults;
     const Instant m_startedAt; ///< Boot clock.
     ProcessPointer m_process;
