Close a connection after its answer while others wait for a thread

Cause: an open connection keeps its thread between calls, and one that is used again before it counts as idle keeps it for ever.

Change: while connections wait for a thread, each answer says Connection: close, so that its thread takes the next connection.

--- a/service/lib/FrontEnd/httpserver.cpp
+++ b/service/lib/FrontEnd/httpserver.cpp
@@ -29,6 +29,7 @@
 // State that is shared by all CallHandler objects; POCO creates one for each call.
 struct ServerState {
     std::function<HttpReply(const HttpCall &)> m_handler;
+    std::function<int()> m_waitingConnections; // Returns how many connections wait for a thread.
     std::size_t m_maxBodyBytes = 0;
     std::atomic<int> m_inProgress = 0;
     std::atomic<bool> m_draining = false;
@@ -138,7 +139,8 @@
         ++m_state->m_inProgress;
         try {
             const auto reply = readAndHandleCall(*m_state, request);
-            if (reply.m_status == 413 || m_state->m_draining) {
+            // A connection keeps its thread between calls, so that waiting connections would never be served while all others are in use.
+            if (reply.m_status == 413 || m_state->m_draining || m_state->m_waitingConnections() > 0) {
                 response.setKeepAlive(false);
             }
             sendReply(reply, response);
@@ -205,6 +207,8 @@
         socket.listen(settings.m_maxQueuedConnections);
         state->m_server
             = std::make_unique<Poco::Net::HTTPServer>(new CallHandlerFactory(state->m_state), state->m_pool, socket, makeServerParameters(settings));
+        // The server outlives its handlers; see ~HttpServer().
+        state->m_state->m_waitingConnections = [server = state->m_server.get()] { return server->queuedConnections(); };
         state->m_server->start();
     } catch (const Poco::Exception &error) {
         return Error(ErrorKind::Unavailable,
--- a/service/unittests/Fleetservice/records.cpp
+++ b/service/unittests/Fleetservice/records.cpp
@@ -221,8 +221,10 @@
     const auto rosterOf = [&](int workers, bool sameJobs) {
         std::vector<RosterEntry> entries;
         for (int number = 0; number < workers; ++number) {
+            constexpr int lockedJobs = 300;
             std::vector<std::string> jobs;
-            for (int job = 0; job < 300; ++job) {
+            jobs.reserve(lockedJobs);
+            for (int job = 0; job < lockedJobs; ++job) {
                 jobs.push_back("5c0e7a21d94b" + std::to_string(1'000 + job + (sameJobs ? 0 : number)));
             }
             entries.push_back(RosterEntry{.m_worker = report, .m_jobsIfCordoned = std::move(jobs)});
--- a/service/unittests/FrontEnd/httpserver.cpp
+++ b/service/unittests/FrontEnd/httpserver.cpp
@@ -1,14 +1,21 @@
 #include "primrosebridge/FrontEnd/httpserver.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <Poco/StreamCopier.h>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <thread>
+#include <vector>
 
 namespace PrimroseBridge {
 
@@ -113,4 +120,49 @@
     CHECK(std::chrono::steady_clock::now() - before < Duration(1000));
 }
 
+// Guards against callers that are never answered (LOST, second review): each open connection keeps a thread, and the callers that have one call again
+// before it counts as idle.
+TEST_CASE("callers beyond the number of threads are answered while the others keep calling")
+{
+    constexpr int threads = 2;
+    constexpr int callers = 10;
+    const auto address = unusedLoopbackAddress();
+    const auto server
+        = HttpServer::create(HttpServerSettings{.m_address = address, .m_maxThreads = threads, .m_maxBodyBytes = 1000, .m_maxQueuedConnections = 64},
+                             [](const HttpCall &) { return HttpReply{.m_status = 200, .m_contentType = "text/plain", .m_body = "answer"}; })
+              .take();
+    std::atomic<bool> stopped = false;
+    std::array<std::atomic<int>, callers> answers = {};
+    std::vector<std::thread> clients;
+    for (int caller = 0; caller < callers; ++caller) {
+        clients.emplace_back([&, caller] {
+            Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
+            session.setKeepAlive(true);
+            session.setTimeout(Poco::Timespan(8, 0));
+            while (!stopped) {
+                try {
+                    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, "/", Poco::Net::HTTPMessage::HTTP_1_1);
+                    session.sendRequest(request);
+                    Poco::Net::HTTPResponse response;
+                    std::string body;
+                    Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+                    answers[static_cast<std::size_t>(caller)] += body == "answer" ? 1 : 0;
+                } catch (const Poco::Exception &) {
+                    session.reset();
+                }
+                std::this_thread::sleep_for(Duration(300)); // Less than the time after which a connection is idle.
+            }
+        });
+    }
+    const auto allAnswered = [&] { return std::all_of(answers.begin(), answers.end(), [](const auto &count) { return count >= 2; }); };
+    for (int waitedMs = 0; waitedMs < 15'000 && !allAnswered(); waitedMs += 50) {
+        std::this_thread::sleep_for(Duration(50));
+    }
+    CHECK(allAnswered());
+    stopped = true;
+    for (auto &client : clients) {
+        client.join();
+    }
+}
+
 } // namespace PrimroseBridge
