Build the test jobs of the owner's tests in one place

The new tests of lists and occurrences repeated the fields of a step. OwnerSimulation builds steps and jobs for them now.

--- a/service/unittests/Fleetservice/dueoccurrences.cpp
+++ b/service/unittests/Fleetservice/dueoccurrences.cpp
@@ -9,32 +9,9 @@
 // A job that is due @p times times at once, whose only task needs @p accelerators.
 static JobSpecPointer repeatedJob(const std::string &name, std::int64_t times, std::int64_t accelerators)
 {
-    const auto spec = Sim::job(name, "queue", Sim::policy(4));
-    const auto &step = spec->m_steps.front();
-    return std::make_shared<const JobSpec>(
-        JobSpec{.m_id = name,
-                .m_queue = spec->m_queue,
-                .m_acceptedPolicy = spec->m_acceptedPolicy,
-                .m_organisation = {},
-                .m_acceptedAt = spec->m_acceptedAt,
-                .m_payload = spec->m_payload,
-                .m_steps = {JobStep{.m_taskCount = 1,
-                                    .m_taskResources = Resources{.m_milliCores = 100, .m_memoryMb = 10, .m_accelerators = accelerators},
-                                    .m_estimate = step.m_estimate,
-                                    .m_after = {},
-                                    .m_gang = false,
-                                    .m_sameRack = false,
-                                    .m_requiredLabel = {},
-                                    .m_dataRack = {},
-                                    .m_maxPerWorker = 0,
-                                    .m_speculative = false,
-                                    .m_checkpointing = false,
-                                    .m_longRunning = false,
-                                    .m_image = {},
-                                    .m_tailLatencyTarget = Duration(0),
-                                    .m_filler = false,
-                                    .m_maxUnavailable = 0}},
-                .m_schedule = JobSchedule{.m_count = times, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(1)}});
+    const Resources resources{.m_milliCores = 100, .m_memoryMb = 10, .m_accelerators = accelerators};
+    return Sim::jobOfStep(
+        name, "queue", Sim::policy(4), Sim::stepOf(1, resources), JobSchedule{.m_count = times, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(1)});
 }
 
 // Guards against an owner that a single job keeps from deciding anything (LOST, review case 9): 52,560 due occurrences that fit on no worker.
--- a/service/unittests/Fleetservice/formerowner.cpp
+++ b/service/unittests/Fleetservice/formerowner.cpp
@@ -399,17 +399,12 @@
     owner.m_state.m_events->tryPush(
         OwnershipGained{.m_snapshot = std::make_shared<const FleetSnapshot>(
                             FleetSnapshot{.m_fence = 10, .m_jobs = {}, .m_cancelledJobs = {}, .m_workers = {report}, .m_roster = {}, .m_rosterVersion = 0})});
-    const auto spec = Sim::job(jobId, "queue", Sim::policy(4));
     owner.m_state.m_events->tryPush(
-        JobSubmitted{.m_spec = std::make_shared<const JobSpec>(
-                         JobSpec{.m_id = spec->m_id,
-                                 .m_queue = spec->m_queue,
-                                 .m_acceptedPolicy = spec->m_acceptedPolicy,
-                                 .m_organisation = {},
-                                 .m_acceptedAt = owner.m_wallClock,
-                                 .m_payload = spec->m_payload,
-                                 .m_steps = spec->m_steps,
-                                 .m_schedule = JobSchedule{.m_count = 1, .m_firstDue = owner.m_wallClock + dueIn, .m_interval = Duration(1)}})});
+        JobSubmitted{.m_spec = Sim::jobOfStep(jobId,
+                                              "queue",
+                                              Sim::policy(4),
+                                              Sim::stepOf(1, Resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = 8}),
+                                              JobSchedule{.m_count = 1, .m_firstDue = owner.m_wallClock + dueIn, .m_interval = Duration(1)})});
     const auto isUsableWorker = [&] {
         const auto found = owner.m_state.m_workers.find("w1");
         return found != owner.m_state.m_workers.end() && isUsable(owner.m_state, found->second, bootClockNow());
--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -70,12 +70,31 @@
             FleetConfiguration{.m_version = version, .m_queues = std::move(settings), .m_organisations = {}, .m_pools = {}, .m_maxBodyBytes = 1000}));
     }
 
-    static JobSpecPointer job(const std::string &name,
-                              const std::string &queue,
-                              std::optional<QueuePolicy> acceptedPolicy,
-                              bool longRunning = false,
-                              int tasks = 1,
-                              int maxUnavailable = 0)
+    static JobStep stepOf(int tasks, const Resources &resources, bool longRunning = false, int maxUnavailable = 0)
+    {
+        return JobStep{.m_taskCount = tasks,
+                       .m_taskResources = resources,
+                       .m_estimate = Duration(20'000),
+                       .m_after = {},
+                       .m_gang = false,
+                       .m_sameRack = false,
+                       .m_requiredLabel = {},
+                       .m_dataRack = {},
+                       .m_maxPerWorker = 0,
+                       .m_speculative = false,
+                       .m_checkpointing = false,
+                       .m_longRunning = longRunning,
+                       .m_image = {},
+                       .m_tailLatencyTarget = Duration(0),
+                       .m_filler = false,
+                       .m_maxUnavailable = maxUnavailable};
+    }
+
+    static JobSpecPointer jobOfStep(const std::string &name,
+                                    const std::string &queue,
+                                    std::optional<QueuePolicy> acceptedPolicy,
+                                    const JobStep &step,
+                                    const JobSchedule &schedule = JobSchedule{.m_count = 0, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(0)})
     {
         return std::make_shared<const JobSpec>(JobSpec{
             .m_id = name,
@@ -84,26 +103,22 @@
             .m_organisation = {},
             .m_acceptedAt = TimerService::wallClockNow(),
             .m_payload = "payload",
-            .m_steps = {JobStep{.m_taskCount = tasks,
-                                .m_taskResources = Resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = 8},
-                                .m_estimate = Duration(20'000),
-                                .m_after = {},
-                                .m_gang = false,
-                                .m_sameRack = false,
-                                .m_requiredLabel = {},
-                                .m_dataRack = {},
-                                .m_maxPerWorker = 0,
-                                .m_speculative = false,
-                                .m_checkpointing = false,
-                                .m_longRunning = longRunning,
-                                .m_image = {},
-                                .m_tailLatencyTarget = Duration(0),
-                                .m_filler = false,
-                                .m_maxUnavailable = maxUnavailable}},
-            .m_schedule = JobSchedule{.m_count = 0, .m_firstDue = fromMilliseconds(0), .m_interval = Duration(0)},
+            .m_steps = {step},
+            .m_schedule = schedule,
         });
     }
 
+    static JobSpecPointer job(const std::string &name,
+                              const std::string &queue,
+                              std::optional<QueuePolicy> acceptedPolicy,
+                              bool longRunning = false,
+                              int tasks = 1,
+                              int maxUnavailable = 0)
+    {
+        const Resources resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = 8};
+        return jobOfStep(name, queue, std::move(acceptedPolicy), stepOf(tasks, resources, longRunning, maxUnavailable));
+    }
+
     /// The entry of a worker; @p leavesIn is set for a draining worker only.
     static WorkerReportPointer
     worker(const std::string &name, std::optional<Duration> leavesIn = std::nullopt, std::int64_t startedAtMs = 1, const std::string &machine = {})
--- a/service/unittests/Fleetservice/partiallists.cpp
+++ b/service/unittests/Fleetservice/partiallists.cpp
@@ -16,31 +16,7 @@
 // A job whose tasks are so small that one worker holds more than a thousand of them.
 static JobSpecPointer jobOfSmallTasks(int tasks)
 {
-    const auto spec = Sim::job(jobId, "queue", Sim::policy(4), false, tasks);
-    const auto &step = spec->m_steps.front();
-    return std::make_shared<const JobSpec>(JobSpec{.m_id = spec->m_id,
-                                                   .m_queue = spec->m_queue,
-                                                   .m_acceptedPolicy = spec->m_acceptedPolicy,
-                                                   .m_organisation = {},
-                                                   .m_acceptedAt = spec->m_acceptedAt,
-                                                   .m_payload = spec->m_payload,
-                                                   .m_steps = {JobStep{.m_taskCount = tasks,
-                                                                       .m_taskResources = Resources{.m_milliCores = 10, .m_memoryMb = 10, .m_accelerators = 0},
-                                                                       .m_estimate = step.m_estimate,
-                                                                       .m_after = {},
-                                                                       .m_gang = false,
-                                                                       .m_sameRack = false,
-                                                                       .m_requiredLabel = {},
-                                                                       .m_dataRack = {},
-                                                                       .m_maxPerWorker = 0,
-                                                                       .m_speculative = false,
-                                                                       .m_checkpointing = false,
-                                                                       .m_longRunning = false,
-                                                                       .m_image = {},
-                                                                       .m_tailLatencyTarget = Duration(0),
-                                                                       .m_filler = false,
-                                                                       .m_maxUnavailable = 0}},
-                                                   .m_schedule = spec->m_schedule});
+    return Sim::jobOfStep(jobId, "queue", Sim::policy(4), Sim::stepOf(tasks, Resources{.m_milliCores = 10, .m_memoryMb = 10, .m_accelerators = 0}));
 }
 
 // The ends that a worker lists of @p total runs that are done, if those up to @p acknowledged have been acknowledged.
@@ -181,9 +157,9 @@
     CHECK(sim.m_startOrders.size() == 1);
 }
 
-TEST_CASE("a stopped task waits until its worker has listed all its ends")
+// Runs a task on w1, with w2 idle.
+static void runOnFirstWorker(Sim &sim)
 {
-    Sim sim;
     sim.configure(1, {"queue"});
     sim.becomeOwner({Sim::worker("w1")});
     sim.answer("w1", std::nullopt, {}, Sim::at(5));
@@ -193,6 +169,12 @@
     sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(40));
     sim.apply(WorkerReported{.m_report = Sim::worker("w2")}, Sim::at(50));
     sim.answer("w2", std::nullopt, {}, Sim::at(60));
+}
+
+TEST_CASE("a stopped task waits until its worker has listed all its ends")
+{
+    Sim sim;
+    runOnFirstWorker(sim);
     const auto incarnation = *sim.m_state.m_workers.at("w1").m_incarnation;
     orderStop(sim.m_state, incarnation, Sim::reference(jobId), 1, StopReason::Stalled, Sim::at(70));
     sim.apply(StopOrderCompleted{.m_task = Sim::reference(jobId),
@@ -214,15 +196,7 @@
 TEST_CASE("the first report of a restarted worker releases nothing if it lists a part of the ends")
 {
     Sim sim;
-    sim.configure(1, {"queue"});
-    sim.becomeOwner({Sim::worker("w1")});
-    sim.answer("w1", std::nullopt, {}, Sim::at(5));
-    sim.apply(JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}, Sim::at(10));
-    sim.place(Sim::at(20));
-    sim.acceptStart(jobId, Sim::at(30));
-    sim.answer("w1", Sim::running(jobId, 1), {}, Sim::at(40));
-    sim.apply(WorkerReported{.m_report = Sim::worker("w2")}, Sim::at(50));
-    sim.answer("w2", std::nullopt, {}, Sim::at(60));
+    runOnFirstWorker(sim);
     const bool entryFirst = GENERATE(true, false);
     CAPTURE(entryFirst);
     if (entryFirst) {
