--- a/service/unittests/FrontEnd/httpserver.cpp
+++ b/service/unittests/FrontEnd/httpserver.cpp
@@ -134,6 +134,7 @@
     std::atomic<bool> stopped = false;
     std::array<std::atomic<int>, callers> answers = {};
     std::vector<std::thread> clients;
+    clients.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) {
         clients.emplace_back([&, caller] {
             Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
