Log what late calls to a former process of a worker leave behind

Change: poll_unanswered (at most 40 a second), runs_outlived_leases, runs_of_earlier_calls and ends_missing, the start of the process in start_answered, run_ended, task_released and worker_silent, three counters, and what to read from them in OPERATIONS.md. No decision changes.

--- a/service/include/primrosebridge/Fleetservice/fleetmetrics.h
+++ b/service/include/primrosebridge/Fleetservice/fleetmetrics.h
@@ -13,6 +13,9 @@
     StartOrdersAnswered, ///< Label: how the worker answered.
     RunsEnded, ///< Label: how the run ended.
     StopsOrdered, ///< Label: reason.
+    WorkerCallsUnanswered, ///< Counts calls that the worker may still execute seconds later. Label: call.
+    RunsOutlivedLeases, ///< Counts runs that a worker lists although their leases should have ended.
+    EndsMissing, ///< Counts lists of run ends in which numbers are missing that this owner has not acknowledged.
     TasksReleased, ///< Counts tasks that the owner places again without an end of their run. Label: reason.
     TasksPlacedAgain, ///< Counts starts of tasks whose former run was released without the word of its worker. Label: belief.
     JobsEnded, ///< Label: outcome.
--- a/service/include/primrosebridge/Fleetservice/ownerevents.h
+++ b/service/include/primrosebridge/Fleetservice/ownerevents.h
@@ -8,6 +8,7 @@
 #include "primrosebridge/Work/job.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -74,6 +75,8 @@
     const bool m_leaseRenewed; ///< The poll carried a new lease end for the worker's runs.
     const bool m_immediate; ///< The worker was asked to answer at once; the poll was sent in addition to the regular long poll.
     const RunReportReply m_reply;
+    const std::int64_t m_lastAcknowledgedEnd = 0; ///< As in the request.
+    const std::optional<std::int64_t> m_leaseEndMs = std::nullopt; ///< As in the request.
 };
 
 /// A start order has been answered or has failed.
--- a/service/lib/Fleetservice/fleetmetrics.cpp
+++ b/service/lib/Fleetservice/fleetmetrics.cpp
@@ -23,11 +23,14 @@
 
 } // namespace
 
-static constexpr std::array<FleetMetricInfo<FleetCounter>, 11> counterInfos = {{
+static constexpr std::array<FleetMetricInfo<FleetCounter>, 14> counterInfos = {{
     {FleetCounter::CallsAnswered, "primrosebridge_fleet_calls_total", "Calls of callers answered", {"status"}},
     {FleetCounter::StartOrdersAnswered, "primrosebridge_fleet_start_orders_total", "Start orders by the worker's answer", {"answer"}},
     {FleetCounter::RunsEnded, "primrosebridge_fleet_runs_ended_total", "Runs by how they ended", {"how"}},
     {FleetCounter::StopsOrdered, "primrosebridge_fleet_stops_total", "Stop orders by reason", {"reason"}},
+    {FleetCounter::WorkerCallsUnanswered, "primrosebridge_fleet_worker_calls_unanswered_total", "Calls to workers without an answer", {"call"}},
+    {FleetCounter::RunsOutlivedLeases, "primrosebridge_fleet_runs_outlived_leases_total", "Runs listed after the end of their leases"},
+    {FleetCounter::EndsMissing, "primrosebridge_fleet_ends_missing_total", "Lists of run ends in which unacknowledged numbers are missing"},
     {FleetCounter::TasksReleased, "primrosebridge_fleet_tasks_released_total", "Tasks placed again without an end of their run", {"reason"}},
     {FleetCounter::TasksPlacedAgain,
      "primrosebridge_fleet_tasks_placed_again_total",
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -34,6 +34,7 @@
               {"task", taskName(reference)},
               {"run", std::to_string(task.m_runNumber)},
               {"worker", worker.m_incarnation->m_worker},
+              {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
               {"reason", std::string(reason)},
               {"sole_owner", state.m_soleOwner ? "yes" : "no"},
               {"answered_ms_ago", answeredMsAgo(worker, now)},
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -97,18 +97,25 @@
     }
     const bool mayRetryEarly = !worker.m_fenceConfirmed && worker.m_missedPolls < shortTakeoverPolls;
     const auto fence = state.m_fence.load();
+    const RunReportRequest request{.m_lastAcknowledgedEnd = worker.m_lastAcknowledgedEnd,
+                                   .m_leaseEndMs = renew ? std::optional(leaseEndOnWorkerClockMs(state, worker, now)) : std::nullopt,
+                                   .m_wait = wait};
     state.m_context.m_workerCalls.m_requestRunReport(
         OrderTarget{.m_worker = worker.m_incarnation->m_worker,
                     .m_address = worker.m_report->m_address,
                     .m_fence = fence,
                     .m_timeout = mayRetryEarly ? takeoverPollTimeout(state) : std::max(wait + pollTimeoutSlack, takeoverPollTimeout(state)),
                     .m_connectedBefore = worker.m_lastAcknowledgedEnd > 0 ? std::optional(worker.m_answerRequestedAt) : std::nullopt},
-        RunReportRequest{.m_lastAcknowledgedEnd = worker.m_lastAcknowledgedEnd,
-                         .m_leaseEndMs = renew ? std::optional(leaseEndOnWorkerClockMs(state, worker, now)) : std::nullopt,
-                         .m_wait = wait},
-        [events = state.m_events, incarnation = worker.m_incarnation, fence, now, renew, immediate](const RunReportReply &reply) {
-            events->tryPush(PollCompleted{
-                .m_incarnation = *incarnation, .m_fence = fence, .m_sentAt = now, .m_leaseRenewed = renew, .m_immediate = immediate, .m_reply = reply});
+        request,
+        [events = state.m_events, incarnation = worker.m_incarnation, fence, now, request, immediate](const RunReportReply &reply) {
+            events->tryPush(PollCompleted{.m_incarnation = *incarnation,
+                                          .m_fence = fence,
+                                          .m_sentAt = now,
+                                          .m_leaseRenewed = request.m_leaseEndMs.has_value(),
+                                          .m_immediate = immediate,
+                                          .m_reply = reply,
+                                          .m_lastAcknowledgedEnd = request.m_lastAcknowledgedEnd,
+                                          .m_leaseEndMs = request.m_leaseEndMs});
         });
 }
 
@@ -271,9 +278,13 @@
               {"task", taskName(event.m_task)},
               {"run", std::to_string(event.m_runNumber)},
               {"worker", event.m_incarnation.m_worker},
+              {"started_ms", std::to_string(event.m_incarnation.m_startedAtMs)},
               {"after_ms", std::to_string((now - event.m_sentAt).count())},
               {"outcome", std::string(startAnswerName(answer))}});
     FleetMetrics::instance().increment(FleetCounter::StartOrdersAnswered, startAnswerName(answer));
+    if (answer == OrderAnswer::Unanswered) {
+        FleetMetrics::instance().increment(FleetCounter::WorkerCallsUnanswered, "start");
+    }
     FleetMetrics::instance().observe(FleetHistogram::StartOrderSeconds, std::chrono::duration<double>(now - event.m_sentAt).count());
     if (answer == OrderAnswer::Fenced) {
         state.m_context.m_onSuperseded(event.m_fence, "worker " + event.m_incarnation.m_worker + " has seen a higher fence");
@@ -315,6 +326,9 @@
 
 void applyStopResult(OwnerState &state, const StopOrderCompleted &event, Instant now)
 {
+    if (event.m_reply.m_answer == OrderAnswer::Unanswered) {
+        FleetMetrics::instance().increment(FleetCounter::WorkerCallsUnanswered, "stop");
+    }
     if (event.m_reply.m_answer == OrderAnswer::Fenced) {
         state.m_context.m_onSuperseded(event.m_fence, "worker " + event.m_incarnation.m_worker + " has seen a higher fence");
         return;
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -22,6 +22,8 @@
 static constexpr Duration slowMarkDuration(3000);
 // Pause between polls of a worker that does not answer or whose run ends are not recorded yet.
 static constexpr Duration pollRetryPause(250);
+// Log lines per second about unanswered polls of all workers. A cut of a zone leaves dozens of polls unanswered at once.
+static constexpr int maxCallLogLines = 40;
 
 static std::string_view endKindName(RunEndKind kind)
 {
@@ -125,6 +127,8 @@
               {"task", taskName(end.m_task)},
               {"run", std::to_string(end.m_runNumber)},
               {"worker", worker.m_incarnation->m_worker},
+              {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+              {"number", std::to_string(end.m_number)},
               {"how", std::string(endKindName(end.m_kind))},
               {"known", job ? "yes" : "no"}});
     FleetMetrics::instance().increment(FleetCounter::RunsEnded, endKindName(end.m_kind));
@@ -304,8 +308,55 @@
     }
 }
 
+// Reports what this owner's calls to the worker do not explain, so that a call of another owner, or one that was meant for an earlier process of
+// the worker, must have caused it: a lease that is longer than any that this owner gave, and an acknowledgement that it did not send.
+static void reportUnexpectedRuns(const TrackedWorker &worker, const WorkerRunReport &runReport, Instant sentAt)
+{
+    const auto started = std::to_string(worker.m_incarnation->m_startedAtMs);
+    if (worker.m_missedPolls > 0 && sentAt > worker.m_leasesExpiredBy && !runReport.m_running.empty()) {
+        FleetMetrics::instance().add(FleetCounter::RunsOutlivedLeases, static_cast<double>(runReport.m_running.size()), {});
+        logEvent(LogLevel::Warn,
+                 "runs_outlived_leases",
+                 {{"worker", worker.m_incarnation->m_worker},
+                  {"started_ms", started},
+                  {"over_ms", std::to_string((sentAt - worker.m_leasesExpiredBy).count())},
+                  {"runs", std::to_string(runReport.m_running.size())},
+                  {"first_task", taskName(runReport.m_running.front().m_task)},
+                  {"first_run", std::to_string(runReport.m_running.front().m_runNumber)}});
+    }
+    const bool numbersKnown = worker.m_lastHandledEnd > 0 || worker.m_inheritsRuns;
+    if (numbersKnown && !runReport.m_ends.empty() && runReport.m_ends.front().m_number > worker.m_lastHandledEnd + 1) {
+        FleetMetrics::instance().increment(FleetCounter::EndsMissing);
+        logEvent(LogLevel::Warn,
+                 "ends_missing",
+                 {{"worker", worker.m_incarnation->m_worker},
+                  {"started_ms", started},
+                  {"handled", std::to_string(worker.m_lastHandledEnd)},
+                  {"first_listed", std::to_string(runReport.m_ends.front().m_number)}});
+    }
+}
+
+// Reports runs that a worker process lists before this owner has started any there: the worker has executed starts that were meant for an earlier
+// process, or another owner's.
+static void reportRunsOfEarlierCalls(const TrackedWorker &worker, const WorkerRunReport &runReport)
+{
+    if (!worker.m_inheritsRuns || (runReport.m_running.empty() && runReport.m_ends.empty())) {
+        return;
+    }
+    const auto &first = runReport.m_running.empty() ? runReport.m_ends.front().m_task : runReport.m_running.front().m_task;
+    logEvent(LogLevel::Warn,
+             "runs_of_earlier_calls",
+             {{"worker", worker.m_incarnation->m_worker},
+              {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+              {"running", std::to_string(runReport.m_running.size())},
+              {"ended", std::to_string(runReport.m_ends.size())},
+              {"first_task", taskName(first)}});
+}
+
 static void recordPollAnswer(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant sentAt, Instant now)
 {
+    reportUnexpectedRuns(worker, runReport, sentAt);
+    reportRunsOfEarlierCalls(worker, runReport);
     if (!worker.m_fenceConfirmed || worker.m_missedPolls > 0) {
         const auto level = worker.m_missedPolls > 0 ? LogLevel::Info : LogLevel::Debug; // A takeover expects an answer from each worker.
         logEvent(level, "worker_answers", {{"worker", worker.m_incarnation->m_worker}, {"missed", std::to_string(worker.m_missedPolls)}});
@@ -340,7 +391,13 @@
     ++worker.m_missedPolls;
     worker.m_nextPollAt = now + (worker.m_fenceConfirmed ? pollRetryPause : takeoverRetryPause(state));
     if (worker.m_missedPolls == 1) {
-        logEvent(LogLevel::Warn, "worker_silent", {{"worker", worker.m_incarnation->m_worker}, {"tasks", std::to_string(worker.m_tasks.size())}});
+        logEvent(LogLevel::Warn,
+                 "worker_silent",
+                 {{"worker", worker.m_incarnation->m_worker},
+                  {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+                  {"tasks", std::to_string(worker.m_tasks.size())},
+                  {"answered_ms_ago", answeredMsAgo(worker, now)},
+                  {"leases_over_in_ms", std::to_string((worker.m_leasesExpiredBy - now).count())}});
     }
 }
 
@@ -361,8 +418,29 @@
               {"tasks", std::to_string(worker.m_tasks.size())}});
 }
 
+// Logs a poll that the worker may still execute, with what it changes then: the lease of all runs, and the ends that the worker lists.
+static void reportUnansweredPoll(OwnerState &state, const PollCompleted &event, Instant now)
+{
+    if (event.m_reply.m_answer != OrderAnswer::Unanswered) {
+        return;
+    }
+    FleetMetrics::instance().increment(FleetCounter::WorkerCallsUnanswered, "poll");
+    const bool changesState = event.m_leaseEndMs || event.m_lastAcknowledgedEnd > 0;
+    if (!changesState || !claimLogLine(state.m_callLogLines, maxCallLogLines, now)) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "poll_unanswered",
+             {{"worker", event.m_incarnation.m_worker},
+              {"started_ms", std::to_string(event.m_incarnation.m_startedAtMs)},
+              {"sent_ms_ago", std::to_string((now - event.m_sentAt).count())},
+              {"lease_end_ms", event.m_leaseEndMs ? std::to_string(*event.m_leaseEndMs) : "none"},
+              {"acknowledged", std::to_string(event.m_lastAcknowledgedEnd)}});
+}
+
 void applyPollResult(OwnerState &state, const PollCompleted &event, Instant now)
 {
+    reportUnansweredPoll(state, event, now);
     auto *worker = findWorker(state, event.m_incarnation);
     if (!worker) {
         return;
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -122,6 +122,15 @@
     std::map<TaskReference, std::int64_t> m_listedRuns; ///< Newest run of each task that this incarnation has reported as running and not yet as ended.
 };
 
+/// Limits how many log lines of one kind are written per second.
+struct LogLineLimit {
+    Instant m_periodStart; ///< Boot clock.
+    int m_lines = 0; ///< Log lines since m_periodStart.
+};
+
+/// Returns true and counts a log line if fewer than @p maxLines have been counted in the present second.
+bool claimLogLine(LogLineLimit &limit, int maxLines, Instant now);
+
 /// A step of one occurrence of a job.
 struct StepReference {
     const std::string m_job;
@@ -166,8 +175,8 @@
     Instant m_speedsReviewedAt; ///< Boot clock.
     std::map<StepReference, StepWait> m_waits; ///< Waits of the steps that had unplaced tasks in the last pass.
     Instant m_waitsUpdatedAt; ///< Boot clock at the last pass.
-    Instant m_waitLogPeriodStart; ///< Boot clock.
-    int m_waitLogLines = 0; ///< Log lines about waits since m_waitLogPeriodStart.
+    LogLineLimit m_waitLogLines; ///< Of the lines about waits.
+    LogLineLimit m_callLogLines; ///< Of the lines about unanswered polls.
     std::optional<UrgentDemandPeak> m_urgentDemand; ///< Urgent demand as of the last pass; empty until the first one.
     bool m_soleOwner = true; ///< This VM's ownership lease at the store holds, so that no other VM can be the owner.
     Instant m_leaseEnd; ///< Boot clock; end of the ownership lease as of its last renewal.
--- a/service/lib/Fleetservice/ownerwaits.cpp
+++ b/service/lib/Fleetservice/ownerwaits.cpp
@@ -8,9 +8,10 @@
 
 namespace PrimroseBridge {
 
-// At most maxWaitLogLines log lines about waits of all steps are written per waitLogPeriod. A burst of ten times the usual traffic brings
-// about thirty jobs a second.
+static constexpr Duration logPeriod(1000);
+// Pause between two lines about one wait whose reason changes. The end of a shorter wait is not logged.
 static constexpr Duration waitLogPeriod(1000);
+// Log lines per second about waits of all steps. A burst of ten times the usual traffic brings about thirty jobs a second.
 static constexpr int maxWaitLogLines = 40;
 // Period at which a wait with an unchanged reason is logged again, so that the log shows its length while it lasts.
 static constexpr Duration waitLogRepeatPeriod(5000);
@@ -27,17 +28,15 @@
     return std::to_string(step.m_occurrence) + "." + std::to_string(step.m_step);
 }
 
-// Returns true and counts a log line if the limit of the current waitLogPeriod allows one more.
-static bool claimLogLine(OwnerState &state, Instant now)
+bool claimLogLine(LogLineLimit &limit, int maxLines, Instant now)
 {
-    if (now >= state.m_waitLogPeriodStart + waitLogPeriod) {
-        state.m_waitLogPeriodStart = now;
-        state.m_waitLogLines = 0;
+    if (now >= limit.m_periodStart + logPeriod) {
+        limit = LogLineLimit{.m_periodStart = now, .m_lines = 0};
     }
-    if (state.m_waitLogLines >= maxWaitLogLines) {
+    if (limit.m_lines >= maxLines) {
         return false;
     }
-    ++state.m_waitLogLines;
+    ++limit.m_lines;
     return true;
 }
 
@@ -105,14 +104,14 @@
         wait.m_reason = step.m_reason;
         longest = std::max(longest, now - wait.m_since);
         const bool due = !wait.m_loggedAt || now >= *wait.m_loggedAt + (changed ? waitLogPeriod : waitLogRepeatPeriod);
-        if (due && claimLogLine(state, now)) {
+        if (due && claimLogLine(state.m_waitLogLines, maxWaitLogLines, now)) {
             wait.m_loggedAt = now;
             logWait(reference, step, wait, decisions.m_acceleratorBudget, now);
         }
     }
     for (const auto &[reference, wait] : state.m_waits) {
         // The end of a wait that was shorter than waitLogPeriod is not logged.
-        if (!waits.contains(reference) && now >= wait.m_since + waitLogPeriod && claimLogLine(state, now)) {
+        if (!waits.contains(reference) && now >= wait.m_since + waitLogPeriod && claimLogLine(state.m_waitLogLines, maxWaitLogLines, now)) {
             logWaitEnd(state, reference, wait, now);
         }
     }
