Give each process of a worker a fence of its own, and wait for late runs of unknown ones

Cause: a worker that restarts under its identifier takes calls that were meant for its earlier process, seconds after they were sent. A late poll or start gives the new process a lease on the clock of the earlier one, a late start is executed by a process that has forgotten why it must not be, and a late acknowledgement drops ends of the new process. The owner counts leases and settles starts from its own calls to one process. The class of fault: what is known of one process of a worker is used for another, and nothing in a call tells them apart.

Change: the fence, which is all that a worker compares, is the revision of the store entry that announced the process, from its first poll on. While the owner's store lease holds, a successor's key has a higher revision than any entry that the owner has read, so that a successor's fence is higher still, also that of an earlier release. A refusal under an earlier process's fence is no sign of a successor. Before that first answer no number helps: a task whose start was left unanswered by a worker that is silent now waits callDelayBoundMs (12 s) longer than the worker's leases, since an unknown process may execute the start and unanswered polls may renew its lease; tasks whose starts were all answered keep the former bound, and a start is excluded once the process answers after that time. The leases of a process count from its first answer. The first list of a process settles what its earlier process left unanswered, without a stop order.

--- a/core/include/primrosebridge/Config/fleetsettings.h
+++ b/core/include/primrosebridge/Config/fleetsettings.h
@@ -29,6 +29,7 @@
     const double m_remoteFactor; ///< Factor by which the run time grows for a task outside the rack of its data or a gang over several racks.
     const std::string m_logLevel; ///< One of trace, debug, info, warn and error.
     const std::size_t m_maxValueBytes = std::size_t(1024) * 1024; ///< Size of the largest value that the platform's store accepts.
+    const Duration m_callDelayBound = Duration(12'000); ///< Longest time after which a worker executes a call that got no answer.
 
     bool operator==(const FleetSettings &) const = default;
 };
--- a/core/lib/Config/fleetsettings.cpp
+++ b/core/lib/Config/fleetsettings.cpp
@@ -65,6 +65,7 @@
         .m_remoteFactor = fields.readNumber("remoteFactor", factorRange, 3.0),
         .m_logLevel = readLogLevel(fields),
         .m_maxValueBytes = static_cast<std::size_t>(fields.readInteger("storeValueBytes", valueBytesRange, 1024 * 1024)),
+        .m_callDelayBound = readMilliseconds(fields, "callDelayBoundMs", 12'000),
     };
     fields.reportUnknownMembers();
     if (!faults.empty()) {
--- a/recovery/include/primrosebridge/Ownership/authority.h
+++ b/recovery/include/primrosebridge/Ownership/authority.h
@@ -2,6 +2,8 @@
 
 #include "primrosebridge/Model/time.h"
 
+#include <cstdint>
+
 namespace PrimroseBridge {
 
 /// The leases from which an owner derives what it may do, and until when.
@@ -39,4 +41,14 @@
 /// lease the owner cannot know that of leases that were in force until then, because a successor may have renewed them. Thread-safe.
 bool haveTaskLeasesExpired(const OwnerAuthority &authority, Instant expiredBy, Instant now);
 
+/// Returns the fence of all calls to a worker process that the owner has just learnt of. If the entry of the process was written after the owner had
+/// taken its ownership or had learnt of the worker's earlier process, the fence is higher than that of every call to an earlier process.
+///
+/// A worker that restarts under its identifier takes calls that were meant for the earlier process, and the fence is all that it compares. A successor's
+/// fence is the revision at which its key was written, and is higher than any entry revision that the sole owner has read before. Thread-safe.
+///
+/// @param earlierFence fence of the calls to the worker's earlier process, or the owner's own fence if the owner knows none
+/// @param entryRevision revision of the store at which the process's entry was written, read before @p now
+std::int64_t workerProcessFence(const OwnerAuthority &authority, Instant now, std::int64_t earlierFence, std::int64_t entryRevision);
+
 } // namespace PrimroseBridge
--- a/recovery/lib/Ownership/authority.cpp
+++ b/recovery/lib/Ownership/authority.cpp
@@ -35,4 +35,9 @@
     return expiredBy <= std::min(now, authority.m_leaseEnd);
 }
 
+std::int64_t workerProcessFence(const OwnerAuthority &authority, Instant now, std::int64_t earlierFence, std::int64_t entryRevision)
+{
+    return isSoleOwner(authority, now) ? std::max(earlierFence, entryRevision) : earlierFence;
+}
+
 } // namespace PrimroseBridge
--- a/scheduling/include/primrosebridge/Fleet/worker.h
+++ b/scheduling/include/primrosebridge/Fleet/worker.h
@@ -25,6 +25,7 @@
     const std::optional<Duration> m_leavesIn; ///< Minimum time from the report until the worker leaves; set only while draining.
     const std::string m_softwareVersion; ///< Version of the worker's software; empty if not reported.
     const std::optional<std::int64_t> m_reportedAtClockMs; ///< The worker's own clock at the report, in milliseconds; empty if not reported.
+    const std::int64_t m_entryRevision = 0; ///< Revision of the store at which the entry was written; 0 if the report does not come from an entry.
 
     bool operator==(const WorkerReport &) const = default;
 };
--- a/service/include/primrosebridge/Fleetservice/ownerevents.h
+++ b/service/include/primrosebridge/Fleetservice/ownerevents.h
@@ -67,7 +67,7 @@
     const std::vector<std::string> m_removedWorkers; ///< Workers that had an entry before and have none in the listing.
 };
 
-/// A poll of a worker has ended with an answer or without one.
+/// A poll of a worker has ended with an answer or without one. In this and the next two events m_fence names the term.
 struct PollCompleted {
     const WorkerIncarnation m_incarnation;
     const std::int64_t m_fence;
@@ -77,6 +77,7 @@
     const RunReportReply m_reply;
     const std::int64_t m_lastAcknowledgedEnd = 0; ///< As in the request.
     const std::optional<std::int64_t> m_leaseEndMs = std::nullopt; ///< As in the request.
+    const std::int64_t m_workerFence = 0; ///< Fence of the call, which is that of the worker's process; see workerProcessFence().
 };
 
 /// A start order has been answered or has failed.
@@ -88,6 +89,7 @@
     const std::int64_t m_fence;
     const Instant m_sentAt; ///< Boot clock.
     const OrderReply m_reply;
+    const std::int64_t m_workerFence = 0; ///< Fence of the call.
 };
 
 /// A stop order has been answered or has failed.
@@ -97,6 +99,7 @@
     const WorkerIncarnation m_incarnation;
     const std::int64_t m_fence;
     const OrderReply m_reply;
+    const std::int64_t m_workerFence = 0; ///< Fence of the call.
 };
 
 /// The store has acknowledged the progress of a job.
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -96,7 +96,7 @@
     void applyConfiguration(const std::string &text);
     void updatePeerDirectory(const std::string &key, const std::string &value, std::int64_t revision, bool removed);
     void postInboxEntry(std::int64_t fence, const std::string &key, const std::string &value);
-    void postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value);
+    void postWorkerEntry(std::int64_t fence, const StoreChange &change);
     void postRecorded(std::int64_t fence, const DurableRecord &record);
     void handleOwnershipGained(std::int64_t fence);
     void handleOwnershipLost(std::int64_t fence, const std::string &reason);
@@ -348,13 +348,13 @@
     }
 }
 
-void FleetNode::Private::postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value)
+void FleetNode::Private::postWorkerEntry(std::int64_t fence, const StoreChange &change)
 {
-    const auto report = decodeWorkerReport(key.substr(workerPrefix.size()), value);
+    const auto report = decodeWorkerReport(change.m_key.substr(workerPrefix.size()), change.m_value, change.m_revision);
     if (report.ok()) {
         m_owner->post(EventOfTerm{.m_fence = fence, .m_event = WorkerReported{.m_report = std::make_shared<const WorkerReport>(report.value())}});
     } else {
-        reportSkippedRecord(key, report.error());
+        reportSkippedRecord(change.m_key, report.error());
     }
 }
 
@@ -376,7 +376,7 @@
                             EventOfTerm{.m_fence = term->m_fence, .m_event = WorkerEntryRemoved{.m_worker = change.m_key.substr(workerPrefix.size())}});
                     } else {
                         known.insert(change.m_key);
-                        postWorkerEntry(term->m_fence, change.m_key, change.m_value);
+                        postWorkerEntry(term->m_fence, change);
                     }
                 },
         };
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -269,7 +269,15 @@
     if (added) {
         // The worker may run tasks of a former owner, which may have renewed their leases just before this.
         worker.m_leasesExpiredBy = taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease);
+        worker.m_fence = workerProcessFence(authorityOf(state), now, earlier ? earlier->m_fence : state.m_fence.load(), report->m_entryRevision);
+        worker.m_refusesEarlierCalls = earlier && worker.m_fence > earlier->m_fence;
         if (earlier) {
+            logEvent(LogLevel::Info,
+                     "worker_fence",
+                     {{"worker", entry->first},
+                      {"started_ms", std::to_string(report->m_incarnation.m_startedAtMs)},
+                      {"fence", std::to_string(worker.m_fence)},
+                      {"earlier_fence", std::to_string(earlier->m_fence)}});
             inheritRuns(state, worker, *earlier, now);
         }
         state.m_rosterChanged = true;
@@ -402,6 +410,7 @@
         }
     }
     state.m_fence = snapshot.m_fence;
+    state.m_leaseEnd = state.m_context.m_leaseEnd(snapshot.m_fence); // Later events of this batch depend on it.
     state.m_formerRosterUnknown = !snapshot.m_rosterReadable;
     state.m_jobsLockedUntil = taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease);
     for (const auto &entry : snapshot.m_roster) {
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -63,6 +63,7 @@
         }
     }
     if (released > 0) {
+        state.m_placementNeeded = true;
         logEvent(LogLevel::Info,
                  "worker_tasks_released",
                  {{"worker", worker.m_incarnation->m_worker},
@@ -70,12 +71,56 @@
                   {"kept", std::to_string(worker.m_tasks.size())},
                   {"reason", std::string(releaseBeliefName(belief))}});
     }
-    state.m_placementNeeded = true;
 }
 
-void releaseAllTasks(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now)
+void rememberLateStart(TrackedWorker &worker, const TaskReference &reference, Instant sentAt)
 {
-    releaseTasksIf(state, worker, belief, now, {}, [](const auto &, const auto &) { return true; });
+    auto &latest = worker.m_lateStarts[reference];
+    latest = std::max(latest, sentAt);
+}
+
+bool mayStartLate(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference)
+{
+    const auto found = worker.m_lateStarts.find(reference);
+    // A process that has answered a poll was still the only one when the poll was sent.
+    return found != worker.m_lateStarts.end() && found->second + state.m_context.m_settings.m_callDelayBound > worker.m_answerRequestedAt;
+}
+
+void forgetExcludedLateStarts(OwnerState &state, TrackedWorker &worker, Instant now)
+{
+    // No start is ordered before the first answer, so that all of these were sent to an earlier process.
+    const bool refused = !worker.m_fenceConfirmed && worker.m_refusesEarlierCalls;
+    std::erase_if(worker.m_lateStarts, [&](const auto &entry) {
+        if (!refused && mayStartLate(state, worker, entry.first)) {
+            return false;
+        }
+        if (claimLogLine(state.m_callLogLines, maxCallLogLines, now)) {
+            logEvent(LogLevel::Info,
+                     "late_start_excluded",
+                     {{"request", entry.first.m_job},
+                      {"task", taskName(entry.first)},
+                      {"worker", worker.m_incarnation->m_worker},
+                      {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
+                      {"sent_ms_ago", std::to_string((now - entry.second).count())},
+                      {"by", refused ? "fence" : "time"}});
+        }
+        return true;
+    });
+}
+
+void releaseExpiredRuns(OwnerState &state, TrackedWorker &worker, bool lateRunsExpired, Instant now)
+{
+    const auto isOver = [&](const TaskReference &reference) { return lateRunsExpired || !mayStartLate(state, worker, reference); };
+    releaseTasksIf(state, worker, ReleaseBelief::LeasesExpired, now, {}, [&](const auto &reference, const auto &) { return isOver(reference); });
+    if (std::erase_if(worker.m_supersededRuns, [&](const auto &entry) { return isOver(entry.first.m_task); }) > 0) {
+        state.m_placementNeeded = true;
+    }
+}
+
+bool showsSuccessor(const OwnerState &state, const WorkerIncarnation &incarnation, std::int64_t sentFence)
+{
+    const auto found = state.m_workers.find(incarnation.m_worker);
+    return found != state.m_workers.end() && sentFence >= found->second.m_fence;
 }
 
 void releaseRunsOfEarlierStart(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, ReleaseBelief belief, Instant now)
@@ -128,6 +173,7 @@
     worker.m_jobsIfCordoned = earlier.m_runsKnown ? std::nullopt : earlier.m_jobsIfCordoned;
     worker.m_formerRunsUnknown = earlier.m_formerRunsUnknown;
     worker.m_inheritsRuns = true;
+    worker.m_lateStarts = earlier.m_lateStarts;
     for (const auto &reference : earlier.m_tasks) {
         const auto job = state.m_jobs.find(reference.m_job);
         const auto task = job ? findTask(*job, reference) : nullptr;
@@ -135,6 +181,9 @@
             continue;
         }
         const bool executed = isListed(earlier, reference, task->m_runNumber) && !earlier.m_unansweredStarts.contains(reference);
+        if (task->m_phase == TaskPhase::Starting && !task->m_orderUnanswered) {
+            rememberLateStart(worker, reference, task->m_phaseSince); // The answer, if there is one, comes from a process that is over.
+        }
         const auto moved = startingTask(*task, worker.m_incarnation, task->m_runNumber, now);
         if (executed) {
             worker.m_listedRuns.insert_or_assign(reference, task->m_runNumber);
@@ -153,6 +202,11 @@
         return;
     }
     worker.m_inheritsRuns = false;
+    if (worker.m_refusesEarlierCalls) {
+        for (auto &[run, superseded] : worker.m_supersededRuns) {
+            superseded.m_executedOrRefused = true;
+        }
+    }
     releaseRunsOfEarlierStart(state, worker, runReport, ReleaseBelief::WorkerRestarted, now);
     worker.m_listedRuns.clear();
 }
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -103,11 +103,12 @@
     state.m_context.m_workerCalls.m_requestRunReport(
         OrderTarget{.m_worker = worker.m_incarnation->m_worker,
                     .m_address = worker.m_report->m_address,
-                    .m_fence = fence,
+                    .m_fence = worker.m_fence,
                     .m_timeout = mayRetryEarly ? takeoverPollTimeout(state) : std::max(wait + pollTimeoutSlack, takeoverPollTimeout(state)),
                     .m_connectedBefore = worker.m_lastAcknowledgedEnd > 0 ? std::optional(worker.m_answerRequestedAt) : std::nullopt},
         request,
-        [events = state.m_events, incarnation = worker.m_incarnation, fence, now, request, immediate](const RunReportReply &reply) {
+        [events = state.m_events, incarnation = worker.m_incarnation, fence, workerFence = worker.m_fence, now, request, immediate](
+            const RunReportReply &reply) {
             events->tryPush(PollCompleted{.m_incarnation = *incarnation,
                                           .m_fence = fence,
                                           .m_sentAt = now,
@@ -115,7 +116,8 @@
                                           .m_immediate = immediate,
                                           .m_reply = reply,
                                           .m_lastAcknowledgedEnd = request.m_lastAcknowledgedEnd,
-                                          .m_leaseEndMs = request.m_leaseEndMs});
+                                          .m_leaseEndMs = request.m_leaseEndMs,
+                                          .m_workerFence = workerFence});
         });
 }
 
@@ -132,7 +134,7 @@
     state.m_context.m_workerCalls.m_sendStartOrder(
         OrderTarget{.m_worker = worker.m_incarnation->m_worker,
                     .m_address = worker.m_report->m_address,
-                    .m_fence = fence,
+                    .m_fence = worker.m_fence,
                     .m_timeout = orderTimeout,
                     .m_connectedBefore = connectionBound(state, worker, now)},
         StartOrder{.m_task = reference,
@@ -140,14 +142,16 @@
                    .m_payload = spec.m_payload,
                    .m_checkpoint = checkpoint,
                    .m_leaseEndMs = leaseEndOnWorkerClockMs(state, worker, now)},
-        [events = state.m_events, reference, runNumber, checkpoint, incarnation = worker.m_incarnation, fence, now](const OrderReply &reply) {
+        [events = state.m_events, reference, runNumber, checkpoint, incarnation = worker.m_incarnation, fence, workerFence = worker.m_fence, now](
+            const OrderReply &reply) {
             events->tryPush(StartOrderCompleted{.m_task = reference,
                                                 .m_runNumber = runNumber,
                                                 .m_checkpoint = checkpoint,
                                                 .m_incarnation = *incarnation,
                                                 .m_fence = fence,
                                                 .m_sentAt = now,
-                                                .m_reply = reply});
+                                                .m_reply = reply,
+                                                .m_workerFence = workerFence});
         });
 }
 
@@ -210,14 +214,14 @@
     state.m_context.m_workerCalls.m_sendStopOrder(
         OrderTarget{.m_worker = incarnation.m_worker,
                     .m_address = worker->m_report->m_address,
-                    .m_fence = fence,
+                    .m_fence = worker->m_fence,
                     .m_timeout = orderTimeout,
                     .m_connectedBefore = connectionBound(state, *worker, now)},
         reference,
         runNumber,
-        [events = state.m_events, reference, runNumber, incarnation, fence](const OrderReply &reply) {
-            events->tryPush(
-                StopOrderCompleted{.m_task = reference, .m_runNumber = runNumber, .m_incarnation = incarnation, .m_fence = fence, .m_reply = reply});
+        [events = state.m_events, reference, runNumber, incarnation, fence, workerFence = worker->m_fence](const OrderReply &reply) {
+            events->tryPush(StopOrderCompleted{
+                .m_task = reference, .m_runNumber = runNumber, .m_incarnation = incarnation, .m_fence = fence, .m_reply = reply, .m_workerFence = workerFence});
         });
 }
 
@@ -286,10 +290,13 @@
         FleetMetrics::instance().increment(FleetCounter::WorkerCallsUnanswered, "start");
     }
     FleetMetrics::instance().observe(FleetHistogram::StartOrderSeconds, std::chrono::duration<double>(now - event.m_sentAt).count());
-    if (answer == OrderAnswer::Fenced) {
+    if (answer == OrderAnswer::Fenced && showsSuccessor(state, event.m_incarnation, event.m_workerFence)) {
         state.m_context.m_onSuperseded(event.m_fence, "worker " + event.m_incarnation.m_worker + " has seen a higher fence");
     }
     auto *worker = findWorker(state, event.m_incarnation);
+    if (worker && answer == OrderAnswer::Unanswered) {
+        rememberLateStart(*worker, event.m_task, event.m_sentAt);
+    }
     const auto job = state.m_jobs.find(event.m_task.m_job);
     const auto task = job ? findTask(*job, event.m_task) : nullptr;
     const bool current = task && task->m_assignedWorker && *task->m_assignedWorker == event.m_incarnation && task->m_runNumber == event.m_runNumber;
@@ -330,7 +337,9 @@
         FleetMetrics::instance().increment(FleetCounter::WorkerCallsUnanswered, "stop");
     }
     if (event.m_reply.m_answer == OrderAnswer::Fenced) {
-        state.m_context.m_onSuperseded(event.m_fence, "worker " + event.m_incarnation.m_worker + " has seen a higher fence");
+        if (showsSuccessor(state, event.m_incarnation, event.m_workerFence)) {
+            state.m_context.m_onSuperseded(event.m_fence, "worker " + event.m_incarnation.m_worker + " has seen a higher fence");
+        }
         return;
     }
     if (auto *worker = findWorker(state, event.m_incarnation); worker && event.m_reply.m_answer == OrderAnswer::Accepted) {
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -22,8 +22,6 @@
 static constexpr Duration slowMarkDuration(3000);
 // Pause between polls of a worker that does not answer or whose run ends are not recorded yet.
 static constexpr Duration pollRetryPause(250);
-// Log lines per second about unanswered polls of all workers. A cut of a zone leaves dozens of polls unanswered at once.
-static constexpr int maxCallLogLines = 40;
 
 static std::string_view endKindName(RunEndKind kind)
 {
@@ -284,6 +282,14 @@
             continue;
         }
         if (task->m_phase == TaskPhase::Starting) {
+            const bool sentToEarlierProcess = worker.m_refusesEarlierCalls && !worker.m_unansweredStarts.contains(reference);
+            if (sentToEarlierProcess && state.m_soleOwner) {
+                // The answer that this list is part of made the worker refuse the order.
+                forgetReleasedRun(state, reference, worker.m_incarnation->m_worker, task->m_runNumber);
+                setTask(state, reference, waitingTask(*task, now));
+                state.m_placementNeeded = true;
+                continue;
+            }
             if (repeatStart(state, worker, reference, job, *task, now)) {
                 continue;
             }
@@ -373,10 +379,16 @@
         state.m_awaitedWorkers.erase(worker.m_incarnation->m_worker);
     }
     worker.m_otherStartMs.reset();
+    worker.m_answerRequestedAt = std::max(worker.m_answerRequestedAt, sentAt);
+    forgetExcludedLateStarts(state, worker, now);
+    if (!worker.m_fenceConfirmed) {
+        // Until this answer the worker took calls of the former owner, and those that were meant for its earlier processes. One of them may have
+        // renewed the lease just before.
+        worker.m_leasesExpiredBy = std::max(worker.m_leasesExpiredBy, taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease));
+    }
     worker.m_fenceConfirmed = true;
     worker.m_missedPolls = 0;
     worker.m_answeredAt = now;
-    worker.m_answerRequestedAt = std::max(worker.m_answerRequestedAt, sentAt);
     worker.m_workerClockAtAnswerMs = runReport.m_clockMs;
     correctLeavingTime(worker);
 }
@@ -384,7 +396,7 @@
 static void recordMissedPoll(OwnerState &state, TrackedWorker &worker, const PollCompleted &event, Instant now)
 {
     const auto answer = event.m_reply.m_answer;
-    if (answer == OrderAnswer::Fenced) {
+    if (answer == OrderAnswer::Fenced && showsSuccessor(state, event.m_incarnation, event.m_workerFence)) {
         state.m_context.m_onSuperseded(event.m_fence, "worker " + event.m_incarnation.m_worker + " has seen a higher fence");
         return;
     }
@@ -537,20 +549,20 @@
         if (state.m_soleOwner) {
             updateCordon(state, worker);
         }
-        const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now);
+        const auto authority = authorityOf(state);
+        const auto callDelayBound = state.m_context.m_settings.m_callDelayBound;
+        const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authority, worker.m_leasesExpiredBy, now);
+        const bool lateRunsExpired = leasesExpired && haveTaskLeasesExpired(authority, worker.m_leasesExpiredBy + callDelayBound, now);
         const auto tasks = worker.m_tasks.size();
         const bool idle = worker.m_missedPolls > 0 && worker.m_runsKnown && worker.m_tasks.empty() && worker.m_supersededRuns.empty();
-        if (leasesExpired && !worker.m_tasks.empty()) {
-            releaseAllTasks(state, worker, ReleaseBelief::LeasesExpired, now);
+        if (leasesExpired) {
+            releaseExpiredRuns(state, worker, lateRunsExpired, now);
         }
-        if (worker.m_formerRunsUnknown && haveTaskLeasesExpired(authorityOf(state), worker.m_leasesExpiredBy, now)) {
+        if (worker.m_formerRunsUnknown && haveTaskLeasesExpired(authority, worker.m_leasesExpiredBy, now)) {
             giveUpFormerRuns(state, worker, ReleaseBelief::Takeover, now);
         }
-        if (leasesExpired && !worker.m_supersededRuns.empty()) {
-            worker.m_supersededRuns.clear();
-            state.m_placementNeeded = true;
-        }
-        if ((leasesExpired || idle) && !worker.m_entryPresent) {
+        const bool released = leasesExpired && worker.m_tasks.empty() && worker.m_supersededRuns.empty();
+        if ((released || idle) && !worker.m_entryPresent) {
             logEvent(LogLevel::Info,
                      "worker_forgotten",
                      {{"worker", entry->first},
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -88,8 +88,11 @@
     WorkerReportPointer m_report;
     std::shared_ptr<const WorkerIncarnation> m_incarnation;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
-    bool m_fenceConfirmed = false; ///< The worker has answered a poll under the current fence.
-    bool m_runsKnown = false; ///< The worker has listed all its runs and run ends under the current fence.
+    std::int64_t m_fence = 0; ///< Fence of all calls to this process, see workerProcessFence().
+    bool m_fenceConfirmed = false; ///< The worker has answered a poll under m_fence.
+    bool m_runsKnown = false; ///< The worker has listed all its runs and run ends under m_fence.
+    /// m_fence is higher than that of any call to an earlier process that this owner knew, so that these are refused once m_fenceConfirmed is set.
+    bool m_refusesEarlierCalls = false;
     bool m_moreEnds = false; ///< The last report listed only a part of the run ends.
     bool m_formerRunsUnknown
         = false; ///< The previous owner may have started runs on the worker, which has not listed all its runs and run ends to this owner since.
@@ -118,6 +121,8 @@
     std::optional<std::set<std::string>> m_jobsIfCordoned;
     std::set<TaskReference> m_tasks; ///< Tasks that the owner assigns to this incarnation: starting, running or stopping.
     std::map<TaskReference, UnansweredStart> m_unansweredStarts; ///< Start orders of the runs in m_tasks that were left unanswered at least once.
+    /// Boot clock at the last start order of each task that was left unanswered, until no later process of the worker can execute it; see mayStartLate().
+    std::map<TaskReference, Instant> m_lateStarts;
     std::map<RunReference, SupersededRun> m_supersededRuns; ///< They use capacity that is not accounted for, and their jobs are locked.
     std::map<TaskReference, std::int64_t> m_listedRuns; ///< Newest run of each task that this incarnation has reported as running and not yet as ended.
 };
@@ -128,6 +133,9 @@
     int m_lines = 0; ///< Log lines since m_periodStart.
 };
 
+/// Log lines per second about unanswered calls to all workers. A cut of a zone leaves dozens of polls unanswered at once.
+constexpr int maxCallLogLines = 40;
+
 /// Returns true and counts a log line if fewer than @p maxLines have been counted in the present second.
 bool claimLogLine(LogLineLimit &limit, int maxLines, Instant now);
 
@@ -176,7 +184,7 @@
     std::map<StepReference, StepWait> m_waits; ///< Waits of the steps that had unplaced tasks in the last pass.
     Instant m_waitsUpdatedAt; ///< Boot clock at the last pass.
     LogLineLimit m_waitLogLines; ///< Of the lines about waits.
-    LogLineLimit m_callLogLines; ///< Of the lines about unanswered polls.
+    LogLineLimit m_callLogLines; ///< Of the lines about unanswered calls to workers.
     std::optional<UrgentDemandPeak> m_urgentDemand; ///< Urgent demand as of the last pass; empty until the first one.
     bool m_soleOwner = true; ///< This VM's ownership lease at the store holds, so that no other VM can be the owner.
     Instant m_leaseEnd; ///< Boot clock; end of the ownership lease as of its last renewal.
@@ -217,8 +225,6 @@
 void setTask(OwnerState &state, const TaskReference &reference, const TaskPointer &task);
 /// Adds or replaces a job and updates TrackedWorker::m_tasks.
 void setJob(OwnerState &state, const JobPointer &job);
-/// Moves all tasks of a worker that runs nothing any more back to the waiting phase.
-void releaseAllTasks(OwnerState &state, TrackedWorker &worker, ReleaseBelief belief, Instant now);
 /// Moves the tasks back to the waiting phase that the worker has run under an earlier start and that the report of a later start does not
 /// list. Keeps the tasks whose run the earlier start has never listed, because the later one may execute their orders.
 void releaseRunsOfEarlierStart(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, ReleaseBelief belief, Instant now);
@@ -231,6 +237,19 @@
 void inheritRuns(OwnerState &state, TrackedWorker &worker, const TrackedWorker &earlier, Instant now);
 /// Applies the first report of an incarnation that has inherited runs: releases those that it does not list.
 void applyFirstReportOfInheritor(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant now);
+/// Remembers that a start order of the task was left unanswered that was sent to @p worker, or to an earlier process of it, at @p sentAt.
+void rememberLateStart(TrackedWorker &worker, const TaskReference &reference, Instant sentAt);
+/// Returns true if a later process of the silent worker, of which this owner knows nothing, may have executed a start order of the task. Its run
+/// ends up to FleetSettings::m_callDelayBound after TrackedWorker::m_leasesExpiredBy, because unanswered polls may renew its lease for as long.
+bool mayStartLate(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference);
+/// Forgets the late starts that the worker's last answer excludes: it has refused them by its fence, or their time was over when it was requested.
+void forgetExcludedLateStarts(OwnerState &state, TrackedWorker &worker, Instant now);
+/// Releases the tasks of a silent worker whose leases have expired, and forgets its superseded runs, but for those that may start late until
+/// @p lateRunsExpired.
+void releaseExpiredRuns(OwnerState &state, TrackedWorker &worker, bool lateRunsExpired, Instant now);
+/// Returns true if a refusal of a call under @p sentFence shows that another VM owns the fleet, rather than that a later process of the worker has
+/// refused a call to an earlier one.
+bool showsSuccessor(const OwnerState &state, const WorkerIncarnation &incarnation, std::int64_t sentFence);
 /// Remembers a run that the owner takes for over without the word of @p worker, until the task's next start. A run with an unconfirmed stop
 /// stays remembered in its place.
 void rememberReleasedRun(OwnerState &state,
--- a/service/lib/Fleetservice/snapshot.cpp
+++ b/service/lib/Fleetservice/snapshot.cpp
@@ -58,7 +58,7 @@
 {
     std::vector<WorkerReportPointer> workers;
     for (const auto &item : listing.m_items) {
-        const auto report = decodeWorkerReport(item.m_key.substr(workerPrefix.size()), item.m_value);
+        const auto report = decodeWorkerReport(item.m_key.substr(workerPrefix.size()), item.m_value, item.m_revision);
         if (report.ok()) {
             workers.push_back(std::make_shared<const WorkerReport>(report.value()));
         } else {
--- a/service/unittests/Fleetservice/ownersimulation.h
+++ b/service/unittests/Fleetservice/ownersimulation.h
@@ -30,7 +30,7 @@
             .m_configuration = m_configuration,
             .m_enqueueRecord = [this](std::int64_t, const DurableRecord &record) { m_records.push_back(record); },
             .m_leaseEnd = [](std::int64_t) { return fromMilliseconds(1'000'000'000); },
-            .m_onSuperseded = [](std::int64_t, const std::string &) {},
+            .m_onSuperseded = [this](std::int64_t, const std::string &) { ++m_supersededCount; },
             .m_bootClock = bootClockNow,
             .m_wallClock = [this] { return TimerService::wallClockNow() + m_wallClockOffset; },
         })
@@ -119,9 +119,12 @@
         return jobOfStep(name, queue, std::move(acceptedPolicy), stepOf(tasks, resources, longRunning, maxUnavailable));
     }
 
-    /// The entry of a worker; @p leavesIn is set for a draining worker only.
-    static WorkerReportPointer
-    worker(const std::string &name, std::optional<Duration> leavesIn = std::nullopt, std::int64_t startedAtMs = 1, const std::string &machine = {})
+    /// The entry of a worker; @p leavesIn is set for a draining worker only. @p revision is the store's at which the entry was written.
+    static WorkerReportPointer worker(const std::string &name,
+                                      std::optional<Duration> leavesIn = std::nullopt,
+                                      std::int64_t startedAtMs = 1,
+                                      const std::string &machine = {},
+                                      std::int64_t revision = 0)
     {
         return std::make_shared<const WorkerReport>(WorkerReport{
             .m_incarnation = WorkerIncarnation{.m_worker = name, .m_startedAtMs = startedAtMs},
@@ -136,6 +139,7 @@
             .m_leavesIn = leavesIn,
             .m_softwareVersion = {},
             .m_reportedAtClockMs = std::nullopt,
+            .m_entryRevision = revision,
         });
     }
 
@@ -287,6 +291,10 @@
     std::vector<RunReportRequest> m_reportRequests;
     std::vector<std::optional<Instant>> m_reportBounds; ///< OrderTarget::m_connectedBefore of each report request.
     std::vector<std::optional<Instant>> m_connectionBounds; ///< OrderTarget::m_connectedBefore of each start and stop order.
+    std::vector<std::int64_t> m_startFences; ///< Fence of each start order.
+    std::vector<std::int64_t> m_stopFences; ///< Fence of each stop order.
+    std::vector<std::int64_t> m_reportFences; ///< Fence of each report request.
+    int m_supersededCount = 0; ///< How often the owner has reported that a worker has seen a higher fence.
     Duration m_wallClockOffset{0}; ///< Added to the wall clock of the owner.
     OwnerState m_state;
 
@@ -297,15 +305,18 @@
             .m_sendStartOrder =
                 [this](const OrderTarget &target, const StartOrder &order, const auto &) {
                     m_connectionBounds.push_back(target.m_connectedBefore);
+                    m_startFences.push_back(target.m_fence);
                     m_startOrders.push_back(RecordedOrder{.m_worker = target.m_worker, .m_task = order.m_task, .m_runNumber = order.m_runNumber});
                 },
             .m_sendStopOrder =
                 [this](const OrderTarget &target, const TaskReference &task, std::int64_t runNumber, const auto &) {
                     m_connectionBounds.push_back(target.m_connectedBefore);
+                    m_stopFences.push_back(target.m_fence);
                     m_stopOrders.push_back(RecordedOrder{.m_worker = target.m_worker, .m_task = task, .m_runNumber = runNumber});
                 },
             .m_requestRunReport =
                 [this](const OrderTarget &target, const RunReportRequest &request, const auto &) {
+                    m_reportFences.push_back(target.m_fence);
                     m_reportRequests.push_back(request);
                     m_reportBounds.push_back(target.m_connectedBefore);
                 },
