Record which jobs have late starts, so that a successor waits for them

Callers would see a task run twice if the owner is lost after a worker has left a start unanswered, and the worker restarts and is cut off from the successor: a process of which no owner knows executes the start, up to 12 s after it was sent, while the successor unlocks the task after the longest lease. Making it wait for 12 s more for every silent worker would lock all jobs after each cut of an owner's zone.

Change: the owner records the jobs with unanswered starts by worker (primrosebridge/late-starts, at most ten times a second, only what is not excluded yet). A successor locks just these jobs until the worker has listed its runs, or until the longest lease and callDelayBoundMs have passed, and keeps them in its own record meanwhile.

--- a/service/include/primrosebridge/Fleetservice/ownerevents.h
+++ b/service/include/primrosebridge/Fleetservice/ownerevents.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "primrosebridge/Fleet/worker.h"
+#include "primrosebridge/Fleetservice/latestarts.h"
 #include "primrosebridge/Fleetservice/roster.h"
 #include "primrosebridge/Fleetwire/workerorders.h"
 #include "primrosebridge/Model/time.h"
@@ -24,6 +25,7 @@
     const std::vector<RosterEntry> m_roster; ///< Workers that the previous owner used, with or without an entry in the store.
     const std::int64_t m_rosterVersion;
     const bool m_rosterReadable = true; ///< False if the store holds a roster that cannot be decoded; m_roster is then empty.
+    const LateStartRecord m_lateStarts = LateStartRecord{.m_version = 0, .m_jobsByWorker = {}}; ///< As the previous owner recorded them.
 };
 
 /// This VM has become the owner of the fleet.
--- a/service/lib/Fleetservice/fleetnode.cpp
+++ b/service/lib/Fleetservice/fleetnode.cpp
@@ -226,7 +226,7 @@
         SuccessionView{.m_processorCores = m_self.m_processorCores, .m_peerCores = std::move(peerCores), .m_uptime = bootClockNow() - m_startedAt});
 }
 
-// Reads the listings at the same time, so that a slow store or link delays the takeover once and not four times.
+// Reads the listings at the same time, so that a slow store or link delays the takeover once and not five times.
 static Result<StoreSnapshot> readStoreSnapshot(PlatformStore &store)
 {
     const auto listInBackground
@@ -235,7 +235,9 @@
         auto pendingInbox = listInBackground(StoreKeys::inbox);
         auto pendingProgress = listInBackground(StoreKeys::progress);
         auto pendingWorkers = listInBackground(workerPrefix);
+        auto pendingLateStarts = std::async(std::launch::async, [&store] { return store.get(std::string(StoreKeys::lateStarts)); });
         const auto roster = store.get(std::string(StoreKeys::roster));
+        const auto lateStarts = pendingLateStarts.get();
         const auto inbox = pendingInbox.get();
         const auto progress = pendingProgress.get();
         const auto workers = pendingWorkers.get();
@@ -244,10 +246,14 @@
                 return listing->error();
             }
         }
-        if (!roster.ok()) {
-            return roster.error();
+        if (!roster.ok() || !lateStarts.ok()) {
+            return roster.ok() ? lateStarts.error() : roster.error();
         }
-        return StoreSnapshot{.m_inbox = inbox.value(), .m_progress = progress.value(), .m_workers = workers.value(), .m_roster = roster.value()};
+        return StoreSnapshot{.m_inbox = inbox.value(),
+                             .m_progress = progress.value(),
+                             .m_workers = workers.value(),
+                             .m_roster = roster.value(),
+                             .m_lateStarts = lateStarts.value()};
     } catch (const std::system_error &error) {
         return Error(ErrorKind::Unavailable, std::string("cannot start a thread: ") + error.what(), "raise the thread limit of this process");
     }
@@ -386,6 +392,9 @@
 
 void FleetNode::Private::postRecorded(std::int64_t fence, const DurableRecord &record)
 {
+    if (record.m_key == StoreKeys::lateStarts) {
+        return; // Nothing waits for it.
+    }
     if (!record.m_job) {
         m_owner->post(EventOfTerm{.m_fence = fence, .m_event = RosterRecorded{.m_version = record.m_version}});
         return;
--- a/service/lib/Fleetservice/fleetowner.cpp
+++ b/service/lib/Fleetservice/fleetowner.cpp
@@ -69,6 +69,7 @@
         updateAuthority(state, state.m_context.m_leaseEnd(state.m_fence), now);
     }
     recordRosterIfChanged(state);
+    recordLateStartsIfChanged(state, now);
     if (now >= pacing.m_nextReview) {
         reviewFleet(state, now);
         pacing.m_nextReview = now + std::max(maxEventWait, (bootClock() - now) * pauseFactor);
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -193,6 +193,9 @@
             locked.insert(worker.m_jobsIfCordoned->begin(), worker.m_jobsIfCordoned->end());
         }
     }
+    for (const auto &[worker, jobs] : state.m_formerLateStarts) {
+        locked.insert(jobs.begin(), jobs.end());
+    }
     return {locked.begin(), locked.end()};
 }
 
@@ -443,6 +446,10 @@
         // The previous owner may have renewed the worker's leases just before the takeover.
         worker.m_leasesExpiredBy = state.m_jobsLockedUntil;
     }
+    state.m_formerLateStarts = snapshot.m_lateStarts.m_jobsByWorker;
+    state.m_queuedLateStarts = state.m_formerLateStarts;
+    state.m_lateStartsVersion = snapshot.m_lateStarts.m_version;
+    state.m_lateStartsChanged = false;
     state.m_rosterVersion = snapshot.m_rosterVersion;
     state.m_recordedRosterVersion = snapshot.m_rosterVersion;
     state.m_rosterChanged = true;
@@ -467,6 +474,7 @@
               {"awaited", std::to_string(state.m_awaitedWorkers.size())},
               {"awaited_workers", firstNames(state.m_awaitedWorkers)},
               {"cordoned", std::to_string(cordoned)},
+              {"late_start_workers", std::to_string(state.m_formerLateStarts.size())},
               {"not_in_roster", std::to_string(notInRoster)}});
 }
 
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -1,6 +1,7 @@
 #include "ownerstate.h"
 
 #include "primrosebridge/Fleetservice/fleetmetrics.h"
+#include "primrosebridge/Fleetservice/storekeys.h"
 #include "primrosebridge/Observe/log.h"
 
 #include <algorithm>
@@ -73,8 +74,9 @@
     }
 }
 
-void rememberLateStart(TrackedWorker &worker, const TaskReference &reference, Instant sentAt)
+void rememberLateStart(OwnerState &state, TrackedWorker &worker, const TaskReference &reference, Instant sentAt)
 {
+    state.m_lateStartsChanged = true;
     auto &latest = worker.m_lateStarts[reference];
     latest = std::max(latest, sentAt);
 }
@@ -104,6 +106,7 @@
                       {"sent_ms_ago", std::to_string((now - entry.second).count())},
                       {"by", refused ? "fence" : "time"}});
         }
+        state.m_lateStartsChanged = true;
         return true;
     });
 }
@@ -117,6 +120,50 @@
     }
 }
 
+// Returns the jobs with late starts by worker, of this owner and of the previous one.
+static LateStartJobs lateStartJobs(const OwnerState &state)
+{
+    auto jobs = state.m_formerLateStarts;
+    for (const auto &[name, worker] : state.m_workers) {
+        for (const auto &[reference, sentAt] : worker.m_lateStarts) {
+            jobs[name].insert(reference.m_job);
+        }
+    }
+    return jobs;
+}
+
+void forgetExpiredFormerLateStarts(OwnerState &state, Instant now)
+{
+    const auto expiredBy = state.m_jobsLockedUntil + state.m_context.m_settings.m_callDelayBound;
+    if (state.m_formerLateStarts.empty() || !haveTaskLeasesExpired(authorityOf(state), expiredBy, now)) {
+        return;
+    }
+    state.m_formerLateStarts.clear();
+    state.m_lateStartsChanged = true;
+    state.m_placementNeeded = true;
+}
+
+void recordLateStartsIfChanged(OwnerState &state, Instant now)
+{
+    if (!state.m_lateStartsChanged || now < state.m_lateStartsQueuedAt + lateStartRecordPeriod) {
+        return;
+    }
+    state.m_lateStartsChanged = false;
+    auto jobs = lateStartJobs(state);
+    if (jobs == state.m_queuedLateStarts) {
+        return;
+    }
+    state.m_queuedLateStarts = std::move(jobs);
+    state.m_lateStartsQueuedAt = now;
+    ++state.m_lateStartsVersion;
+    state.m_context.m_enqueueRecord(
+        state.m_fence,
+        DurableRecord{.m_key = std::string(StoreKeys::lateStarts),
+                      .m_job = nullptr,
+                      .m_value = encodeLateStarts(LateStartRecord{.m_version = state.m_lateStartsVersion, .m_jobsByWorker = state.m_queuedLateStarts}),
+                      .m_version = state.m_lateStartsVersion});
+}
+
 bool showsSuccessor(const OwnerState &state, const WorkerIncarnation &incarnation, std::int64_t sentFence)
 {
     const auto found = state.m_workers.find(incarnation.m_worker);
@@ -182,7 +229,7 @@
         }
         const bool executed = isListed(earlier, reference, task->m_runNumber) && !earlier.m_unansweredStarts.contains(reference);
         if (task->m_phase == TaskPhase::Starting && !task->m_orderUnanswered) {
-            rememberLateStart(worker, reference, task->m_phaseSince); // The answer, if there is one, comes from a process that is over.
+            rememberLateStart(state, worker, reference, task->m_phaseSince); // The answer, if there is one, comes from a process that is over.
         }
         const auto moved = startingTask(*task, worker.m_incarnation, task->m_runNumber, now);
         if (executed) {
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -295,7 +295,7 @@
     }
     auto *worker = findWorker(state, event.m_incarnation);
     if (worker && answer == OrderAnswer::Unanswered) {
-        rememberLateStart(*worker, event.m_task, event.m_sentAt);
+        rememberLateStart(state, *worker, event.m_task, event.m_sentAt);
     }
     const auto job = state.m_jobs.find(event.m_task.m_job);
     const auto task = job ? findTask(*job, event.m_task) : nullptr;
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -377,6 +377,10 @@
         worker.m_runsKnown = true;
         worker.m_formerRunsUnknown = false;
         state.m_awaitedWorkers.erase(worker.m_incarnation->m_worker);
+        if (state.m_formerLateStarts.erase(worker.m_incarnation->m_worker) > 0) {
+            state.m_lateStartsChanged = true;
+            state.m_placementNeeded = true;
+        }
     }
     worker.m_otherStartMs.reset();
     worker.m_answerRequestedAt = std::max(worker.m_answerRequestedAt, sentAt);
@@ -815,6 +819,7 @@
         return;
     }
     unlockJobsIfSafe(state, now);
+    forgetExpiredFormerLateStarts(state, now);
     repeatStopsOfSupersededRuns(state, now);
     markSlowWorkers(state, now);
     const auto lockedJobIds = jobsLockedByTakeover(state, now);
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -133,6 +133,9 @@
     int m_lines = 0; ///< Log lines since m_periodStart.
 };
 
+/// Shortest time between two records of late starts. A worker that leaves orders unanswered does so for many in a row.
+constexpr Duration lateStartRecordPeriod(100);
+
 /// Log lines per second about unanswered calls to all workers. A cut of a zone leaves dozens of polls unanswered at once.
 constexpr int maxCallLogLines = 40;
 
@@ -178,6 +181,12 @@
     std::int64_t m_rosterVersion = 0; ///< Newest roster version that was queued for the store.
     std::int64_t m_recordedRosterVersion = 0; ///< Newest roster version that the store has acknowledged.
     bool m_rosterChanged = false; ///< The roster has changed since m_rosterVersion.
+    /// As the previous owner recorded them, without the workers that have listed all their runs since. Their jobs are locked.
+    LateStartJobs m_formerLateStarts;
+    LateStartJobs m_queuedLateStarts; ///< Content of the newest record of late starts that was queued for the store.
+    std::int64_t m_lateStartsVersion = 0; ///< Version of that record.
+    Instant m_lateStartsQueuedAt; ///< Boot clock.
+    bool m_lateStartsChanged = false; ///< A start may have become late, or excluded, since m_lateStartsQueuedAt.
     bool m_placementNeeded = false; ///< An event may allow waiting tasks to start; a pass is due after minPassInterval.
     bool m_capacityFreed = false; ///< A run has ended and freed capacity; a pass is due after capacityPassInterval.
     Instant m_speedsReviewedAt; ///< Boot clock.
@@ -238,7 +247,7 @@
 /// Applies the first report of an incarnation that has inherited runs: releases those that it does not list.
 void applyFirstReportOfInheritor(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant now);
 /// Remembers that a start order of the task was left unanswered that was sent to @p worker, or to an earlier process of it, at @p sentAt.
-void rememberLateStart(TrackedWorker &worker, const TaskReference &reference, Instant sentAt);
+void rememberLateStart(OwnerState &state, TrackedWorker &worker, const TaskReference &reference, Instant sentAt);
 /// Returns true if a later process of the silent worker, of which this owner knows nothing, may have executed a start order of the task. Its run
 /// ends up to FleetSettings::m_callDelayBound after TrackedWorker::m_leasesExpiredBy, because unanswered polls may renew its lease for as long.
 bool mayStartLate(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference);
@@ -339,5 +348,10 @@
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now);
 /// Queues the roster for the store if it has changed.
 void recordRosterIfChanged(OwnerState &state);
+/// Forgets the late starts of the previous owner once no run of theirs can go on: its unanswered polls may have renewed their leases for as long as a
+/// call may be delayed.
+void forgetExpiredFormerLateStarts(OwnerState &state, Instant now);
+/// Queues the record of late starts for the store if it has changed, at most every lateStartRecordPeriod.
+void recordLateStartsIfChanged(OwnerState &state, Instant now);
 
 } // namespace PrimroseBridge
--- a/service/lib/Fleetservice/snapshot.cpp
+++ b/service/lib/Fleetservice/snapshot.cpp
@@ -77,7 +77,7 @@
 
 DecodedSnapshot decodeSnapshot(const StoreSnapshot &snapshot, std::int64_t fence, const FleetConfigurationPointer &configuration, Instant now)
 {
-    const auto &[inbox, progress, workers, roster] = snapshot;
+    const auto &[inbox, progress, workers, roster, lateStarts] = snapshot;
     std::map<std::string, const StoreItem *> records;
     std::vector<RecordRevision> revisions;
     for (const auto &item : progress.m_items) {
@@ -116,13 +116,27 @@
             reportSkippedRecord(item->m_key, decoded.error());
         }
     }
-    return DecodedSnapshot{.m_fleet = std::make_shared<const FleetSnapshot>(FleetSnapshot{.m_fence = fence,
-                                                                                          .m_jobs = std::move(jobs),
-                                                                                          .m_cancelledJobs = listedInbox.m_cancelledJobs,
-                                                                                          .m_workers = decodeWorkersListing(workers, {}).m_workers,
-                                                                                          .m_roster = std::move(rosterEntries),
-                                                                                          .m_rosterVersion = rosterVersion,
-                                                                                          .m_rosterReadable = rosterReadable}),
+    LateStartJobs lateStartJobs;
+    std::int64_t lateStartsVersion = 0;
+    if (const auto &item = lateStarts) {
+        revisions.push_back(RecordRevision{.m_key = item->m_key, .m_revision = item->m_revision});
+        const auto decoded = decodeLateStarts(item->m_value);
+        if (decoded.ok()) {
+            lateStartJobs = decoded.value().m_jobsByWorker;
+            lateStartsVersion = decoded.value().m_version;
+        } else {
+            reportSkippedRecord(item->m_key, decoded.error());
+        }
+    }
+    return DecodedSnapshot{.m_fleet = std::make_shared<const FleetSnapshot>(
+                               FleetSnapshot{.m_fence = fence,
+                                             .m_jobs = std::move(jobs),
+                                             .m_cancelledJobs = listedInbox.m_cancelledJobs,
+                                             .m_workers = decodeWorkersListing(workers, {}).m_workers,
+                                             .m_roster = std::move(rosterEntries),
+                                             .m_rosterVersion = rosterVersion,
+                                             .m_rosterReadable = rosterReadable,
+                                             .m_lateStarts = LateStartRecord{.m_version = lateStartsVersion, .m_jobsByWorker = std::move(lateStartJobs)}}),
                            .m_revisions = std::move(revisions),
                            .m_workerKeys = keysOf(workers)};
 }
--- a/service/lib/Fleetservice/snapshot.h
+++ b/service/lib/Fleetservice/snapshot.h
@@ -13,13 +13,14 @@
 
 namespace PrimroseBridge {
 
-/// What the store holds for a new owner. The progress records and the roster cannot change while it is read, because they are written on
-/// condition of the ownership.
+/// What the store holds for a new owner. The records of the owner cannot change while it is read, because they are written on condition of
+/// the ownership.
 struct StoreSnapshot {
     const StoreListing m_inbox;
     const StoreListing m_progress;
     const StoreListing m_workers;
     const std::optional<StoreItem> m_roster;
+    const std::optional<StoreItem> m_lateStarts = std::nullopt;
 };
 
 /// A decoded snapshot.
--- a/service/unittests/Fleetsimulation/simulatedvm.cpp
+++ b/service/unittests/Fleetsimulation/simulatedvm.cpp
@@ -887,11 +887,11 @@
     co_return Nothing{};
 }
 
-Co<Nothing> SimulatedVm::readRoster(std::shared_ptr<SnapshotParts> parts)
+Co<Nothing> SimulatedVm::readItem(std::string key, std::shared_ptr<SnapshotParts> parts, std::optional<Result<std::optional<StoreItem>>> SnapshotParts::*part)
 {
-    auto reading = get(std::string(StoreKeys::roster));
+    auto reading = get(std::move(key));
     const auto item = co_await reading;
-    parts->m_roster.emplace(item);
+    ((*parts).*part).emplace(item);
     m_snapshotChanged.notifyAll();
     co_return Nothing{};
 }
@@ -902,11 +902,13 @@
     m_process->startThread(readListing(std::string(StoreKeys::inbox), parts, &SnapshotParts::m_inbox));
     m_process->startThread(readListing(std::string(StoreKeys::progress), parts, &SnapshotParts::m_progress));
     m_process->startThread(readListing(std::string(workerPrefix), parts, &SnapshotParts::m_workers));
-    m_process->startThread(readRoster(parts));
-    const std::function<bool()> complete = [parts] { return parts->m_inbox && parts->m_progress && parts->m_workers && parts->m_roster; };
+    m_process->startThread(readItem(std::string(StoreKeys::roster), parts, &SnapshotParts::m_roster));
+    m_process->startThread(readItem(std::string(StoreKeys::lateStarts), parts, &SnapshotParts::m_lateStarts));
+    const std::function<bool()> complete
+        = [parts] { return parts->m_inbox && parts->m_progress && parts->m_workers && parts->m_roster && parts->m_lateStarts; };
     auto waiting = m_snapshotChanged.waitFor(complete, std::nullopt);
     co_await waiting;
-    if (!parts->m_inbox->ok() || !parts->m_progress->ok() || !parts->m_workers->ok() || !parts->m_roster->ok()) {
+    if (!parts->m_inbox->ok() || !parts->m_progress->ok() || !parts->m_workers->ok() || !parts->m_roster->ok() || !parts->m_lateStarts->ok()) {
         co_return false;
     }
     auto delay = threadDelay();
@@ -914,7 +916,8 @@
     const StoreSnapshot snapshot{.m_inbox = parts->m_inbox->value(),
                                  .m_progress = parts->m_progress->value(),
                                  .m_workers = parts->m_workers->value(),
-                                 .m_roster = parts->m_roster->value()};
+                                 .m_roster = parts->m_roster->value(),
+                                 .m_lateStarts = parts->m_lateStarts->value()};
     const auto decoded = decodeSnapshot(snapshot, fence, m_configuration.current(), bootNow());
     if (m_term.m_fence != fence) {
         co_return true;
@@ -1080,6 +1083,9 @@
         return;
     }
     m_revisions[record.m_key] = revision;
+    if (record.m_key == StoreKeys::lateStarts) {
+        return;
+    }
     if (record.m_job) {
         post(
             EventOfTerm{.m_fence = batch.m_fence,
--- a/service/unittests/Fleetsimulation/simulatedvm.h
+++ b/service/unittests/Fleetsimulation/simulatedvm.h
@@ -70,6 +70,7 @@
         std::optional<Result<StoreListing>> m_progress;
         std::optional<Result<StoreListing>> m_workers;
         std::optional<Result<std::optional<StoreItem>>> m_roster;
+        std::optional<Result<std::optional<StoreItem>>> m_lateStarts;
     };
 
     [[nodiscard]] Instant bootNow() const;
@@ -133,7 +134,7 @@
     Co<Nothing> watchWorkers();
     Co<bool> startTermFromStore(std::int64_t fence);
     Co<Nothing> readListing(std::string prefix, std::shared_ptr<SnapshotParts> parts, std::optional<Result<StoreListing>> SnapshotParts::*part);
-    Co<Nothing> readRoster(std::shared_ptr<SnapshotParts> parts);
+    Co<Nothing> readItem(std::string key, std::shared_ptr<SnapshotParts> parts, std::optional<Result<std::optional<StoreItem>>> SnapshotParts::*part);
     Co<Nothing> handleOwnershipGained(std::int64_t fence);
     void handleOwnershipLost(std::int64_t fence, const std::string &reason);
     void updatePeerDirectory(const std::string &key, const std::string &value, std::int64_t revision, bool removed);
