Execute report requests late in simulated fleets, also in the next process of a worker

Change: a late report request is executed with the lease end and the acknowledgement that it carries, by the process that runs then, whatever the connection. OrderDelivery::m_beforeFirstAnswer says that a process had not accepted a report request in time when it executed a start; a request that is executed late does not count as an answer, as it is answered to nobody. Violations name a late start to a former process before that answer. The test of a restarted worker compares the whole delivery as before, with the new field in it.

--- a/service/unittests/Fleetsimulation/rules.cpp
+++ b/service/unittests/Fleetsimulation/rules.cpp
@@ -148,6 +148,38 @@
     CHECK(violations(steps, {{task0, 0, 3000, RunEndKind::GangMemberEnded}}).empty());
 }
 
+// Guards against a late start that is named like another one, although only one before the first answer of its process cannot be prevented.
+TEST_CASE("a violation names late starts to the former process of a worker")
+{
+    const auto textFor = [](const OrderDelivery &delivery) {
+        const SimulatedRun first{.m_task = task0,
+                                 .m_runNumber = 1,
+                                 .m_worker = "w1",
+                                 .m_incarnation = 1,
+                                 .m_fence = 1,
+                                 .m_sender = "vm",
+                                 .m_startedAt = WorkerFixture::at(0),
+                                 .m_delivery = {},
+                                 .m_endedAt = std::nullopt,
+                                 .m_endKind = std::nullopt,
+                                 .m_acknowledgedAt = std::nullopt};
+        SimulatedRun second = first;
+        second.m_runNumber = 2;
+        second.m_delivery = delivery;
+        const auto found = findViolations({first, second}, {WorkerFixture::job("job", Steps{{.m_tasks = 1}})}, {}, WorkerFixture::at(1));
+        return found.size() == 1 ? found.front().m_text : std::string();
+    };
+    const std::string restart = " late sent before a restart";
+    const std::string firstAnswer = " before its process's first answer";
+    const auto unavoidable = textFor({.m_late = true, .m_afterRestart = true, .m_beforeFirstAnswer = true});
+    CHECK(unavoidable.find(restart + firstAnswer) != std::string::npos);
+    const auto avoidable = textFor({.m_late = true, .m_afterRestart = true});
+    CHECK(avoidable.find(restart) != std::string::npos);
+    CHECK(avoidable.find(firstAnswer) == std::string::npos);
+    CHECK(textFor({.m_beforeFirstAnswer = true}).find(firstAnswer) == std::string::npos); // The owner meant this process.
+    CHECK(textFor({.m_late = true, .m_beforeFirstAnswer = true}).find(firstAnswer) == std::string::npos);
+}
+
 // Guards against violations that are listed by task instead of by time.
 TEST_CASE("violations are in the order of time")
 {
--- a/service/unittests/Fleetsimulation/simulatednetwork.h
+++ b/service/unittests/Fleetsimulation/simulatednetwork.h
@@ -31,7 +31,7 @@
 struct CallFaults {
     double m_lostCall = 0.0;
     double m_lostAnswer = 0.0;
-    double m_late = 0.0; ///< The caller gets no answer, and the call is executed 2 to 12 s later.
+    double m_late = 0.0; ///< The caller gets no answer, and the call is executed 2 to 12 s later, by the process that runs then.
     double m_refused = 0.0; ///< The call is refused before it is executed.
     double m_slow = 0.0; ///< One of the two ways takes up to m_slowestMs.
     std::int64_t m_usualMs = 4;
--- a/service/unittests/Fleetsimulation/simulatedvm.cpp
+++ b/service/unittests/Fleetsimulation/simulatedvm.cpp
@@ -1,5 +1,7 @@
 #include "simulatedvm.h"
 
+#include "calldescriptions.h"
+
 #include "primrosebridge/Fleetservice/roster.h"
 #include "primrosebridge/Fleetservice/storekeys.h"
 #include "primrosebridge/Fleetwire/messages.h"
@@ -339,10 +341,7 @@
     const auto send = [this, target, isReport, execute = std::move(execute), failure = std::move(failure), handler = std::move(handler)] {
         auto &world = m_world;
         const auto now = world.m_queue.now();
-        auto fate = drawFate(world.m_random, world.m_faults.m_workers);
-        if (isReport) {
-            fate.m_late.reset(); // The platform executes only orders late.
-        }
+        const auto fate = drawFate(world.m_random, world.m_faults.m_workers);
         auto done = std::make_shared<bool>(false);
         const auto finishAt = [this, process = m_process, done, handler](Instant at, const Reply &reply) {
             SimulatedProcess::schedule(process, at, [this, done, handler, reply] {
@@ -417,11 +416,6 @@
     }
 }
 
-static std::string nameOf(OrderAnswer answer)
-{
-    return "answer " + std::to_string(static_cast<int>(answer));
-}
-
 WorkerCalls SimulatedVm::workerCalls()
 {
     const auto orderFailure = [](OrderAnswer answer) { return OrderReply{.m_answer = answer, .m_workerClockMs = std::nullopt}; };
@@ -430,9 +424,7 @@
         .m_sendStartOrder =
             [this, orderFailure](const OrderTarget &target, const StartOrder &order, const std::function<void(const OrderReply &)> &handler) {
                 auto &world = m_world;
-                const auto text = world.m_trace.enabled() ? "start " + taskName(order.m_task) + " run " + std::to_string(order.m_runNumber) + " on "
-                                                                + target.m_worker + " fence " + std::to_string(target.m_fence)
-                                                          : std::string();
+                const auto text = world.m_trace.enabled() ? describeStart(target, order) : std::string();
                 trace("sends " + text);
                 callWorker<OrderReply>(
                     target,
@@ -440,14 +432,13 @@
                     [&world, target, order, sender = m_node.m_name, text](OrderDelivery delivery, const std::function<void(const OrderReply &)> &answer) {
                         const auto reply = world.m_workers.startOrder(target, order, sender, delivery, world.m_queue.now());
                         if (world.m_trace.enabled()) {
-                            world.m_trace.add("executed" + std::string(delivery.m_late ? " late: " : ": ") + text + " from " + sender + " "
-                                              + nameOf(reply.m_answer));
+                            world.m_trace.add(describeExecution(delivery) + text + " from " + sender + " " + describeAnswer(reply.m_answer));
                         }
                         answer(reply);
                     },
                     orderFailure,
                     [this, handler, text](const OrderReply &reply) {
-                        trace("got " + nameOf(reply.m_answer) + " to " + text);
+                        trace("got " + describeAnswer(reply.m_answer) + " to " + text);
                         handler(reply);
                     });
             },
@@ -455,9 +446,7 @@
             [this, orderFailure](
                 const OrderTarget &target, const TaskReference &task, std::int64_t runNumber, const std::function<void(const OrderReply &)> &handler) {
                 auto &world = m_world;
-                const auto text = world.m_trace.enabled() ? "stop " + taskName(task) + " run " + std::to_string(runNumber) + " on " + target.m_worker
-                                                                + " fence " + std::to_string(target.m_fence)
-                                                          : std::string();
+                const auto text = world.m_trace.enabled() ? describeStop(target, task, runNumber) : std::string();
                 trace("sends " + text);
                 callWorker<OrderReply>(
                     target,
@@ -465,13 +454,13 @@
                     [&world, target, task, runNumber, text](OrderDelivery delivery, const std::function<void(const OrderReply &)> &answer) {
                         const auto reply = world.m_workers.stopOrder(target, task, runNumber, world.m_queue.now());
                         if (world.m_trace.enabled()) {
-                            world.m_trace.add("executed" + std::string(delivery.m_late ? " late: " : ": ") + text + " " + nameOf(reply.m_answer));
+                            world.m_trace.add(describeExecution(delivery) + text + " " + describeAnswer(reply.m_answer));
                         }
                         answer(reply);
                     },
                     orderFailure,
                     [this, handler, text](const OrderReply &reply) {
-                        trace("got " + nameOf(reply.m_answer) + " to " + text);
+                        trace("got " + describeAnswer(reply.m_answer) + " to " + text);
                         handler(reply);
                     });
             },
@@ -481,15 +470,16 @@
                 callWorker<RunReportReply>(
                     target,
                     true,
-                    [&world, target, sent = request, reportFailure](OrderDelivery delivery, const std::function<void(const RunReportReply &)> &answer) {
+                    [&world, target, sent = request, sender = m_node.m_name, reportFailure](OrderDelivery delivery,
+                                                                                            const std::function<void(const RunReportReply &)> &answer) {
                         const auto now = world.m_queue.now();
                         const RunReportRequest request{.m_lastAcknowledgedEnd = delivery.m_onLaterConnection ? 0 : sent.m_lastAcknowledgedEnd,
                                                        .m_leaseEndMs = sent.m_leaseEndMs,
                                                        .m_wait = sent.m_wait};
-                        const auto reply = world.m_workers.report(target, request, now);
-                        if (world.m_trace.enabled() && request.m_lastAcknowledgedEnd > 0) {
-                            world.m_trace.add(target.m_worker + " gets a request with fence " + std::to_string(target.m_fence) + " that acknowledges "
-                                              + std::to_string(request.m_lastAcknowledgedEnd));
+                        const auto reply = world.m_workers.report(target, request, delivery, now);
+                        if (world.m_trace.enabled() && (delivery.m_late || request.m_lastAcknowledgedEnd > 0)) {
+                            world.m_trace.add(describeExecution(delivery) + describeRequest(target, request) + " from " + sender + " "
+                                              + describeAnswer(reply.m_answer));
                         }
                         const bool listsEnds = world.m_faults.m_closeRaces && reply.m_runReport && !reply.m_runReport->m_ends.empty();
                         if (reply.m_answer != OrderAnswer::Accepted || request.m_wait == Duration(0) || listsEnds) {
@@ -507,19 +497,7 @@
                     reportFailure,
                     [this, handler, worker = target.m_worker](const RunReportReply &reply) {
                         if (m_world.m_trace.enabled()) {
-                            std::string text = "got report of " + worker + " " + nameOf(reply.m_answer);
-                            if (reply.m_runReport) {
-                                text += " start " + std::to_string(reply.m_runReport->m_startedAtMs) + " running";
-                                for (const auto &run : reply.m_runReport->m_running) {
-                                    text += " " + taskName(run.m_task) + "#" + std::to_string(run.m_runNumber);
-                                }
-                                text += " ended";
-                                for (const auto &run : reply.m_runReport->m_ends) {
-                                    text += " " + taskName(run.m_task) + "#" + std::to_string(run.m_runNumber) + "/"
-                                            + std::to_string(static_cast<int>(run.m_kind));
-                                }
-                            }
-                            trace(text);
+                            trace("got " + describeReport(worker, reply));
                         }
                         handler(reply);
                     });
--- a/service/unittests/Fleetsimulation/simulatedworkers.cpp
+++ b/service/unittests/Fleetsimulation/simulatedworkers.cpp
@@ -54,6 +54,7 @@
     Instant m_startedAt; ///< Time at which the worker's clock shows 0.
     std::optional<Instant> m_leavesAt; ///< Set while the worker drains.
     std::int64_t m_highestFence = 0;
+    bool m_hasAnswered = false; ///< See OrderDelivery::m_beforeFirstAnswer.
     std::int64_t m_leaseEndMs = 0; ///< On the worker's clock.
     bool m_leaseHeld = false;
     std::int64_t m_leasePeriod = 0; ///< Number of leases that have lapsed.
@@ -576,6 +577,8 @@
         return reply(OrderAnswer::InsufficientCapacity);
     }
     const auto index = m_private->m_history.size();
+    auto startDelivery = delivery;
+    startDelivery.m_beforeFirstAnswer = !worker->m_state.m_hasAnswered;
     m_private->m_history.push_back(SimulatedRun{.m_task = order.m_task,
                                                 .m_runNumber = order.m_runNumber,
                                                 .m_worker = worker->m_settings.m_identifier,
@@ -583,7 +586,7 @@
                                                 .m_fence = target.m_fence,
                                                 .m_sender = sender,
                                                 .m_startedAt = m_private->m_now,
-                                                .m_delivery = delivery,
+                                                .m_delivery = startDelivery,
                                                 .m_endedAt = std::nullopt,
                                                 .m_endKind = std::nullopt,
                                                 .m_acknowledgedAt = std::nullopt});
@@ -635,7 +638,7 @@
     return OrderReply{.m_answer = OrderAnswer::Accepted, .m_workerClockMs = clockMs};
 }
 
-RunReportReply SimulatedWorkers::report(const OrderTarget &target, const RunReportRequest &request, Instant now)
+RunReportReply SimulatedWorkers::report(const OrderTarget &target, const RunReportRequest &request, const OrderDelivery &delivery, Instant now)
 {
     m_private->advance(now);
     auto *worker = m_private->receiver(target);
@@ -646,6 +649,7 @@
         return RunReportReply{.m_answer = OrderAnswer::Fenced, .m_runReport = std::nullopt};
     }
     worker->m_state.m_highestFence = target.m_fence;
+    worker->m_state.m_hasAnswered = worker->m_state.m_hasAnswered || !delivery.m_late;
     if (request.m_leaseEndMs) {
         m_private->takeLease(*worker, *request.m_leaseEndMs);
     }
--- a/service/unittests/Fleetsimulation/simulatedworkers.h
+++ b/service/unittests/Fleetsimulation/simulatedworkers.h
@@ -29,11 +29,14 @@
     double m_clockRate = 1.0; ///< Speed of the worker's clock, from 0.98 to 1.
 };
 
-/// How an order reached a worker.
+/// How an order or a report request reached a worker.
 struct OrderDelivery {
-    bool m_late = false; ///< The sender got no answer, and the worker executed the order seconds later.
-    bool m_afterRestart = false; ///< The worker has crashed or restarted since the order was sent.
+    bool m_late = false; ///< The sender got no answer, and the worker executed the call seconds later.
+    bool m_afterRestart = false; ///< The worker has crashed or restarted since the call was sent.
     bool m_onLaterConnection = false; ///< There was no connection that OrderTarget::m_connectedBefore allows.
+    /// Set by the worker for a start: its process had not yet accepted a report request, those that it executed late aside. Until then no owner
+    /// can have made the process refuse calls that were meant for its predecessor.
+    bool m_beforeFirstAnswer = false;
 
     bool operator==(const OrderDelivery &) const = default;
 };
@@ -58,11 +61,11 @@
 /// The workers of a simulated fleet, as the platform's protocol describes them, with time as a value. Not thread-safe.
 ///
 /// Every call first brings the workers to @p now, which must not decrease. A gang runs across workers, so one object holds them all. Calls do
-/// not fail by themselves: loss, delay and late execution of orders are up to the caller, which may make a call long after it was sent.
+/// not fail by themselves: loss, delay and late execution of calls are up to the caller, which may make a call long after it was sent.
 ///
 /// Where the protocol leaves a choice, the workers do what is harder for the scheduler: a run that is ordered to stop still ends as done or failed if
 /// its work ends first; a worker starts a run although another run of the same task, which was not ordered to stop, goes on there; and a
-/// restarted worker executes orders that were sent to its earlier incarnation. A start of a run that is there, or that has
+/// restarted worker executes calls that were sent to its earlier incarnation. A start of a run that is there, or that has
 /// ended, is answered Accepted or Outdated even if its lease end has passed. Leases lapse before runs end at the same time. Checkpoints are always empty.
 class SimulatedWorkers
 {
@@ -93,7 +96,7 @@
     OrderReply stopOrder(const OrderTarget &target, const TaskReference &task, std::int64_t runNumber, Instant now);
     /// Applies the fence, the lease end and the acknowledgement of a request and returns the report as of now; RunReportRequest::m_wait is up to
     /// the caller, see endCount().
-    RunReportReply report(const OrderTarget &target, const RunReportRequest &request, Instant now);
+    RunReportReply report(const OrderTarget &target, const RunReportRequest &request, const OrderDelivery &delivery, Instant now);
     /// Returns the report as of now without applying a request: what a delayed answer to report() contains.
     RunReportReply currentReport(const std::string &worker, Instant now);
     /// Number of ends that the incarnation has counted so far. A report request that waits is answered when it changes.
--- a/service/unittests/Fleetsimulation/violations.cpp
+++ b/service/unittests/Fleetsimulation/violations.cpp
@@ -35,9 +35,11 @@
 
 std::string describe(const SimulatedRun &run)
 {
+    const auto &delivery = run.m_delivery;
     return taskName(run.m_task) + " run " + std::to_string(run.m_runNumber) + " on " + run.m_worker + " from " + std::to_string(toMilliseconds(run.m_startedAt))
            + (run.m_endedAt ? " to " + std::to_string(toMilliseconds(*run.m_endedAt)) : std::string()) + " by " + run.m_sender + " fence "
-           + std::to_string(run.m_fence) + (run.m_delivery.m_late ? " late" : "") + (run.m_delivery.m_afterRestart ? " sent before a restart" : "");
+           + std::to_string(run.m_fence) + (delivery.m_late ? " late" : "") + (delivery.m_afterRestart ? " sent before a restart" : "")
+           + (delivery.m_late && delivery.m_afterRestart && delivery.m_beforeFirstAnswer ? " before its process's first answer" : "");
 }
 
 bool hasEnded(const SimulatedRun &run, RunEndKind kind, Instant now)
--- a/service/unittests/Fleetsimulation/workerfixture.h
+++ b/service/unittests/Fleetsimulation/workerfixture.h
@@ -125,8 +125,10 @@
                           std::optional<std::int64_t> leaseEndMs = std::nullopt,
                           std::int64_t requestFence = fence)
     {
-        return m_workers.report(
-            target(worker, requestFence), RunReportRequest{.m_lastAcknowledgedEnd = lastSeen, .m_leaseEndMs = leaseEndMs, .m_wait = Duration(0)}, at(nowMs));
+        return m_workers.report(target(worker, requestFence),
+                                RunReportRequest{.m_lastAcknowledgedEnd = lastSeen, .m_leaseEndMs = leaseEndMs, .m_wait = Duration(0)},
+                                OrderDelivery(),
+                                at(nowMs));
     }
 
     /// The ends that the worker lists at @p nowMs as "number:task:run:kind".
--- a/service/unittests/Fleetsimulation/workerhistories.cpp
+++ b/service/unittests/Fleetsimulation/workerhistories.cpp
@@ -260,6 +260,7 @@
                 const auto reply
                     = fleet.m_workers.report(targets[i],
                                              RunReportRequest{.m_lastAcknowledgedEnd = lastSeen[i], .m_leaseEndMs = nowMs + 3000, .m_wait = Duration(0)},
+                                             OrderDelivery(),
                                              WorkerFixture::at(nowMs));
                 for (const auto &end : reply.m_runReport->m_ends) {
                     lastSeen[i] = end.m_number;
--- a/service/unittests/Fleetsimulation/workers.cpp
+++ b/service/unittests/Fleetsimulation/workers.cpp
@@ -350,11 +350,55 @@
                                                  WorkerFixture::at(2100));
     CHECK(late == OrderReply{.m_answer = OrderAnswer::Accepted, .m_workerClockMs = 100});
     CHECK(fleet.run(2).m_incarnation == 2);
-    CHECK(fleet.run(2).m_delivery == OrderDelivery{.m_late = true, .m_afterRestart = true});
+    CHECK(fleet.run(2).m_delivery == OrderDelivery{.m_late = true, .m_afterRestart = true, .m_beforeFirstAnswer = true});
     CHECK(fleet.listedEnds("w1", 3100) == Names{"1:job.0.0.0:1:done"});
     CHECK(fleet.m_workers.nextChange() == WorkerFixture::at(5100)); // The lease is shortened to the longest one on the new clock.
 }
 
+// Guards against late starts that an owner can prevent and that are taken for ones that nobody can prevent. A report request that is executed late
+// is answered to nobody, so that no owner knows the process by it.
+TEST_CASE("a late start before the first answer of a process is told apart")
+{
+    auto fleet = fleetOfOneJob({.m_tasks = 2, .m_estimate = Duration(1000)});
+    const OrderDelivery late{.m_late = true, .m_afterRestart = true};
+    const auto startLate = [&fleet, &late](std::int64_t run, std::int64_t nowMs) {
+        const StartOrder order{.m_task = task0, .m_runNumber = run, .m_payload = {}, .m_checkpoint = {}, .m_leaseEndMs = 90'000};
+        return fleet.m_workers.startOrder(fleet.target("w1"), order, "vm", late, WorkerFixture::at(nowMs)).m_answer;
+    };
+    CHECK(fleet.report("w1", 0, 100).m_answer == OrderAnswer::Accepted);
+    fleet.m_workers.crashWorker("w1", WorkerFixture::at(200));
+    fleet.m_workers.restartWorker("w1", 2, WorkerFixture::at(700));
+    CHECK(startLate(1, 800) == OrderAnswer::Accepted);
+    const RunReportRequest request{.m_lastAcknowledgedEnd = 0, .m_leaseEndMs = std::nullopt, .m_wait = Duration(0)};
+    CHECK(fleet.m_workers.report(fleet.target("w1"), request, late, WorkerFixture::at(900)).m_answer == OrderAnswer::Accepted);
+    CHECK(startLate(2, 1000) == OrderAnswer::Accepted);
+    CHECK(fleet.report("w1", 0, 1100, std::nullopt, WorkerFixture::fence - 1).m_answer == OrderAnswer::Fenced);
+    CHECK(startLate(3, 1200) == OrderAnswer::Accepted);
+    CHECK(fleet.report("w1", 0, 1300).m_answer == OrderAnswer::Accepted);
+    CHECK(startLate(4, 1400) == OrderAnswer::Accepted);
+    CHECK(fleet.run(0).m_delivery.m_beforeFirstAnswer);
+    CHECK(fleet.run(1).m_delivery.m_beforeFirstAnswer);
+    CHECK(fleet.run(2).m_delivery.m_beforeFirstAnswer);
+    CHECK_FALSE(fleet.run(3).m_delivery.m_beforeFirstAnswer);
+}
+
+// Guards against an acknowledgement or a lease end that a late request carries and that is not applied: the numbers of ends and the clock of the
+// next process start anew.
+TEST_CASE("a late report request to a former process extends leases and drops ends of the next one")
+{
+    auto fleet = fleetOfOneJob({.m_tasks = 2, .m_estimate = Duration(1000)});
+    fleet.m_workers.crashWorker("w1", WorkerFixture::at(50'000));
+    fleet.m_workers.restartWorker("w1", 2, WorkerFixture::at(50'500));
+    CHECK(fleet.start("w1", task0, 1, 50'600, 1'200) == OrderAnswer::Accepted);
+    CHECK(fleet.listedEnds("w1", 51'600) == Names{"1:job.0.0.0:1:done"});
+    CHECK(fleet.start("w1", task1, 1, 51'600, 1'200) == OrderAnswer::Accepted);
+    const RunReportRequest request{.m_lastAcknowledgedEnd = 3, .m_leaseEndMs = 52'000, .m_wait = Duration(0)};
+    const OrderDelivery late{.m_late = true, .m_afterRestart = true};
+    CHECK(fleet.m_workers.report(fleet.target("w1"), request, late, WorkerFixture::at(51'650)).m_answer == OrderAnswer::Accepted);
+    CHECK(fleet.listedEnds("w1", 52'600) == Names{"2:job.0.0.1:1:done"});
+    CHECK(fleet.run(0).m_acknowledgedAt == WorkerFixture::at(51'650));
+}
+
 // Guards against orders that a worker executes for another one that had its address.
 TEST_CASE("a worker refuses orders for another identifier at its address")
 {
