Play workers that restart and are cut off soon after, and pass over unavoidable starts only

Change: seeds from 2000000 on add 3 to 8 such restarts, up to 0.4 of the calls to workers late, and runs longer than a task lease in 0.8 of the steps instead of 0.4. The plans of the other seeds are drawn as before. isKnownFault() passes over TWICE and BUDGET only if a run that is named was started by a late start before its process's first answer; GANG as before.

--- a/service/unittests/Fleetsimulation/fleetsimulation.cpp
+++ b/service/unittests/Fleetsimulation/fleetsimulation.cpp
@@ -21,8 +21,9 @@
 // The wall clocks of two VMs may differ by up to twice this.
 static constexpr std::int64_t wallClockErrorMs = 200;
 static constexpr double faultClassShare = 0.35;
-// Seeds from here on add frequent takeovers, to which faults are tied that matter only during a takeover.
-static constexpr std::uint64_t firstTakeoverSeed = 1'000'000;
+// Share of the steps whose runs take longer than a task lease.
+static constexpr double longRunShare = 0.4;
+static constexpr double longRunShareWithRestarts = 0.8;
 
 static std::string numbered(const char *name, std::int64_t number)
 {
@@ -51,6 +52,24 @@
 
 namespace {
 
+/// What a seed adds to the faults that each seed may have.
+enum class SeedKind {
+    Mixed, ///< Nothing.
+    Takeovers, ///< Frequent takeovers, to which faults are tied that matter only during a takeover.
+    Restarts, ///< Workers that restart and are cut off soon after, many late calls, and long runs.
+};
+
+constexpr std::uint64_t firstTakeoverSeed = 1'000'000;
+constexpr std::uint64_t firstRestartSeed = 2'000'000;
+
+SeedKind kindOf(std::uint64_t seed)
+{
+    if (seed >= firstRestartSeed) {
+        return SeedKind::Restarts;
+    }
+    return seed >= firstTakeoverSeed ? SeedKind::Takeovers : SeedKind::Mixed;
+}
+
 struct Queue {
     const char *m_name;
     int m_priority;
@@ -95,11 +114,12 @@
     std::map<std::string, int> m_maxAttempts;
 };
 
-JobStep drawStep(SimulationRandom &random, int number)
+JobStep drawStep(SimulationRandom &random, int number, SeedKind kind)
 {
     const bool gang = random.chance(0.25);
     const bool longRunning = !gang && random.chance(0.15);
-    const auto estimate = random.chance(0.4) ? random.duration(5'000, 20'000) : random.duration(100, 3'000);
+    const auto longShare = kind == SeedKind::Restarts ? longRunShareWithRestarts : longRunShare;
+    const auto estimate = random.chance(longShare) ? random.duration(5'000, 20'000) : random.duration(100, 3'000);
     return JobStep{.m_taskCount = static_cast<int>(gang ? random.between(2, 4) : random.between(1, 3)),
                    .m_taskResources = Resources{.m_milliCores = 1000, .m_memoryMb = 100, .m_accelerators = random.chance(0.5) ? 8 : random.between(1, 8)},
                    .m_estimate = estimate,
@@ -118,7 +138,7 @@
                    .m_maxUnavailable = longRunning ? static_cast<int>(random.between(0, 1)) : 0};
 }
 
-Plan drawPlan(SimulationRandom &random)
+Plan drawPlan(SimulationRandom &random, SeedKind kind)
 {
     Plan plan;
     const auto count = random.between(3, 9);
@@ -129,7 +149,7 @@
         std::vector<JobStep> steps;
         steps.reserve(static_cast<std::size_t>(stepCount));
         for (int step = 0; step < stepCount; ++step) {
-            steps.push_back(drawStep(random, step));
+            steps.push_back(drawStep(random, step, kind));
         }
         const auto acceptedAt = simulationStart + random.duration(500, 18'000);
         const auto name = numbered("job", number);
@@ -154,11 +174,11 @@
 {
 public:
     Fleet(std::uint64_t seed, SimulationRandom &planRandom, bool tracing)
-        : m_plan(drawPlan(planRandom))
-        , m_world(simulationStart, seed, m_plan.m_jobs, tracing)
+        : m_kind(kindOf(seed))
+        , m_plan(drawPlan(planRandom, m_kind))
+        , m_world(simulationStart, seed * 2, m_plan.m_jobs, tracing)
         , m_random(planRandom)
         , m_configuration(configuration())
-        , m_withTakeovers(seed >= 2 * firstTakeoverSeed)
     {
     }
 
@@ -191,6 +211,10 @@
     void planWorkerFaults();
     void planJobs();
     void planTakeovers();
+    void planRestartsBeforeCuts();
+    /// Crashes the worker, and returns the time at which it is back under its identifier.
+    Instant restartSoon(const std::string &worker);
+    void cutOffWorker(const std::string &worker);
     void endOwnership();
     [[nodiscard]] std::optional<std::size_t> owner() const;
     void planStrayEntries();
@@ -205,11 +229,11 @@
     void removeEntry(const std::string &worker);
     std::string drawWorker();
 
+    const SeedKind m_kind;
     const Plan m_plan;
     SimulatedWorld m_world;
     SimulationRandom &m_random;
     const FleetConfigurationPointer m_configuration;
-    const bool m_withTakeovers;
     ThreadFaults m_threadFaults;
     std::vector<Vm> m_vms;
     std::vector<std::string> m_workers;
@@ -629,6 +653,51 @@
     }
 }
 
+Instant Fleet::restartSoon(const std::string &worker)
+{
+    const auto entryDelay = m_random.chance(0.5) ? m_random.duration(0, 50) : m_random.duration(50, 1'500);
+    const auto backAt = m_world.m_queue.now() + m_random.duration(300, 1'000);
+    crashWorker(worker, m_random.duration(0, 3'000));
+    at(backAt, [this, worker, entryDelay] { restartWorker(worker, entryDelay); });
+    return backAt;
+}
+
+void Fleet::cutOffWorker(const std::string &worker)
+{
+    const auto now = m_world.m_queue.now();
+    const auto until = now + m_random.duration(500, 10'000);
+    for (const auto &vm : m_vms) {
+        m_world.m_faults.m_cuts.push_back(NetworkCut{.m_from = now, .m_until = until, .m_first = vm.m_node.m_name, .m_second = worker, .m_oneWay = false});
+    }
+    trace("worker " + worker + " is cut off until " + std::to_string(toMilliseconds(until) % 1'000'000));
+    if (m_random.chance(0.3)) {
+        at(now + m_random.duration(100, (until - now).count()), [this, worker] { restartSoon(worker); });
+    }
+    if (m_random.chance(0.3)) { // The worker cannot renew its entry either.
+        at(now + m_random.duration(500, 2'000), [this, worker] {
+            m_withoutEntry.insert(worker);
+            removeEntry(worker);
+        });
+        at(std::max(until, now + Duration(2'000)) + m_random.duration(10, 800), [this, worker] {
+            m_withoutEntry.erase(worker);
+            writeEntry(worker);
+        });
+    }
+}
+
+// A call to the former process of a worker is executed late by the next one, which cannot be asked about it during the cut.
+void Fleet::planRestartsBeforeCuts()
+{
+    m_world.m_faults.m_workers.m_late = static_cast<double>(m_random.between(20, 400)) / 1000.0;
+    for (auto count = m_random.between(3, 8); count > 0; --count) {
+        at(drawTime(), [this] {
+            const auto worker = drawWorker();
+            const auto backAt = restartSoon(worker);
+            at(backAt + m_random.duration(1'000, 4'000), [this, worker] { cutOffWorker(worker); });
+        });
+    }
+}
+
 void Fleet::planStrayEntries()
 {
     if (!drawClass()) {
@@ -691,8 +760,10 @@
     planWorkerFaults();
     planStrayEntries();
     planJobs();
-    if (m_withTakeovers) {
+    if (m_kind == SeedKind::Takeovers) {
         planTakeovers();
+    } else if (m_kind == SeedKind::Restarts) {
+        planRestartsBeforeCuts();
     }
     const auto end = simulationStart + Duration(simulationMs);
     m_world.m_queue.runUntil(end);
@@ -718,7 +789,7 @@
 FleetSimulationResult simulateFleet(std::uint64_t seed, bool tracing)
 {
     SimulationRandom planRandom(seed * 2 + 1);
-    Fleet fleet(seed * 2, planRandom, tracing);
+    Fleet fleet(seed, planRandom, tracing);
     return fleet.run();
 }
 
--- a/service/unittests/Fleetsimulation/fleetsimulationtests.cpp
+++ b/service/unittests/Fleetsimulation/fleetsimulationtests.cpp
@@ -19,8 +19,8 @@
     std::uint64_t m_count;
 };
 
-// The second range has frequent takeovers. Both together take about 20 s of one core.
-const std::vector<SeedRange> seedsOfCi{{.m_first = 1, .m_count = 600}, {.m_first = 1'000'000, .m_count = 500}};
+// The second range has frequent takeovers, the third workers that restart and are cut off soon after.
+const std::vector<SeedRange> seedsOfCi{{.m_first = 1, .m_count = 600}, {.m_first = 1'000'000, .m_count = 500}, {.m_first = 2'000'000, .m_count = 300}};
 
 // FLEETSIMULATION_SEEDS=first:count searches other seeds than CI does, and names every violation. A single seed is traced.
 std::optional<SeedRange> seedsByHand()
@@ -34,10 +34,12 @@
     return SeedRange{.m_first = std::stoull(range.substr(0, colon)), .m_count = colon == std::string::npos ? 1 : std::stoull(range.substr(colon + 1))};
 }
 
-// Faults that are listed in KNOWN-RED.txt. They are counted and printed, but do not fail the test.
+// Faults that are listed in KNOWN-RED.txt. They are counted and printed, but do not fail the test. A new process of a worker executes a start that
+// was meant for the former one if nobody has reached it before, and no protocol can prevent that.
 bool isKnownFault(const RuleViolation &violation)
 {
-    return violation.m_rule == "GANG" || violation.m_text.find(" sent before a restart") != std::string::npos;
+    const bool maybeByLateStart = violation.m_rule == "TWICE" || violation.m_rule == "BUDGET";
+    return violation.m_rule == "GANG" || (maybeByLateStart && violation.m_text.find(" before its process's first answer") != std::string::npos);
 }
 
 std::string describe(std::uint64_t seed)
@@ -102,10 +104,44 @@
     }
 }
 
+// Guards against a search that passes over more than the starts that nobody can prevent: other late calls and other rules are failures.
+TEST_CASE("only late starts before the first answer of a process are known faults")
+{
+    const auto known
+        = [](const std::string &rule, const std::string &text) { return isKnownFault(RuleViolation{.m_rule = rule, .m_at = Instant(), .m_text = text}); };
+    const std::string unavoidable
+        = "job0.0.0.0 run 2 on w1 from 5 by vm-0 fence 3 late sent before a restart before its process's first answer after 2 failed runs";
+    const std::string avoidable = "job0.0.0.0 run 2 on w1 from 5 by vm-0 fence 3 late sent before a restart after 2 failed runs";
+    CHECK(known("TWICE", unavoidable));
+    CHECK(known("BUDGET", unavoidable));
+    CHECK_FALSE(known("ORDER", unavoidable));
+    CHECK_FALSE(known("TWICE", avoidable));
+    CHECK_FALSE(known("BUDGET", avoidable));
+}
+
+// Guards against seeds that do not play what they are for: a worker that is back under its identifier, executes calls that were meant for its
+// former process, and is cut off.
+TEST_CASE("seeds with restarts have late calls to former processes of workers that are cut off")
+{
+    int restarts = 0;
+    int cuts = 0;
+    int lateReportRequests = 0;
+    for (std::uint64_t seed = 2'000'000; seed < 2'000'010; ++seed) {
+        for (const auto &line : simulateFleet(seed, true).m_trace) {
+            restarts += line.find(" restarts") != std::string::npos ? 1 : 0;
+            cuts += line.find(" is cut off until ") != std::string::npos ? 1 : 0;
+            lateReportRequests += line.find("executed late, sent before a restart: report request") != std::string::npos ? 1 : 0;
+        }
+    }
+    CHECK(restarts >= 10);
+    CHECK(cuts >= 10);
+    CHECK(lateReportRequests >= 10);
+}
+
 // Guards against a search that cannot be repeated: a seed must give the same history with and without a trace.
 TEST_CASE("a seed gives the same fleet with and without a trace")
 {
-    for (const std::uint64_t seed : {1, 2, 1'000'001}) {
+    for (const std::uint64_t seed : {1, 2, 1'000'001, 2'000'001}) {
         const auto plain = simulateFleet(seed, false);
         const auto traced = simulateFleet(seed, true);
         CHECK(plain.m_runs > 0);
