Let a restarted worker write its entry after its former process drained in simulated fleets

Cause: a draining worker removes its entry for good, and the simulation kept that for a later process under the same identifier, which then never had an entry. On the platform each process registers itself.

Change: only the process that drained goes without its entry; the next one writes its own.

--- a/service/unittests/Fleetsimulation/fleetsimulation.cpp
+++ b/service/unittests/Fleetsimulation/fleetsimulation.cpp
@@ -239,6 +239,7 @@
     std::vector<std::string> m_workers;
     std::map<std::string, Machine> m_machines; ///< By worker.
     std::set<std::string> m_withoutEntry; ///< Workers whose entry lapsed although they run.
+    std::set<std::string> m_leaving; ///< Workers that drain and have removed their entry for good.
 };
 
 Instant Fleet::drawTime()
@@ -492,7 +493,7 @@
 
 void Fleet::writeEntry(const std::string &worker)
 {
-    if (m_world.m_workers.isUp(worker) && !m_withoutEntry.contains(worker)) {
+    if (m_world.m_workers.isUp(worker) && !m_withoutEntry.contains(worker) && !m_leaving.contains(worker)) {
         m_world.checkWorkers();
         trace("entry of " + worker + " is written");
         m_world.m_store.put(std::string(workerPrefix) + worker, encodeEntry(*m_world.m_workers.entry(worker)));
@@ -559,6 +560,7 @@
     const auto now = m_world.m_queue.now();
     trace("worker " + worker + " restarts");
     ++m_world.m_workerStarts[worker];
+    m_leaving.erase(worker);
     m_world.m_workers.restartWorker(worker, toMilliseconds(now), now);
     at(now + entryDelay, [this, worker] { writeEntry(worker); });
 }
@@ -606,9 +608,12 @@
                 m_world.m_workers.drainWorker(worker, announced, m_world.m_queue.now());
                 writeEntry(worker);
                 const auto leaves = announced + m_random.duration(0, 8'000);
-                at(m_world.m_queue.now() + m_random.duration(100, leaves.count()), [this, worker] {
-                    m_withoutEntry.insert(worker);
-                    removeEntry(worker);
+                const auto starts = m_world.m_workerStarts[worker];
+                at(m_world.m_queue.now() + m_random.duration(100, leaves.count()), [this, worker, starts] {
+                    if (m_world.m_workerStarts[worker] == starts) {
+                        m_leaving.insert(worker);
+                        removeEntry(worker);
+                    }
                 });
                 at(m_world.m_queue.now() + leaves, [this, worker] { crashWorker(worker, Duration(0)); });
             });
