Pass the revision of a worker's entry to the owner in simulated fleets

Cause: the owner takes the fence of each process of a worker from the revision of its entry, which the simulation's watch of the workers did not pass on.

--- a/service/unittests/Fleetsimulation/simulatedvm.cpp
+++ b/service/unittests/Fleetsimulation/simulatedvm.cpp
@@ -975,9 +975,9 @@
     }
 }
 
-void SimulatedVm::postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value)
+void SimulatedVm::postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value, std::int64_t revision)
 {
-    const auto report = decodeWorkerReport(key.substr(workerPrefix.size()), value);
+    const auto report = decodeWorkerReport(key.substr(workerPrefix.size()), value, revision);
     if (report.ok()) {
         post(EventOfTerm{.m_fence = fence, .m_event = WorkerReported{.m_report = std::make_shared<const WorkerReport>(report.value())}});
     }
@@ -998,7 +998,7 @@
             std::set<std::string> keys;
             for (const auto &item : listing.m_items) {
                 keys.insert(item.m_key);
-                postWorkerEntry(fence, item.m_key, item.m_value);
+                postWorkerEntry(fence, item.m_key, item.m_value, item.m_revision);
             }
             for (const auto &key : *known) {
                 if (!keys.contains(key)) {
@@ -1013,7 +1013,7 @@
                 postRemoval(change.m_key);
             } else {
                 known->insert(change.m_key);
-                postWorkerEntry(fence, change.m_key, change.m_value);
+                postWorkerEntry(fence, change.m_key, change.m_value, change.m_revision);
             }
         };
         std::function<bool()> keepWatching = [this, fence] { return m_term.m_fence == fence; };
--- a/service/unittests/Fleetsimulation/simulatedvm.h
+++ b/service/unittests/Fleetsimulation/simulatedvm.h
@@ -138,7 +138,7 @@
     void handleOwnershipLost(std::int64_t fence, const std::string &reason);
     void updatePeerDirectory(const std::string &key, const std::string &value, std::int64_t revision, bool removed);
     void postInboxEntry(std::int64_t fence, const std::string &key, const std::string &value);
-    void postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value);
+    void postWorkerEntry(std::int64_t fence, const std::string &key, const std::string &value, std::int64_t revision);
 
     // The thread of ProgressWriter.
     Co<Nothing> runWriter();
