Let a stand-in worker's next process execute late calls to the former one

Cause: the platform executes a call that got no answer seconds later, also if the worker has started again under its identifier since.

Change: a late start, stop or hold is executed by the process that runs when its time comes, and dropped if the worker has exited or stopped. A call that is seconds late comes after 1 to 6 s instead of 1 to 4 s: up to twice the soak's task lease, before and after the leases that an owner counts have ended. A late hold does not wait for an end, as nobody reads its answer. A worker that stops no longer waits for its late calls. For tests, ExecutedOnRequest holds calls back until executeHeldCalls(). The history tells which starts had reached an earlier process and whether the process had been polled before.

--- a/standins/include/primrosebridge/Fleetstandin/standinworker.h
+++ b/standins/include/primrosebridge/Fleetstandin/standinworker.h
@@ -23,8 +23,11 @@
 enum class WorkerFault {
     None,
     AnswerLost, ///< The call is executed, but the connection closes without an answer.
-    ExecutedLate, ///< The connection closes without an answer; the call is executed 700 ms later, unless the worker has restarted by then.
-    ExecutedSecondsLate, ///< As ExecutedLate, but 1 to 4 s later.
+    /// The connection closes without an answer. 700 ms later the call is executed by the process that runs then, also if the worker has restarted
+    /// since, but not if the worker has exited or stopped.
+    ExecutedLate,
+    ExecutedSecondsLate, ///< As ExecutedLate, but 1 to 6 s later.
+    ExecutedOnRequest, ///< As ExecutedLate, but executed by StandinWorker::executeHeldCalls().
     AnswerDelayed, ///< The call is executed at once and answered up to 700 ms later, so that answers on other connections overtake it.
     Unreachable, ///< The call is not executed, and the connection closes without an answer.
 };
@@ -44,6 +47,8 @@
     const std::chrono::steady_clock::time_point m_endedAt; ///< Valid only if m_endKind is not empty.
     const std::string m_endKind; ///< Empty during the run; then "done", "failed", "stopped", "lapsed" (lease expired) or "lost" (worker restarted).
     const bool m_acknowledged; ///< True if a caller acknowledged the end before the lease expired.
+    const bool m_startedByFormerCall; ///< True if the start was executed late and had reached an earlier incarnation.
+    const bool m_polledBefore; ///< True if the incarnation had executed a run report request before the start; late requests don't count.
 };
 
 /// A stand-in for a worker, over HTTP on the loopback address. All tasks have the same run time, unless their
@@ -78,6 +83,14 @@
     [[nodiscard]] StandinMachine machineOfSuccessor() const;
     /// Sets the function that chooses the fault of each call. It is called under the worker's lock.
     void setFaults(std::function<WorkerFault(WorkerCall)> faults);
+    /// Executes the calls that ExecutedOnRequest has held back, in the order in which they arrived, and returns them. Like other late calls, they are
+    /// executed by the process that runs now, and not if the worker has exited.
+    std::vector<StandinCall> executeHeldCalls();
+    /// The number of calls that executeHeldCalls() would execute.
+    [[nodiscard]] std::size_t heldCallCount() const;
+    /// Moves the clock of the present incarnation forward, as if it had started earlier.
+    /// Precondition: the worker runs no task.
+    void advanceClock(std::chrono::milliseconds time);
     /// Runs of tasks whose names begin with @p prefix end as failed if they start after this call. An empty prefix matches no task.
     void failTasks(const std::string &prefix);
     /// All runs of all incarnations, in the order in which they started.
--- a/standins/lib/Fleetstandin/standinworker.cpp
+++ b/standins/lib/Fleetstandin/standinworker.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <random>
 #include <thread>
+#include <utility>
 
 namespace PrimroseBridge {
 
@@ -17,7 +18,8 @@
 
 static constexpr auto lateExecutionDelay = std::chrono::milliseconds(700);
 static constexpr auto shortestSecondsLateDelay = std::chrono::milliseconds(1000);
-static constexpr auto longestSecondsLateDelay = std::chrono::milliseconds(4000);
+// Twice the task lease of the soak: late calls arrive before and after the end of the leases that an owner counts.
+static constexpr auto longestSecondsLateDelay = std::chrono::milliseconds(6000);
 static constexpr auto longestAnswerDelay = std::chrono::milliseconds(700);
 static constexpr std::int64_t acceleratorsPerWorker = 8;
 
@@ -40,6 +42,14 @@
     Clock::time_point m_endedAt;
     std::string m_endKind;
     bool m_acknowledged = false;
+    bool m_startedByFormerCall = false;
+    bool m_polledBefore = false;
+};
+
+// A call that was left unanswered, and the incarnation that it reached.
+struct LateCall {
+    StandinCall m_call;
+    std::int64_t m_receivedBy = 0;
 };
 
 struct ListedEnd {
@@ -73,9 +83,11 @@
     bool m_stopping = false;
     bool m_stalled = false;
     bool m_exited = false;
+    bool m_polled = false; // The present incarnation has executed a run report request that was not late.
     std::minstd_rand m_delays;
     std::function<WorkerFault(WorkerCall)> m_faults;
     std::vector<std::thread> m_lateCalls;
+    std::vector<LateCall> m_heldCalls;
     Clock::time_point m_startedAt = Clock::now();
     std::unique_ptr<LoopbackHttpServer> m_httpServer;
 
@@ -83,11 +95,12 @@
     StandinAnswer answerWithFaults(const StandinCall &call);
     StandinAnswer answerDelayed(const StandinCall &call);
     void executeAfter(std::chrono::milliseconds delay, const StandinCall &call);
+    void executeAt(Clock::time_point dueAt, const LateCall &late);
     [[nodiscard]] bool waitWhileStalled(std::int64_t incarnation);
     [[nodiscard]] std::chrono::milliseconds drawDelay(std::chrono::milliseconds shortest, std::chrono::milliseconds longest);
     void loseRuns();
-    StandinAnswer executeCall(const StandinCall &call);
-    StandinAnswer startRun(const Json &body);
+    StandinAnswer executeCall(const StandinCall &call, std::optional<std::int64_t> receivedBy = std::nullopt);
+    StandinAnswer startRun(const Json &body, bool formerCall);
     StandinAnswer stopRun(const Json &body);
     StandinAnswer reportRuns();
     StandinAnswer reply(int status, Json body) const;
@@ -147,7 +160,7 @@
     return at == std::string::npos ? std::nullopt : std::optional(std::chrono::milliseconds(std::stoll(payload.substr(at + name.size()))));
 }
 
-StandinAnswer StandinWorker::Private::startRun(const Json &body)
+StandinAnswer StandinWorker::Private::startRun(const Json &body, bool formerCall)
 {
     const auto task = body.at("task").get<std::string>();
     const auto number = body.at("runId").get<std::int64_t>();
@@ -174,7 +187,9 @@
                                      .m_startedAt = Clock::now(),
                                      .m_endedAt = {},
                                      .m_endKind = {},
-                                     .m_acknowledged = false});
+                                     .m_acknowledged = false,
+                                     .m_startedByFormerCall = formerCall,
+                                     .m_polledBefore = m_polled});
     return reply(200, Json::object());
 }
 
@@ -207,11 +222,20 @@
     return reply(200, Json{{"running", runningTasks}, {"ended", ended}});
 }
 
-StandinAnswer StandinWorker::Private::executeCall(const StandinCall &call)
+static StandinAnswer closedConnection()
+{
+    return StandinAnswer{.m_status = 0, .m_body = {}};
+}
+
+// @p receivedBy is set for a late call only: the incarnation that the call reached. Nobody reads the answer to such a call.
+StandinAnswer StandinWorker::Private::executeCall(const StandinCall &call, std::optional<std::int64_t> receivedBy)
 {
     const auto body = Json::parse(call.m_body);
-    const auto deadline = Clock::now() + std::chrono::milliseconds(call.m_path == "/hold" ? body.value("waitMs", 0) : 0);
+    const auto deadline = Clock::now() + std::chrono::milliseconds(call.m_path == "/hold" && !receivedBy ? body.value("waitMs", 0) : 0);
     std::unique_lock lock(m_mutex);
+    if (m_exited || m_stopping) {
+        return closedConnection();
+    }
     if (const auto wanted = call.m_headers.find("expect-instance"); wanted != call.m_headers.end() && wanted->second != m_identifier) {
         return StandinAnswer{.m_status = 421, .m_body = "{}"}; // Another worker may have had this address before.
     }
@@ -225,11 +249,12 @@
     endDueRuns();
     m_leaseEndMs = std::max(m_leaseEndMs, std::min(latestLeaseEndMs, body.value("deadlineMs", std::int64_t(0))));
     if (call.m_path == "/run-start") {
-        return startRun(body);
+        return startRun(body, receivedBy && *receivedBy != m_currentIncarnation);
     }
     if (call.m_path == "/run-stop") {
         return stopRun(body);
     }
+    m_polled = m_polled || !receivedBy;
     const auto lastSeenEnd = body.value("lastSeen", std::int64_t(0));
     std::erase_if(m_unacknowledgedEnds, [&](const ListedEnd &entry) {
         const bool acknowledged = entry.m_number <= lastSeenEnd;
@@ -263,13 +288,20 @@
 void StandinWorker::Private::executeAfter(std::chrono::milliseconds delay, const StandinCall &call)
 {
     const std::lock_guard lock(m_mutex);
-    m_lateCalls.emplace_back([this, delay, call, incarnationAtCall = m_currentIncarnation] {
-        std::this_thread::sleep_for(delay);
-        // After a restart, the process to which the call was addressed no longer exists.
-        if (waitWhileStalled(incarnationAtCall)) {
-            executeCall(call);
-        }
-    });
+    m_lateCalls.emplace_back(
+        [this, dueAt = Clock::now() + delay, late = LateCall{.m_call = call, .m_receivedBy = m_currentIncarnation}] { executeAt(dueAt, late); });
+}
+
+// The call is executed by the process that runs at @p dueAt, also if the worker has restarted since it received the call.
+void StandinWorker::Private::executeAt(Clock::time_point dueAt, const LateCall &late)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_until(lock, dueAt, [this] { return m_stopping; });
+    const auto incarnation = m_currentIncarnation;
+    lock.unlock();
+    if (waitWhileStalled(incarnation)) {
+        executeCall(late.m_call, late.m_receivedBy);
+    }
 }
 
 StandinAnswer StandinWorker::Private::answerDelayed(const StandinCall &call)
@@ -287,11 +319,6 @@
     return !m_exited && m_currentIncarnation == incarnation;
 }
 
-static StandinAnswer closedConnection()
-{
-    return StandinAnswer{.m_status = 0, .m_body = {}};
-}
-
 StandinAnswer StandinWorker::Private::answerCall(const StandinCall &call)
 {
     const auto incarnation = [this] {
@@ -324,6 +351,11 @@
     case WorkerFault::ExecutedSecondsLate:
         executeAfter(drawDelay(shortestSecondsLateDelay, longestSecondsLateDelay), call);
         return closedConnection();
+    case WorkerFault::ExecutedOnRequest: {
+        const std::lock_guard lock(m_mutex);
+        m_heldCalls.push_back(LateCall{.m_call = call, .m_receivedBy = m_currentIncarnation});
+        return closedConnection();
+    }
     case WorkerFault::AnswerDelayed:
         return answerDelayed(call);
     case WorkerFault::Unreachable:
@@ -432,6 +464,7 @@
     m_private->m_nextEndNumber = 1;
     m_private->m_fence = 0;
     m_private->m_leaseEndMs = 0;
+    m_private->m_polled = false;
     m_private->m_startedAt = Clock::now();
     ++m_private->m_currentIncarnation;
     m_private->m_changed.notify_all();
@@ -443,6 +476,32 @@
     m_private->m_faults = std::move(faults);
 }
 
+std::vector<StandinCall> StandinWorker::executeHeldCalls()
+{
+    const auto held = [this] {
+        const std::lock_guard lock(m_private->m_mutex);
+        return std::exchange(m_private->m_heldCalls, {});
+    }();
+    std::vector<StandinCall> calls;
+    for (const auto &late : held) {
+        m_private->executeCall(late.m_call, late.m_receivedBy);
+        calls.push_back(late.m_call);
+    }
+    return calls;
+}
+
+std::size_t StandinWorker::heldCallCount() const
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    return m_private->m_heldCalls.size();
+}
+
+void StandinWorker::advanceClock(std::chrono::milliseconds time)
+{
+    const std::lock_guard lock(m_private->m_mutex);
+    m_private->m_startedAt -= time;
+}
+
 void StandinWorker::failTasks(const std::string &prefix)
 {
     const std::lock_guard lock(m_private->m_mutex);
@@ -461,7 +520,9 @@
                                  .m_incarnation = entry.m_incarnation,
                                  .m_endedAt = entry.m_endedAt,
                                  .m_endKind = entry.m_endKind,
-                                 .m_acknowledged = entry.m_acknowledged});
+                                 .m_acknowledged = entry.m_acknowledged,
+                                 .m_startedByFormerCall = entry.m_startedByFormerCall,
+                                 .m_polledBefore = entry.m_polledBefore});
     }
     return all;
 }
--- a/standins/tools/primrosebridge-fleet-standin/main.cpp
+++ b/standins/tools/primrosebridge-fleet-standin/main.cpp
@@ -207,7 +207,9 @@
                                           {"started", milliseconds(run.m_startedAt)},
                                           {"ended", run.m_endKind.empty() ? Json() : Json(milliseconds(run.m_endedAt))},
                                           {"how", run.m_endKind},
-                                          {"taken", run.m_acknowledged}});
+                                          {"taken", run.m_acknowledged},
+                                          {"late", run.m_startedByFormerCall},
+                                          {"polled", run.m_polledBefore}});
             }
         }
         return Json{{"now", milliseconds(Clock::now())}, {"runs", std::move(runHistory)}};
