Restart workers in the soak while their calls are executed seconds late

Cause: the soak left calls unanswered, restarted workers and cut workers off, but seldom one after the other on the same worker, and its stand-in dropped late calls at a restart.

Change: a further kind of faults, former_calls: two to four workers leave 0.1 to 0.4 of their calls unanswered, some restart meanwhile, and some of these are silent soon after for 3 to 7 s. With one zone, one job in ten has runs of 5 s. The soak waits for the last late call before it reads the history. The checks judge late starts like all others, except one case, which is counted and printed as known_limit: a start for the former process that the next one executes before it has been polled, as only a poll tells it the fence.

--- a/scripts/fleetsoak/__main__.py
+++ b/scripts/fleetsoak/__main__.py
@@ -24,6 +24,8 @@
 )
 # Allows for a takeover, the longest task lease and the execution of queued jobs after the last fault.
 SETTLE_TIMEOUT_S = 40.0
+# Workers execute late calls up to this long after the last fault: the longest delay of the stand-in.
+LATE_CALLS_S = 6.0
 
 
 def run_soak(seed, seconds, vms, workers, zones, **fault_options):
@@ -41,17 +43,22 @@
             time.sleep(2)  # Jobs that are submitted after the last fault must succeed as well.
             load_generator.stop()
             settle_s = _poll_until_final(load_generator, rng)
-        violations = faults.violations + find_violations(load_generator.jobs, fleet.run_history(), clock_origin_s, last_fault_at)
+            time.sleep(max(0.0, last_fault_at + LATE_CALLS_S - time.monotonic()))
+        violations, known_limit = find_violations(load_generator.jobs, fleet.run_history(), clock_origin_s, last_fault_at)
+        violations = faults.violations + violations
         accepted = [job for job in load_generator.jobs if job.accepted_at]
         count_by_state = {state: sum(job.last_state() == state for job in accepted) for state in sorted(FINAL_STATES)}
         state_counts = " ".join(f"{name}={count}" for name, count in count_by_state.items())
         print(
             f"seed={seed}{f' zones={zones}' if zones > 1 else ''}: {'ok' if not violations else 'VIOLATED'}"
-            f" jobs={len(load_generator.jobs)} accepted={len(accepted)} {state_counts} faults={len(faults.log)} settled_s={settle_s:.1f}",
+            f" jobs={len(load_generator.jobs)} accepted={len(accepted)} {state_counts} faults={len(faults.log)} settled_s={settle_s:.1f}"
+            f" known_limit={len(known_limit)}",
             flush=True,
         )
         for violation in violations[:10]:
             print(f"  {violation}", flush=True)
+        for case in known_limit:
+            print(f"  known limit, late start before the first poll: {case}", flush=True)
         if violations:
             processes.keep_folder = True
             (processes.folder / "faults.log").write_text("".join(f"{at:.3f} {text}\n" for at, text in faults.log))
--- a/scripts/fleetsoak/checks.py
+++ b/scripts/fleetsoak/checks.py
@@ -13,8 +13,10 @@
 
 
 def find_violations(jobs, run_history, clock_origin_s, last_fault_at):
-    """Returns the violations as texts. @p clock_origin_s is the monotonic time, in seconds, at time 0 of the run history."""
+    """Returns the violations, and the cases of the known limit in _is_known_limit(), as texts. @p clock_origin_s is the monotonic time, in seconds, at
+    time 0 of the run history."""
     violations = []
+    known_limit = []
     jobs_by_id = {job.id: job for job in jobs}
     runs = collections.defaultdict(list)
     for run in run_history["runs"]:
@@ -22,18 +24,23 @@
             {**run, "started": run["started"] / 1000 + clock_origin_s, "ended": None if run["ended"] is None else run["ended"] / 1000 + clock_origin_s}
         )
     for task, task_runs in runs.items():
-        violations += _check_task(task, sorted(task_runs, key=lambda run: run["started"]), jobs_by_id.get(task.split(".")[0]), last_fault_at)
+        violations += _check_task(task, sorted(task_runs, key=lambda run: run["started"]), jobs_by_id.get(task.split(".")[0]), last_fault_at, known_limit)
     violations += _check_worker_capacity(run_history["runs"], jobs_by_id)
     for job in jobs:
         violations += _check_job(job, runs)
-    return violations
+    return violations, known_limit
+
+
+def _is_known_limit(run):
+    """A start for the former process of a worker, executed by the next one before its first poll: only a poll tells that process its fence."""
+    return run["late"] and not run["polled"]
 
 
 def _describe_run(run):
-    return f"run {run['run']} on {run['worker']}/{run['life']} from {run['started']:.3f} to {run['ended'] or 0:.3f} {run['how'] or 'running'}"
+    return f"run {run['run']} on {run['worker']}/{run['life']} from {run['started']:.3f} to {run['ended'] or 0:.3f} {run['how'] or 'running'}{', sent to the former process' if run['late'] else ''}"
 
 
-def _check_task(task, runs, job, last_fault_at):
+def _check_task(task, runs, job, last_fault_at, known_limit):
     if job is None or not job.sent:
         return [f"{task} runs though nobody submitted it"]
     violations = []
@@ -41,11 +48,13 @@
         violations.append(f"{task} runs though every attempt to submit it was refused")
     for before, after in zip(runs, runs[1:]):
         if before["ended"] is None or before["ended"] > after["started"]:
-            violations.append(f"{task} runs twice at a time: {_describe_run(before)}; {_describe_run(after)}")
+            found = known_limit if _is_known_limit(before) or _is_known_limit(after) else violations
+            found.append(f"{task} runs twice at a time: {_describe_run(before)}; {_describe_run(after)}")
         # An unacknowledged end may be lost: the worker may have restarted, or its lease may have expired, after which a new owner no
         # longer waits for it. In both cases the task has to run again.
         if before["how"] == "done" and before["taken"]:
-            violations.append(f"{task} runs again after it was done: {_describe_run(before)}; {_describe_run(after)}")
+            found = known_limit if _is_known_limit(after) else violations
+            found.append(f"{task} runs again after it was done: {_describe_run(before)}; {_describe_run(after)}")
     if job.cancel_acknowledged_at:
         latest_start = max(job.cancel_acknowledged_at, min(last_fault_at, runs[-1]["started"])) + CANCEL_TIMEOUT_S
         violations += [f"{task} starts after its cancellation: {_describe_run(run)}" for run in runs if run["started"] > latest_start]
@@ -70,7 +79,7 @@
         job = jobs_by_id.get(run["task"].split(".")[0])
         if job is not None:
             key = (run["worker"], run["life"])
-            name = f"{run['task']}/{run['run']}"
+            name = f"{run['task']}/{run['run']}{'(sent to the former process)' if run['late'] else ''}"
             events[key].append((run["started"], job.accelerators, name))
             ended = run["ended"]
             if job.gang and ended is not None:
--- a/scripts/fleetsoak/faults.py
+++ b/scripts/fleetsoak/faults.py
@@ -8,7 +8,7 @@
 from fleetsoak import proxy
 
 # Kinds of faults that can be left out, to find the one that a violation depends on.
-FURTHER_KINDS = ("machines", "lingering", "answers", "strays", "rollouts", "heartbeats")
+FURTHER_KINDS = ("machines", "lingering", "answers", "strays", "rollouts", "heartbeats", "former_calls")
 
 
 class FaultInjector:
@@ -46,6 +46,7 @@
             "strays": (self._write_stray_entry,),
             "rollouts": (self._roll_out_vms, self._kill_owner_twice),
             "heartbeats": (lambda _: self._fleet.write_heartbeats(),),
+            "former_calls": (self._restart_workers_with_late_calls,),
         }
         # As above, each kind has a thread and a generator of its own.
         first_seed = thread_arguments[0][0]
@@ -367,6 +368,33 @@
         for worker in workers:
             self._fleet.call_worker("/worker-faults", worker, fault="none")
 
+    def _restart_workers_with_late_calls(self, rng):
+        """Workers leave calls unanswered, which are executed seconds late. Some restart meanwhile, and some of these are cut off for longer than a lease."""
+        workers = rng.sample(range(len(self._fleet.worker_proxies)), rng.randint(2, 4))
+        share = rng.uniform(0.1, 0.4)
+        for worker in workers:
+            self._log_fault(f"{self._fleet.worker_name(worker)} leaves {share:.2f} of its calls unanswered")
+            self._fleet.call_worker("/worker-faults", worker, fault="seconds_late", share=share)
+        self._wait_unless_stopping(rng.uniform(1.0, 3.0))
+        restarted = [worker for worker in workers if rng.random() < 0.7]
+        for worker in restarted:
+            self._log_fault(f"{self._fleet.worker_name(worker)} restarted with late calls")
+            self._fleet.restart_worker(worker)
+            self._fleet.call_worker("/worker-faults", worker, fault="none")
+        self._wait_unless_stopping(rng.uniform(0.0, 0.6))
+        for worker in restarted:
+            self._fleet.publish_worker(worker)
+        self._wait_unless_stopping(rng.uniform(0.3, 1.5))
+        cut_off = [worker for worker in restarted if rng.random() < 0.7]
+        for worker in cut_off:
+            self._log_fault(f"{self._fleet.worker_name(worker)} silent after its restart")
+            self._fleet.worker_proxies[worker].set_mode(proxy.SILENT)
+        for worker in workers:
+            self._fleet.call_worker("/worker-faults", worker, fault="none")
+        self._wait_unless_stopping(rng.uniform(3.0, 7.0))
+        for worker in cut_off:
+            self._fleet.worker_proxies[worker].set_mode(proxy.PASS)
+
     def _stall_workers(self, rng):
         """The processes accept connections but read nothing for a while, and then answer everything at once."""
         numbers = [self._fleet.worker_numbers[worker] for worker in rng.sample(range(len(self._fleet.worker_proxies)), rng.randint(1, 3))]
--- a/scripts/fleetsoak/load.py
+++ b/scripts/fleetsoak/load.py
@@ -12,7 +12,7 @@
 RUN_MS = 900
 GANG_RUN_MS = (4000, 8000)  # Longer than a task lease.
 GANG_PERIOD_S = (2.0, 5.0)
-LONG_RUN_MS = 5000  # Outlasts a task lease, so that a successor can renew the lease of a run that the former owner still counts.
+LONG_RUN_MS = 5000  # Outlasts a task lease, so that a run can go on by a renewal that its owner does not count.
 MAX_TRIES = 6
 CALL_TIMEOUT_S = 4.0
 HEADERS = {"Host": HOST_NAME, "Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
@@ -22,7 +22,8 @@
 class SoakJob:
     """A job and what the VMs have answered about it. Times are from time.monotonic(), in seconds."""
 
-    def __init__(self, rng, number, with_long_runs=False):
+    def __init__(self, rng, number, long_run_period=0):
+        """One job in @p long_run_period has long runs, chosen by its identifier; none if it is 0."""
         self.id = f"{rng.getrandbits(64):016x}"
         self.path = rng.choice(QUEUES)[1] + self.id
         self.tasks_per_step = rng.choice((1, 1, 2, 3, 4))
@@ -31,7 +32,7 @@
         self.accelerators = rng.choice((1, 1, 2, 4))
         self.will_cancel = rng.random() < 0.12
         self.number = number
-        self.run_ms = LONG_RUN_MS if with_long_runs and int(self.id, 16) % 4 == 0 else RUN_MS
+        self.run_ms = LONG_RUN_MS if long_run_period and int(self.id, 16) % long_run_period == 0 else RUN_MS
         self.sent = False
         self.accepted_at = None
         self.only_refused = True  # True as long as every attempt to submit the job was refused with status 429 or 503.
@@ -91,7 +92,7 @@
         connections = {}
         while not self._stop.wait(rng.uniform(0.5, 1.5) * self._submission_period_s):
             with self._lock:
-                job = SoakJob(rng, len(self.jobs), with_long_runs=self._fleet.zones > 1)
+                job = SoakJob(rng, len(self.jobs), long_run_period=4 if self._fleet.zones > 1 else 10)
                 self.jobs.append(job)
             self._submit_job(rng, connections, job)
 
