--- a/scripts/fleetsoak/checks.py
+++ b/scripts/fleetsoak/checks.py
@@ -37,7 +37,8 @@
 
 
 def _describe_run(run):
-    return f"run {run['run']} on {run['worker']}/{run['life']} from {run['started']:.3f} to {run['ended'] or 0:.3f} {run['how'] or 'running'}{', sent to the former process' if run['late'] else ''}"
+    late = ", sent to the former process" if run["late"] else ""
+    return f"run {run['run']} on {run['worker']}/{run['life']} from {run['started']:.3f} to {run['ended'] or 0:.3f} {run['how'] or 'running'}{late}"
 
 
 def _check_task(task, runs, job, last_fault_at, known_limit):
