--- a/standins/unittests/Fleetstandin/standinworker.cpp
+++ b/standins/unittests/Fleetstandin/standinworker.cpp
@@ -80,7 +80,9 @@
             }
         }
     }
-    for (const auto &[worker, path] : sent) {
+    for (const auto &entry : sent) {
+        const auto &path = entry.m_path;
+        const auto *worker = entry.m_worker.get();
         CAPTURE(path);
         if (path == "/run-start") {
             REQUIRE(waitUntil([&] { return worker->runHistory().size() == 1; }, lateCallTimeout));
