Pass the revision of a worker's entry in the tests of former processes

Cause: the tests were written before the fence of a process existed. Change: the fixture passes the revision that it counts.

--- a/service/unittests/Fleetservice/formerprocess.cpp
+++ b/service/unittests/Fleetservice/formerprocess.cpp
@@ -57,8 +57,8 @@
     // Writes the worker's entry and returns it as the store lists it.
     WorkerReportPointer writeEntry(const StandinWorker &worker)
     {
-        ++m_revision; // The store revision at which the entry is written.
-        return std::make_shared<const WorkerReport>(decodeWorkerReport(worker.identifier(), worker.entry("ready")).value());
+        ++m_revision;
+        return std::make_shared<const WorkerReport>(decodeWorkerReport(worker.identifier(), worker.entry("ready"), m_revision).value());
     }
 
     void becomeOwner(const StandinWorker &worker)
@@ -101,7 +101,7 @@
         return std::find(tasks.begin(), tasks.end(), taskName(Sim::reference(job))) != tasks.end();
     }
 
-    std::int64_t m_revision = 10;
+    std::int64_t m_revision = 10; // Of the store.
     CurrentConfiguration m_configuration;
     std::atomic<bool> m_superseded = false;
     std::unique_ptr<FleetOwner> m_owner;
