Poll a worker that answers under a later start under a higher fence at once

Cause: a process that is back under its identifier answers the polls for its earlier process, under that one's fence, until the owner has read its entry. Change: the first answer under a later start raises the fence of the polls by one, which is at most the revision of the entry to come and at most a successor's fence. These polls renew no lease and, since the ends are numbered anew, acknowledge nothing; orders keep their fence.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -273,14 +273,15 @@
         // The worker may run tasks of a former owner, which may have renewed their leases just before this.
         worker.m_leasesExpiredBy = taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease);
         worker.m_fence = workerProcessFence(authorityOf(state), now, earlier ? earlier->m_fence : state.m_fence.load(), report->m_entryRevision);
-        worker.m_refusesEarlierCalls = earlier && worker.m_fence > earlier->m_fence;
+        worker.m_ordersFence = worker.m_fence;
+        worker.m_refusesEarlierCalls = earlier && worker.m_fence > earlier->m_ordersFence;
         if (earlier) {
             logEvent(LogLevel::Info,
                      "worker_fence",
                      {{"worker", entry->first},
                       {"started_ms", std::to_string(report->m_incarnation.m_startedAtMs)},
                       {"fence", std::to_string(worker.m_fence)},
-                      {"earlier_fence", std::to_string(earlier->m_fence)}});
+                      {"earlier_fence", std::to_string(earlier->m_ordersFence)}});
             inheritRuns(state, worker, *earlier, now);
         }
         state.m_rosterChanged = true;
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -88,6 +88,15 @@
     return found != worker.m_lateStarts.end() && found->second + state.m_context.m_settings.m_callDelayBound > worker.m_answerRequestedAt;
 }
 
+bool raiseFenceOfOtherStart(TrackedWorker &worker)
+{
+    // One more than the revision of the earlier process's entry is at most that of the later one's, and at most a successor's fence. These polls
+    // change nothing but the fence, so that a successor with the same one loses nothing.
+    const bool raised = worker.m_fence == worker.m_ordersFence;
+    worker.m_fence = worker.m_ordersFence + 1;
+    return raised;
+}
+
 void forgetExcludedLateStarts(OwnerState &state, TrackedWorker &worker, Instant now)
 {
     // No start is ordered before the first answer, so that all of these were sent to an earlier process.
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -97,7 +97,8 @@
     }
     const bool mayRetryEarly = !worker.m_fenceConfirmed && worker.m_missedPolls < shortTakeoverPolls;
     const auto fence = state.m_fence.load();
-    const RunReportRequest request{.m_lastAcknowledgedEnd = worker.m_lastAcknowledgedEnd,
+    // The process that answers under another start numbers its ends anew.
+    const RunReportRequest request{.m_lastAcknowledgedEnd = worker.m_otherStartMs ? 0 : worker.m_lastAcknowledgedEnd,
                                    .m_leaseEndMs = renew ? std::optional(leaseEndOnWorkerClockMs(state, worker, now)) : std::nullopt,
                                    .m_wait = wait};
     state.m_context.m_workerCalls.m_requestRunReport(
@@ -105,7 +106,7 @@
                     .m_address = worker.m_report->m_address,
                     .m_fence = worker.m_fence,
                     .m_timeout = mayRetryEarly ? takeoverPollTimeout(state) : std::max(wait + pollTimeoutSlack, takeoverPollTimeout(state)),
-                    .m_connectedBefore = worker.m_lastAcknowledgedEnd > 0 ? std::optional(worker.m_answerRequestedAt) : std::nullopt},
+                    .m_connectedBefore = request.m_lastAcknowledgedEnd > 0 ? std::optional(worker.m_answerRequestedAt) : std::nullopt},
         request,
         [events = state.m_events, incarnation = worker.m_incarnation, fence, workerFence = worker.m_fence, now, request, immediate](
             const RunReportReply &reply) {
@@ -134,7 +135,7 @@
     state.m_context.m_workerCalls.m_sendStartOrder(
         OrderTarget{.m_worker = worker.m_incarnation->m_worker,
                     .m_address = worker.m_report->m_address,
-                    .m_fence = worker.m_fence,
+                    .m_fence = worker.m_ordersFence,
                     .m_timeout = orderTimeout,
                     .m_connectedBefore = connectionBound(state, worker, now)},
         StartOrder{.m_task = reference,
@@ -142,7 +143,7 @@
                    .m_payload = spec.m_payload,
                    .m_checkpoint = checkpoint,
                    .m_leaseEndMs = leaseEndOnWorkerClockMs(state, worker, now)},
-        [events = state.m_events, reference, runNumber, checkpoint, incarnation = worker.m_incarnation, fence, workerFence = worker.m_fence, now](
+        [events = state.m_events, reference, runNumber, checkpoint, incarnation = worker.m_incarnation, fence, workerFence = worker.m_ordersFence, now](
             const OrderReply &reply) {
             events->tryPush(StartOrderCompleted{.m_task = reference,
                                                 .m_runNumber = runNumber,
@@ -214,12 +215,12 @@
     state.m_context.m_workerCalls.m_sendStopOrder(
         OrderTarget{.m_worker = incarnation.m_worker,
                     .m_address = worker->m_report->m_address,
-                    .m_fence = worker->m_fence,
+                    .m_fence = worker->m_ordersFence,
                     .m_timeout = orderTimeout,
                     .m_connectedBefore = connectionBound(state, *worker, now)},
         reference,
         runNumber,
-        [events = state.m_events, reference, runNumber, incarnation, fence, workerFence = worker->m_fence](const OrderReply &reply) {
+        [events = state.m_events, reference, runNumber, incarnation, fence, workerFence = worker->m_ordersFence](const OrderReply &reply) {
             events->tryPush(StopOrderCompleted{
                 .m_task = reference, .m_runNumber = runNumber, .m_incarnation = incarnation, .m_fence = fence, .m_reply = reply, .m_workerFence = workerFence});
         });
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -476,11 +476,12 @@
         // until that entry arrives or their leases have expired. A report of an earlier start shows nothing: the entry is wrong, or the
         // worker's clock has been set back.
         reportOtherStart(*worker, runReport.m_startedAtMs, now);
+        const bool raised = runReport.m_startedAtMs > event.m_incarnation.m_startedAtMs && raiseFenceOfOtherStart(*worker);
         if (runReport.m_startedAtMs > event.m_incarnation.m_startedAtMs && runReport.m_listedEnds == ListedEnds::All) {
             releaseRunsOfEarlierStart(state, *worker, runReport, ReleaseBelief::OtherStartAnswered, now);
         }
         worker->m_missedPolls += worker->m_missedPolls == 0 ? missedPollsToStopRenewal : 1;
-        worker->m_nextPollAt = now + pollRetryPause;
+        worker->m_nextPollAt = raised ? now : now + pollRetryPause;
         return;
     }
     const auto acknowledgedBefore = worker->m_lastAcknowledgedEnd;
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -88,7 +88,8 @@
     WorkerReportPointer m_report;
     std::shared_ptr<const WorkerIncarnation> m_incarnation;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
-    std::int64_t m_fence = 0; ///< Fence of all calls to this process, see workerProcessFence().
+    std::int64_t m_fence = 0; ///< Fence of the polls of this process, see workerProcessFence() and raiseFenceOfOtherStart().
+    std::int64_t m_ordersFence = 0; ///< Fence of the orders to this process, and of its polls that renew leases or acknowledge ends.
     bool m_fenceConfirmed = false; ///< The worker has answered a poll under m_fence.
     bool m_runsKnown = false; ///< The worker has listed all its runs and run ends under m_fence.
     /// m_fence is higher than that of any call to an earlier process that this owner knew, so that these are refused once m_fenceConfirmed is set.
@@ -251,6 +252,9 @@
 /// Returns true if a later process of the silent worker, of which this owner knows nothing, may have executed a start order of the task. Its run
 /// ends up to FleetSettings::m_callDelayBound after TrackedWorker::m_leasesExpiredBy, because unanswered polls may renew its lease for as long.
 bool mayStartLate(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference);
+/// Raises the fence of the polls of a worker that answers under a later start, so that this process refuses calls that were meant for the earlier one
+/// although its entry has not been read yet. Returns false if it was raised before.
+bool raiseFenceOfOtherStart(TrackedWorker &worker);
 /// Forgets the late starts that the worker's last answer excludes: it has refused them by its fence, or their time was over when it was requested.
 void forgetExcludedLateStarts(OwnerState &state, TrackedWorker &worker, Instant now);
 /// Releases the tasks of a silent worker whose leases have expired, and forgets its superseded runs, but for those that may start late until
--- a/service/unittests/Fleetservice/laterprocesses.cpp
+++ b/service/unittests/Fleetservice/laterprocesses.cpp
@@ -244,4 +244,35 @@
     CHECK(sim.m_state.m_workers.at("w1").m_supersededRuns.empty());
 }
 
+// Guards against calls to the earlier process that the later one executes after it has answered, because the store's entry follows late: only a
+// higher fence makes it refuse them.
+TEST_CASE("a worker that answers under a later start is polled under a higher fence before its entry is read")
+{
+    StartedOnWorker sim;
+    sim.answer("w1", Sim::running(jobId, 1), {Sim::ended(std::string(16, 'b'), 1, 1, RunEndKind::Done)}, Sim::at(100));
+    REQUIRE(sim.m_reportRequests.back().m_lastAcknowledgedEnd == 1);
+    sim.answerWithStart("w1", 500, {}, Sim::at(1000));
+    sim.review(Sim::at(1010));
+    CHECK(sim.m_reportFences.back() == Sim::fence + 1);
+    CHECK(sim.m_reportRequests.back().m_lastAcknowledgedEnd == 0); // The later process numbers its ends anew.
+    CHECK_FALSE(sim.m_reportRequests.back().m_leaseEndMs);
+    sim.answerWithStart("w1", 500, {}, Sim::at(1020));
+    sim.review(Sim::at(1300));
+    CHECK(sim.m_reportFences.back() == Sim::fence + 1);
+    sim.apply(WorkerReported{.m_report = laterProcess(500, Sim::fence + 1)}, Sim::at(1400));
+    CHECK(sim.m_reportFences.back() == Sim::fence + 1);
+    CHECK(sim.m_state.m_workers.at("w1").m_refusesEarlierCalls);
+}
+
+// Guards against an order that passes for a successor's, whose fence may be as high as that of the raised polls.
+TEST_CASE("orders to a worker that answers under a later start keep their fence")
+{
+    StartedOnWorker sim;
+    sim.acceptStart(jobId, Sim::at(40));
+    sim.answerWithStart("w1", 500, {Sim::running(jobId, 1)}, Sim::at(1000));
+    sim.apply(JobCancelled{.m_job = jobId}, Sim::at(1010));
+    REQUIRE(sim.m_stopOrders.size() == 1);
+    CHECK(sim.m_stopFences.back() == Sim::fence);
+}
+
 } // namespace PrimroseBridge
