Hold a task back while an unreached process of its former worker may start it late

Cause: a task whose start was left unanswered, and whose repetition ended or was stopped, was placed elsewhere although the owner knew that the worker had restarted and could not reach it. Change: such a task's job starts nothing while the worker is silent or has not answered under its fence, until a late run's lease is over. A worker that answers costs nothing.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -199,11 +199,31 @@
     return {locked.begin(), locked.end()};
 }
 
+// Adds the jobs of which a task may be started although a process that this owner cannot reach at present may execute an unanswered start of it.
+// Tasks that are still assigned to the worker are not started anyway.
+static void addJobsWithLateStarts(const OwnerState &state, std::set<std::string> &jobs, Instant now)
+{
+    for (const auto &[name, worker] : state.m_workers) {
+        const auto lateRunsExpiredBy = worker.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound;
+        const bool reached = worker.m_fenceConfirmed && worker.m_missedPolls == 0;
+        if (reached || haveTaskLeasesExpired(authorityOf(state), lateRunsExpiredBy, now)) {
+            continue;
+        }
+        for (const auto &[reference, sentAt] : worker.m_lateStarts) {
+            const auto job = worker.m_tasks.contains(reference) || !mayStartLate(state, worker, reference) ? nullptr : state.m_jobs.find(reference.m_job);
+            if (job && mayStartAgain(*job, reference)) {
+                jobs.insert(reference.m_job);
+            }
+        }
+    }
+}
+
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now)
 {
     const auto byTakeover = jobsLockedByTakeover(state, now);
     std::set<std::string> locked(byTakeover.begin(), byTakeover.end());
     addJobsWithSupersededRuns(state, locked);
+    addJobsWithLateStarts(state, locked, now);
     return {locked.begin(), locked.end()};
 }
 
--- a/service/unittests/Fleetservice/laterprocesses.cpp
+++ b/service/unittests/Fleetservice/laterprocesses.cpp
@@ -275,4 +275,34 @@
     CHECK(sim.m_stopFences.back() == Sim::fence);
 }
 
+// Guards against a task that is started elsewhere while a later process, which the owner knows but cannot reach, executes its unanswered start.
+TEST_CASE("a task with an unanswered start waits while the later process has not answered")
+{
+    StartedOnWorker sim;
+    sim.leaveStartUnanswered(Sim::at(30), Sim::at(530));
+    sim.answer("w1", std::nullopt, {Sim::ended(jobId, 1, 1, RunEndKind::GangMemberEnded)}, Sim::at(600)); // A repetition was executed.
+    REQUIRE(sim.phase() == TaskPhase::Waiting);
+    sim.apply(WorkerReported{.m_report = Sim::worker("w2")}, Sim::at(610));
+    sim.answer("w2", std::nullopt, {}, Sim::at(620));
+    sim.apply(WorkerReported{.m_report = laterProcess()}, Sim::at(700));
+    sim.place(Sim::at(710));
+    CHECK(sim.m_startOrders.size() == 1);
+    SECTION("until it answers")
+    {
+        sim.answer("w1", std::nullopt, {}, Sim::at(800));
+    }
+    SECTION("until a late run's lease is over")
+    {
+        sim.missPoll("w1", Sim::at(1000));
+        const auto lateRunsExpiredBy = sim.m_state.m_workers.at("w1").m_leasesExpiredBy + callDelayBound;
+        sim.place(lateRunsExpiredBy - Duration(1));
+        CHECK(sim.m_startOrders.size() == 1);
+        sim.place(lateRunsExpiredBy);
+        CHECK(sim.m_startOrders.size() == 2);
+        return;
+    }
+    sim.place(Sim::at(810));
+    CHECK(sim.m_startOrders.size() == 2);
+}
+
 } // namespace PrimroseBridge
