Keep late starts until their time is over, whatever one process of the worker has answered

The owner forgot late starts at the first answer of a later process (two restarts within 12 s), with a worker that it forgot after its entry was removed, and, as a successor, at the first list of the worker; each way leads to two runs of a task. The record kept jobs of workers that never answer, so that each takeover locked them again. Beside it: a process whose entry was read in a lapse of the store lease kept the former fence for its whole life; a process that was tracked again could be called under a lower fence than before, whose refusal passed for a successor; an overtaken answer of the former process ended the raised polls' limits; and a worker whose clock was set back was not polled under a raised fence.

Change: late starts are forgotten by time only; a worker with late starts stays tracked until then; the record follows; a successor keeps the former owner's and holds its jobs back while their worker is not reached, for half a task lease longer, as the former owner may start known jobs that long. Each poll gives a process its own fence if that was not possible before; a process that is tracked again starts from the highest fence that was given; answers that were requested before the later process's are ignored; any other start raises the fence. The lock is in lockedJobs(), so that gangs and moves of these jobs are still reviewed.

The fixture with real connections has a callDelayBoundMs of 4 s, so that its bound of 10 s stays. The simulation passes over a TWICE by a late start before the first answer only if the task's other run was started before the owner could notice the restart.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -193,9 +193,6 @@
             locked.insert(worker.m_jobsIfCordoned->begin(), worker.m_jobsIfCordoned->end());
         }
     }
-    for (const auto &[worker, jobs] : state.m_formerLateStarts) {
-        locked.insert(jobs.begin(), jobs.end());
-    }
     return {locked.begin(), locked.end()};
 }
 
@@ -216,6 +213,12 @@
             }
         }
     }
+    for (const auto &[name, lateJobs] : state.m_formerLateStarts) {
+        const auto worker = state.m_workers.find(name);
+        if (worker == state.m_workers.end() || !worker->second.m_runsKnown || worker->second.m_missedPolls > 0) {
+            jobs.insert(lateJobs.begin(), lateJobs.end());
+        }
+    }
 }
 
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now)
@@ -253,6 +256,7 @@
 {
     state.m_awaitedWorkers.erase(entry->first);
     state.m_rosterChanged = true;
+    state.m_lateStartsChanged = state.m_lateStartsChanged || !entry->second.m_lateStarts.empty();
     return state.m_workers.erase(entry);
 }
 
@@ -292,8 +296,10 @@
     if (added) {
         // The worker may run tasks of a former owner, which may have renewed their leases just before this.
         worker.m_leasesExpiredBy = taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease);
-        worker.m_fence = workerProcessFence(authorityOf(state), now, earlier ? earlier->m_fence : state.m_fence.load(), report->m_entryRevision);
-        worker.m_ordersFence = worker.m_fence;
+        // A process that was forgotten in between has seen at most the highest fence that this owner has given.
+        worker.m_ordersFence = earlier ? earlier->m_fence : state.m_highestFence;
+        worker.m_firstEntryRevision = report->m_entryRevision;
+        giveOwnFence(state, worker, now);
         worker.m_refusesEarlierCalls = earlier && worker.m_fence > earlier->m_ordersFence;
         if (earlier) {
             logEvent(LogLevel::Info,
@@ -435,6 +441,7 @@
     }
     state.m_fence = snapshot.m_fence;
     state.m_leaseEnd = state.m_context.m_leaseEnd(snapshot.m_fence); // Later events of this batch depend on it.
+    state.m_highestFence = snapshot.m_fence;
     state.m_formerRosterUnknown = !snapshot.m_rosterReadable;
     state.m_jobsLockedUntil = taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease);
     for (const auto &entry : snapshot.m_roster) {
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -83,15 +83,31 @@
 
 bool mayStartLate(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference)
 {
-    const auto found = worker.m_lateStarts.find(reference);
     // A process that has answered a poll was still the only one when the poll was sent.
-    return found != worker.m_lateStarts.end() && found->second + state.m_context.m_settings.m_callDelayBound > worker.m_answerRequestedAt;
+    const auto found = worker.m_lateStarts.find(reference);
+    if (found != worker.m_lateStarts.end() && found->second + state.m_context.m_settings.m_callDelayBound > worker.m_answerRequestedAt) {
+        return true;
+    }
+    const auto former = state.m_formerLateStarts.find(worker.m_incarnation->m_worker);
+    return former != state.m_formerLateStarts.end() && former->second.contains(reference.m_job);
+}
+
+bool hasLateStarts(const OwnerState &state, const TrackedWorker &worker)
+{
+    return std::any_of(worker.m_lateStarts.begin(), worker.m_lateStarts.end(), [&](const auto &entry) { return mayStartLate(state, worker, entry.first); });
+}
+
+void giveOwnFence(OwnerState &state, TrackedWorker &worker, Instant now)
+{
+    worker.m_ordersFence = workerProcessFence(authorityOf(state), now, worker.m_ordersFence, worker.m_firstEntryRevision);
+    worker.m_fence = std::max(worker.m_fence, worker.m_ordersFence);
+    state.m_highestFence = std::max(state.m_highestFence, worker.m_fence);
 }
 
 bool raiseFenceOfOtherStart(TrackedWorker &worker)
 {
-    // One more than the revision of the earlier process's entry is at most that of the later one's, and at most a successor's fence. These polls
-    // change nothing but the fence, so that a successor with the same one loses nothing.
+    // One more than the revision of the earlier process's entry is at most that of the later one's. It is lower than a successor's fence, because the
+    // removal of this owner's key has a revision of its own.
     const bool raised = worker.m_fence == worker.m_ordersFence;
     worker.m_fence = worker.m_ordersFence + 1;
     return raised;
@@ -99,10 +115,8 @@
 
 void forgetExcludedLateStarts(OwnerState &state, TrackedWorker &worker, Instant now)
 {
-    // No start is ordered before the first answer, so that all of these were sent to an earlier process.
-    const bool refused = !worker.m_fenceConfirmed && worker.m_refusesEarlierCalls;
     std::erase_if(worker.m_lateStarts, [&](const auto &entry) {
-        if (!refused && mayStartLate(state, worker, entry.first)) {
+        if (entry.second + state.m_context.m_settings.m_callDelayBound > worker.m_answerRequestedAt) {
             return false;
         }
         if (claimLogLine(state.m_callLogLines, maxCallLogLines, now)) {
@@ -112,8 +126,7 @@
                       {"task", taskName(entry.first)},
                       {"worker", worker.m_incarnation->m_worker},
                       {"started_ms", std::to_string(worker.m_incarnation->m_startedAtMs)},
-                      {"sent_ms_ago", std::to_string((now - entry.second).count())},
-                      {"by", refused ? "fence" : "time"}});
+                      {"sent_ms_ago", std::to_string((now - entry.second).count())}});
         }
         state.m_lateStartsChanged = true;
         return true;
@@ -127,6 +140,11 @@
     if (std::erase_if(worker.m_supersededRuns, [&](const auto &entry) { return isOver(entry.first.m_task); }) > 0) {
         state.m_placementNeeded = true;
     }
+    if (lateRunsExpired && !worker.m_lateStarts.empty()) {
+        worker.m_lateStarts.clear();
+        state.m_lateStartsChanged = true;
+        state.m_placementNeeded = true;
+    }
 }
 
 // Returns the jobs with late starts by worker, of this owner and of the previous one.
@@ -143,7 +161,8 @@
 
 void forgetExpiredFormerLateStarts(OwnerState &state, Instant now)
 {
-    const auto expiredBy = state.m_jobsLockedUntil + state.m_context.m_settings.m_callDelayBound;
+    const auto &settings = state.m_context.m_settings;
+    const auto expiredBy = state.m_jobsLockedUntil + settings.m_callDelayBound + settings.m_taskLease / 2;
     if (state.m_formerLateStarts.empty() || !haveTaskLeasesExpired(authorityOf(state), expiredBy, now)) {
         return;
     }
--- a/service/lib/Fleetservice/ownerorders.cpp
+++ b/service/lib/Fleetservice/ownerorders.cpp
@@ -88,6 +88,7 @@
         return;
     }
     inFlight = true;
+    giveOwnFence(state, worker, now);
     const bool answers = worker.m_fenceConfirmed && worker.m_missedPolls < missedPollsToStopRenewal;
     const bool renew = state.m_soleOwner && answers;
     const bool longPoll = !immediate && answers && worker.m_pendingRunEnds.empty() && !worker.m_moreEnds && state.m_soleOwner;
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -377,12 +377,9 @@
         worker.m_runsKnown = true;
         worker.m_formerRunsUnknown = false;
         state.m_awaitedWorkers.erase(worker.m_incarnation->m_worker);
-        if (state.m_formerLateStarts.erase(worker.m_incarnation->m_worker) > 0) {
-            state.m_lateStartsChanged = true;
-            state.m_placementNeeded = true;
-        }
     }
     worker.m_otherStartMs.reset();
+    worker.m_ordersFence = worker.m_fence; // The process has seen the raised fence if it was mistaken for another one.
     worker.m_answerRequestedAt = std::max(worker.m_answerRequestedAt, sentAt);
     forgetExcludedLateStarts(state, worker, now);
     if (!worker.m_fenceConfirmed) {
@@ -476,7 +473,8 @@
         // until that entry arrives or their leases have expired. A report of an earlier start shows nothing: the entry is wrong, or the
         // worker's clock has been set back.
         reportOtherStart(*worker, runReport.m_startedAtMs, now);
-        const bool raised = runReport.m_startedAtMs > event.m_incarnation.m_startedAtMs && raiseFenceOfOtherStart(*worker);
+        worker->m_otherStartRequestedAt = std::max(worker->m_otherStartRequestedAt, event.m_sentAt);
+        const bool raised = raiseFenceOfOtherStart(*worker);
         if (runReport.m_startedAtMs > event.m_incarnation.m_startedAtMs && runReport.m_listedEnds == ListedEnds::All) {
             releaseRunsOfEarlierStart(state, *worker, runReport, ReleaseBelief::OtherStartAnswered, now);
         }
@@ -484,6 +482,10 @@
         worker->m_nextPollAt = raised ? now : now + pollRetryPause;
         return;
     }
+    if (worker->m_otherStartMs && event.m_sentAt <= worker->m_otherStartRequestedAt) {
+        worker->m_nextPollAt = now + pollRetryPause; // Overtaken by the answer of a later process.
+        return;
+    }
     const auto acknowledgedBefore = worker->m_lastAcknowledgedEnd;
     recordPollAnswer(state, *worker, runReport, event.m_sentAt, now);
     applyFirstReportOfInheritor(state, *worker, runReport, now);
@@ -559,14 +561,15 @@
         const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authority, worker.m_leasesExpiredBy, now);
         const bool lateRunsExpired = leasesExpired && haveTaskLeasesExpired(authority, worker.m_leasesExpiredBy + callDelayBound, now);
         const auto tasks = worker.m_tasks.size();
-        const bool idle = worker.m_missedPolls > 0 && worker.m_runsKnown && worker.m_tasks.empty() && worker.m_supersededRuns.empty();
+        const bool lateStarts = !lateRunsExpired && hasLateStarts(state, worker);
+        const bool idle = worker.m_missedPolls > 0 && worker.m_runsKnown && worker.m_tasks.empty() && worker.m_supersededRuns.empty() && !lateStarts;
         if (leasesExpired) {
             releaseExpiredRuns(state, worker, lateRunsExpired, now);
         }
         if (worker.m_formerRunsUnknown && haveTaskLeasesExpired(authority, worker.m_leasesExpiredBy, now)) {
             giveUpFormerRuns(state, worker, ReleaseBelief::Takeover, now);
         }
-        const bool released = leasesExpired && worker.m_tasks.empty() && worker.m_supersededRuns.empty();
+        const bool released = leasesExpired && worker.m_tasks.empty() && worker.m_supersededRuns.empty() && !lateStarts;
         if ((released || idle) && !worker.m_entryPresent) {
             logEvent(LogLevel::Info,
                      "worker_forgotten",
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -90,6 +90,7 @@
     bool m_entryPresent = true; ///< The store holds the worker's entry.
     std::int64_t m_fence = 0; ///< Fence of the polls of this process, see workerProcessFence() and raiseFenceOfOtherStart().
     std::int64_t m_ordersFence = 0; ///< Fence of the orders to this process, and of its polls that renew leases or acknowledge ends.
+    std::int64_t m_firstEntryRevision = 0; ///< WorkerReport::m_entryRevision of the report by which the owner learnt of this process.
     bool m_fenceConfirmed = false; ///< The worker has answered a poll under m_fence.
     bool m_runsKnown = false; ///< The worker has listed all its runs and run ends under m_fence.
     /// m_fence is higher than that of any call to an earlier process that this owner knew, so that these are refused once m_fenceConfirmed is set.
@@ -98,6 +99,7 @@
     bool m_formerRunsUnknown
         = false; ///< The previous owner may have started runs on the worker, which has not listed all its runs and run ends to this owner since.
     std::optional<std::int64_t> m_otherStartMs; ///< The other start time, in Unix milliseconds, under which the last poll was answered.
+    Instant m_otherStartRequestedAt; ///< Boot clock at which that poll was sent.
     Instant m_answeredAt; ///< Boot clock at the last answered poll.
     Instant m_answerRequestedAt; ///< Boot clock at which that poll was sent, so that this incarnation was up then or later.
     std::int64_t m_workerClockAtAnswerMs = 0; ///< The worker's own clock in the answer of m_answeredAt.
@@ -122,7 +124,8 @@
     std::optional<std::set<std::string>> m_jobsIfCordoned;
     std::set<TaskReference> m_tasks; ///< Tasks that the owner assigns to this incarnation: starting, running or stopping.
     std::map<TaskReference, UnansweredStart> m_unansweredStarts; ///< Start orders of the runs in m_tasks that were left unanswered at least once.
-    /// Boot clock at the last start order of each task that was left unanswered, until no later process of the worker can execute it; see mayStartLate().
+    /// Boot clock at the last start order of each task that this process or an earlier one left unanswered, until its time is over. A process refuses
+    /// those that were meant for an earlier one, but the next process does not; see mayStartLate().
     std::map<TaskReference, Instant> m_lateStarts;
     std::map<RunReference, SupersededRun> m_supersededRuns; ///< They use capacity that is not accounted for, and their jobs are locked.
     std::map<TaskReference, std::int64_t> m_listedRuns; ///< Newest run of each task that this incarnation has reported as running and not yet as ended.
@@ -176,14 +179,14 @@
     std::map<TaskReference, ReleasedRun> m_releasedRuns; ///< Runs of tasks that have not been started since; a run is removed when its worker lists it.
     std::vector<std::string> m_jobOrder; ///< Identifiers of active jobs and of jobs with tasks on workers, in order of acceptance.
     std::set<std::string> m_lockedJobs; ///< Active jobs at the takeover; their waiting tasks are not started while m_awaitedWorkers may still run them.
+    std::int64_t m_highestFence = 0; ///< Highest fence that this owner has given to a process of any worker.
     std::set<std::string> m_awaitedWorkers; ///< Workers that have not listed all to this owner yet and that the previous owner had not cordoned.
     bool m_formerRosterUnknown = false; ///< Any worker may run tasks of the previous owner, so that only m_jobsLockedUntil unlocks the jobs.
     Instant m_jobsLockedUntil; ///< Boot clock; by then every task lease that the previous owner gave has expired.
     std::int64_t m_rosterVersion = 0; ///< Newest roster version that was queued for the store.
     std::int64_t m_recordedRosterVersion = 0; ///< Newest roster version that the store has acknowledged.
     bool m_rosterChanged = false; ///< The roster has changed since m_rosterVersion.
-    /// As the previous owner recorded them, without the workers that have listed all their runs since. Their jobs are locked.
-    LateStartJobs m_formerLateStarts;
+    LateStartJobs m_formerLateStarts; ///< As the previous owner recorded them, until their time is over; see addJobsWithLateStarts().
     LateStartJobs m_queuedLateStarts; ///< Content of the newest record of late starts that was queued for the store.
     std::int64_t m_lateStartsVersion = 0; ///< Version of that record.
     Instant m_lateStartsQueuedAt; ///< Boot clock.
@@ -249,13 +252,18 @@
 void applyFirstReportOfInheritor(OwnerState &state, TrackedWorker &worker, const WorkerRunReport &runReport, Instant now);
 /// Remembers that a start order of the task was left unanswered that was sent to @p worker, or to an earlier process of it, at @p sentAt.
 void rememberLateStart(OwnerState &state, TrackedWorker &worker, const TaskReference &reference, Instant sentAt);
-/// Returns true if a later process of the silent worker, of which this owner knows nothing, may have executed a start order of the task. Its run
-/// ends up to FleetSettings::m_callDelayBound after TrackedWorker::m_leasesExpiredBy, because unanswered polls may renew its lease for as long.
+/// Returns true if a later process of the silent worker, of which this owner knows nothing, may have executed a start order of the task, of this owner
+/// or of the previous one. Its run ends up to FleetSettings::m_callDelayBound after TrackedWorker::m_leasesExpiredBy, because unanswered polls may
+/// renew its lease for as long.
 bool mayStartLate(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference);
+/// Returns true if mayStartLate() holds for any task that this owner has started.
+bool hasLateStarts(const OwnerState &state, const TrackedWorker &worker);
+/// Gives the process its own fence if that was not possible when the owner learnt of it, in a lapse of the store lease.
+void giveOwnFence(OwnerState &state, TrackedWorker &worker, Instant now);
 /// Raises the fence of the polls of a worker that answers under a later start, so that this process refuses calls that were meant for the earlier one
 /// although its entry has not been read yet. Returns false if it was raised before.
 bool raiseFenceOfOtherStart(TrackedWorker &worker);
-/// Forgets the late starts that the worker's last answer excludes: it has refused them by its fence, or their time was over when it was requested.
+/// Forgets the late starts whose time was over when the worker's last answer was requested.
 void forgetExcludedLateStarts(OwnerState &state, TrackedWorker &worker, Instant now);
 /// Releases the tasks of a silent worker whose leases have expired, and forgets its superseded runs, but for those that may start late until
 /// @p lateRunsExpired.
@@ -352,8 +360,8 @@
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now);
 /// Queues the roster for the store if it has changed.
 void recordRosterIfChanged(OwnerState &state);
-/// Forgets the late starts of the previous owner once no run of theirs can go on: its unanswered polls may have renewed their leases for as long as a
-/// call may be delayed.
+/// Forgets the late starts of the previous owner once no run of theirs can go on: it may have started known jobs for half a task lease after the
+/// takeover, and its unanswered polls may have renewed the leases for as long as a call may be delayed.
 void forgetExpiredFormerLateStarts(OwnerState &state, Instant now);
 /// Queues the record of late starts for the store if it has changed, at most every lateStartRecordPeriod.
 void recordLateStartsIfChanged(OwnerState &state, Instant now);
--- a/service/unittests/Fleetservice/formerprocess.cpp
+++ b/service/unittests/Fleetservice/formerprocess.cpp
@@ -1,6 +1,7 @@
 #include "nodefixture.h"
 #include "ownersimulation.h"
 
+#include "primrosebridge/Fleetservice/storekeys.h"
 #include "primrosebridge/Fleetstandin/standinworker.h"
 #include "primrosebridge/Fleetwire/messages.h"
 
@@ -42,7 +43,7 @@
                     if (record.m_job) {
                         m_owner->post(
                             ProgressRecorded{.m_job = record.m_job->m_spec->m_id, .m_version = record.m_version, .m_outcome = record.m_job->m_outcome});
-                    } else {
+                    } else if (record.m_key == StoreKeys::roster) {
                         m_owner->post(RosterRecorded{.m_version = record.m_version});
                     }
                 },
--- a/service/unittests/Fleetservice/nodefixture.h
+++ b/service/unittests/Fleetservice/nodefixture.h
@@ -35,7 +35,8 @@
                          .m_shutdownBound = Duration(6000),
                          .m_processorCores = processorCores,
                          .m_remoteFactor = 3.0,
-                         .m_logLevel = "info"};
+                         .m_logLevel = "info",
+                         .m_callDelayBound = Duration(4000)}; // Tests that hold calls back let them be executed within this time.
 }
 
 inline FleetSettings settingsOf(const std::string &vm, const StandinStore &store, double processorCores = 1.0)
--- a/service/unittests/Fleetsimulation/violations.cpp
+++ b/service/unittests/Fleetsimulation/violations.cpp
@@ -57,6 +57,24 @@
     return hasEnded(run, kind, now) && run.m_acknowledgedAt && *run.m_acknowledgedAt <= now;
 }
 
+// Time from the restart of a worker until its owner must have noticed that the former process does not answer: the longest poll with its time-out.
+constexpr Duration longestNotice(3'000);
+
+// Returns true if nobody could prevent the violation: one of the runs is a late start that its process executed before its first answer, and the other
+// one was started while the worker's former process could still answer. Later the owner has to hold the task back.
+bool isUnavoidable(const SimulatedRun &first, const SimulatedRun &second)
+{
+    const auto isLate = [](const SimulatedRun &run) { return run.m_delivery.m_late && run.m_delivery.m_beforeFirstAnswer; };
+    const auto startedBeforeNotice
+        = [](const SimulatedRun &run, const SimulatedRun &late) { return run.m_startedAt <= fromMilliseconds(late.m_incarnation) + longestNotice; };
+    return (isLate(first) && startedBeforeNotice(second, first)) || (isLate(second) && startedBeforeNotice(first, second));
+}
+
+std::string suffixOf(const SimulatedRun &first, const SimulatedRun &second)
+{
+    return isUnavoidable(first, second) ? ", unavoidable" : "";
+}
+
 void findTwice(const StepRuns &step, Instant now, std::vector<RuleViolation> &violations)
 {
     if (step.m_step->m_speculative) {
@@ -67,11 +85,12 @@
         const SimulatedRun *done = nullptr; // The last earlier run whose end as done is acknowledged.
         for (const auto *run : runs) {
             if (longest && (!longest->m_endedAt || *longest->m_endedAt > run->m_startedAt)) {
-                violations.push_back(
-                    RuleViolation{.m_rule = "TWICE", .m_at = run->m_startedAt, .m_text = describe(*longest) + " and " + describe(*run) + " at the same time"});
+                violations.push_back(RuleViolation{.m_rule = "TWICE",
+                                                   .m_at = run->m_startedAt,
+                                                   .m_text = describe(*longest) + " and " + describe(*run) + " at the same time" + suffixOf(*longest, *run)});
             } else if (done) {
-                violations.push_back(
-                    RuleViolation{.m_rule = "TWICE", .m_at = run->m_startedAt, .m_text = describe(*run) + " after the end of " + describe(*done)});
+                violations.push_back(RuleViolation{
+                    .m_rule = "TWICE", .m_at = run->m_startedAt, .m_text = describe(*run) + " after the end of " + describe(*done) + suffixOf(*done, *run)});
             }
             longest = !longest || endsLater(*run, *longest) ? run : longest;
             if (isAcknowledged(*run, RunEndKind::Done, now)) {
