Record when the runs of late starts are over, so that changes of the owner do not start the wait anew

Cause: each successor started the whole wait anew for workers that had left long before. Change: the record says when the runs are over for workers that the owner does not reach, and is written again every 2 s while it does; a successor goes on with that wait. A late start of the former owner is excluded once the worker has answered a poll that was sent callDelayBoundMs after the takeover. The half lease for starts in the former owner's last grace is dropped: those starts cannot be recorded, and stay listed as open.

--- a/service/include/primrosebridge/Fleetservice/latestarts.h
+++ b/service/include/primrosebridge/Fleetservice/latestarts.h
@@ -17,6 +17,9 @@
 struct LateStartRecord {
     const std::int64_t m_version;
     const LateStartJobs m_jobsByWorker;
+    /// Time in milliseconds, from the record on, until each run that such a start may have begun on the worker is over. Only of workers that did not
+    /// answer, because the leases of the others are renewed.
+    const std::map<std::string, std::int64_t> m_runsOverInMs = {};
 
     bool operator==(const LateStartRecord &) const = default;
 };
--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -443,6 +443,7 @@
     state.m_leaseEnd = state.m_context.m_leaseEnd(snapshot.m_fence); // Later events of this batch depend on it.
     state.m_highestFence = snapshot.m_fence;
     state.m_formerRosterUnknown = !snapshot.m_rosterReadable;
+    state.m_ownedSince = now;
     state.m_jobsLockedUntil = taskLeasesExpiredBy(now, state.m_context.m_settings.m_taskLease);
     for (const auto &entry : snapshot.m_roster) {
         applyWorkerReport(state, entry.m_worker, now);
@@ -475,6 +476,14 @@
         worker.m_leasesExpiredBy = state.m_jobsLockedUntil;
     }
     state.m_formerLateStarts = snapshot.m_lateStarts.m_jobsByWorker;
+    state.m_formerLateRunsExpiredBy.clear();
+    for (const auto &[name, lateJobs] : state.m_formerLateStarts) {
+        const auto longest = state.m_jobsLockedUntil + state.m_context.m_settings.m_callDelayBound;
+        const auto recorded = snapshot.m_lateStarts.m_runsOverInMs.find(name);
+        const bool known = recorded != snapshot.m_lateStarts.m_runsOverInMs.end();
+        state.m_formerLateRunsExpiredBy.emplace(name, known ? std::min(longest, now + Duration(recorded->second)) : longest);
+    }
+    state.m_lateStartsExpire = !snapshot.m_lateStarts.m_runsOverInMs.empty();
     state.m_queuedLateStarts = state.m_formerLateStarts;
     state.m_lateStartsVersion = snapshot.m_lateStarts.m_version;
     state.m_lateStartsChanged = false;
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -159,37 +159,71 @@
     return jobs;
 }
 
+// Returns when each run is over that a late start of the previous owner may have begun on the worker. Its unanswered polls, or those of this owner, may
+// have renewed the leases for as long as a call may be delayed.
+static Instant formerLateRunsExpiredBy(const OwnerState &state, const std::string &name)
+{
+    const auto expiredBy = state.m_formerLateRunsExpiredBy.at(name);
+    const auto worker = state.m_workers.find(name);
+    const bool renewed = worker != state.m_workers.end() && worker->second.m_fenceConfirmed;
+    return renewed ? std::max(expiredBy, worker->second.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound) : expiredBy;
+}
+
 void forgetExpiredFormerLateStarts(OwnerState &state, Instant now)
 {
-    const auto &settings = state.m_context.m_settings;
-    const auto expiredBy = state.m_jobsLockedUntil + settings.m_callDelayBound + settings.m_taskLease / 2;
-    if (state.m_formerLateStarts.empty() || !haveTaskLeasesExpired(authorityOf(state), expiredBy, now)) {
-        return;
+    const auto startsOverBy = state.m_ownedSince + state.m_context.m_settings.m_callDelayBound;
+    const auto forgotten = std::erase_if(state.m_formerLateStarts, [&](const auto &entry) {
+        const auto worker = state.m_workers.find(entry.first);
+        const bool excluded = worker != state.m_workers.end() && worker->second.m_fenceConfirmed && worker->second.m_answerRequestedAt >= startsOverBy;
+        return excluded || haveTaskLeasesExpired(authorityOf(state), formerLateRunsExpiredBy(state, entry.first), now);
+    });
+    if (forgotten > 0) {
+        state.m_lateStartsChanged = true;
+        state.m_placementNeeded = true;
     }
-    state.m_formerLateStarts.clear();
-    state.m_lateStartsChanged = true;
-    state.m_placementNeeded = true;
+}
+
+// Returns in how many milliseconds the runs of late starts are over, for the workers of which this is known because they do not answer.
+static std::map<std::string, std::int64_t> runsOverInMs(const OwnerState &state, const LateStartJobs &jobs, Instant now)
+{
+    std::map<std::string, std::int64_t> durations;
+    for (const auto &[name, lateJobs] : jobs) {
+        const auto worker = state.m_workers.find(name);
+        const bool tracked = worker != state.m_workers.end();
+        const bool renewed = tracked && worker->second.m_fenceConfirmed && worker->second.m_missedPolls < missedPollsToStopRenewal;
+        if (renewed) {
+            continue;
+        }
+        auto expiredBy = state.m_formerLateStarts.contains(name) ? formerLateRunsExpiredBy(state, name) : now;
+        if (tracked && !worker->second.m_lateStarts.empty()) {
+            expiredBy = std::max(expiredBy, worker->second.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound);
+        }
+        durations.emplace(name, (expiredBy - now).count());
+    }
+    return durations;
 }
 
 void recordLateStartsIfChanged(OwnerState &state, Instant now)
 {
-    if (!state.m_lateStartsChanged || now < state.m_lateStartsQueuedAt + lateStartRecordPeriod) {
+    const bool refresh = state.m_lateStartsExpire && now >= state.m_lateStartsQueuedAt + lateStartRefreshPeriod;
+    if ((!state.m_lateStartsChanged && !refresh) || now < state.m_lateStartsQueuedAt + lateStartRecordPeriod) {
         return;
     }
     state.m_lateStartsChanged = false;
     auto jobs = lateStartJobs(state);
-    if (jobs == state.m_queuedLateStarts) {
+    const auto durations = runsOverInMs(state, jobs, now);
+    if (!refresh && jobs == state.m_queuedLateStarts && durations.empty() != state.m_lateStartsExpire) {
         return;
     }
     state.m_queuedLateStarts = std::move(jobs);
+    state.m_lateStartsExpire = !durations.empty();
     state.m_lateStartsQueuedAt = now;
     ++state.m_lateStartsVersion;
+    const LateStartRecord record{.m_version = state.m_lateStartsVersion, .m_jobsByWorker = state.m_queuedLateStarts, .m_runsOverInMs = durations};
     state.m_context.m_enqueueRecord(
         state.m_fence,
-        DurableRecord{.m_key = std::string(StoreKeys::lateStarts),
-                      .m_job = nullptr,
-                      .m_value = encodeLateStarts(LateStartRecord{.m_version = state.m_lateStartsVersion, .m_jobsByWorker = state.m_queuedLateStarts}),
-                      .m_version = state.m_lateStartsVersion});
+        DurableRecord{
+            .m_key = std::string(StoreKeys::lateStarts), .m_job = nullptr, .m_value = encodeLateStarts(record), .m_version = state.m_lateStartsVersion});
 }
 
 bool showsSuccessor(const OwnerState &state, const WorkerIncarnation &incarnation, std::int64_t sentFence)
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -563,6 +563,9 @@
         const auto tasks = worker.m_tasks.size();
         const bool lateStarts = !lateRunsExpired && hasLateStarts(state, worker);
         const bool idle = worker.m_missedPolls > 0 && worker.m_runsKnown && worker.m_tasks.empty() && worker.m_supersededRuns.empty() && !lateStarts;
+        if (worker.m_missedPolls == missedPollsToStopRenewal && !worker.m_lateStarts.empty()) {
+            state.m_lateStartsChanged = true; // The record can say now when their runs are over.
+        }
         if (leasesExpired) {
             releaseExpiredRuns(state, worker, lateRunsExpired, now);
         }
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -140,6 +140,9 @@
 /// Shortest time between two records of late starts. A worker that leaves orders unanswered does so for many in a row.
 constexpr Duration lateStartRecordPeriod(100);
 
+/// A successor waits for as much longer as the record is old.
+constexpr Duration lateStartRefreshPeriod(2000);
+
 /// Log lines per second about unanswered calls to all workers. A cut of a zone leaves dozens of polls unanswered at once.
 constexpr int maxCallLogLines = 40;
 
@@ -182,12 +185,15 @@
     std::int64_t m_highestFence = 0; ///< Highest fence that this owner has given to a process of any worker.
     std::set<std::string> m_awaitedWorkers; ///< Workers that have not listed all to this owner yet and that the previous owner had not cordoned.
     bool m_formerRosterUnknown = false; ///< Any worker may run tasks of the previous owner, so that only m_jobsLockedUntil unlocks the jobs.
+    Instant m_ownedSince; ///< Boot clock at the takeover.
     Instant m_jobsLockedUntil; ///< Boot clock; by then every task lease that the previous owner gave has expired.
     std::int64_t m_rosterVersion = 0; ///< Newest roster version that was queued for the store.
     std::int64_t m_recordedRosterVersion = 0; ///< Newest roster version that the store has acknowledged.
     bool m_rosterChanged = false; ///< The roster has changed since m_rosterVersion.
     LateStartJobs m_formerLateStarts; ///< As the previous owner recorded them, until their time is over; see addJobsWithLateStarts().
+    std::map<std::string, Instant> m_formerLateRunsExpiredBy; ///< Boot clock; for each worker in m_formerLateStarts, see formerLateRunsExpiredBy().
     LateStartJobs m_queuedLateStarts; ///< Content of the newest record of late starts that was queued for the store.
+    bool m_lateStartsExpire = false; ///< That record says when runs are over, so that it has to be written again as time passes.
     std::int64_t m_lateStartsVersion = 0; ///< Version of that record.
     Instant m_lateStartsQueuedAt; ///< Boot clock.
     bool m_lateStartsChanged = false; ///< A start may have become late, or excluded, since m_lateStartsQueuedAt.
@@ -360,10 +366,10 @@
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now);
 /// Queues the roster for the store if it has changed.
 void recordRosterIfChanged(OwnerState &state);
-/// Forgets the late starts of the previous owner once no run of theirs can go on: it may have started known jobs for half a task lease after the
-/// takeover, and its unanswered polls may have renewed the leases for as long as a call may be delayed.
+/// Forgets the late starts of the previous owner once no run of theirs can go on, or the worker's answer excludes them.
 void forgetExpiredFormerLateStarts(OwnerState &state, Instant now);
-/// Queues the record of late starts for the store if it has changed, at most every lateStartRecordPeriod.
+/// Queues the record of late starts for the store if it has changed, at most every lateStartRecordPeriod, or if it says when runs are over, every
+/// lateStartRefreshPeriod.
 void recordLateStartsIfChanged(OwnerState &state, Instant now);
 
 } // namespace PrimroseBridge
--- a/service/lib/Fleetservice/snapshot.cpp
+++ b/service/lib/Fleetservice/snapshot.cpp
@@ -116,14 +116,12 @@
             reportSkippedRecord(item->m_key, decoded.error());
         }
     }
-    LateStartJobs lateStartJobs;
-    std::int64_t lateStartsVersion = 0;
+    std::optional<LateStartRecord> recordedLateStarts;
     if (const auto &item = lateStarts) {
         revisions.push_back(RecordRevision{.m_key = item->m_key, .m_revision = item->m_revision});
         const auto decoded = decodeLateStarts(item->m_value);
         if (decoded.ok()) {
-            lateStartJobs = decoded.value().m_jobsByWorker;
-            lateStartsVersion = decoded.value().m_version;
+            recordedLateStarts.emplace(decoded.value());
         } else {
             reportSkippedRecord(item->m_key, decoded.error());
         }
@@ -136,7 +134,7 @@
                                              .m_roster = std::move(rosterEntries),
                                              .m_rosterVersion = rosterVersion,
                                              .m_rosterReadable = rosterReadable,
-                                             .m_lateStarts = LateStartRecord{.m_version = lateStartsVersion, .m_jobsByWorker = std::move(lateStartJobs)}}),
+                                             .m_lateStarts = recordedLateStarts.value_or(LateStartRecord{.m_version = 0, .m_jobsByWorker = {}})}),
                            .m_revisions = std::move(revisions),
                            .m_workerKeys = keysOf(workers)};
 }
--- a/service/unittests/Fleetservice/latestarts.cpp
+++ b/service/unittests/Fleetservice/latestarts.cpp
@@ -19,7 +19,7 @@
 
 /// An owner that has taken over two jobs, of which the previous one recorded a late start on w1. Only w2 has answered.
 struct Successor : OwnerSimulation {
-    Successor()
+    explicit Successor(const std::map<std::string, std::int64_t> &runsOverInMs = {})
     {
         configure(1, {"queue"});
         const auto entry = [](const std::string &name) { return RosterEntry{.m_worker = worker(name), .m_jobsIfCordoned = std::nullopt}; };
@@ -30,7 +30,7 @@
                                   .m_workers = {worker("w1"), worker("w2"), worker("w3")},
                                   .m_roster = {entry("w1"), entry("w2"), entry("w3")},
                                   .m_rosterVersion = 1,
-                                  .m_lateStarts = LateStartRecord{.m_version = 4, .m_jobsByWorker = {{"w1", {jobId}}}}})},
+                                  .m_lateStarts = LateStartRecord{.m_version = 4, .m_jobsByWorker = {{"w1", {jobId}}}, .m_runsOverInMs = runsOverInMs}})},
               at(0));
         updateAuthority(m_state, fromMilliseconds(1'000'000'000), at(0));
         answer("w2", std::nullopt, {}, at(10));
@@ -44,10 +44,9 @@
         return m_state.m_jobsLockedUntil;
     }
 
-    // The former owner may have started known jobs for half a task lease after the takeover.
     [[nodiscard]] Instant lateRunsExpiredBy() const
     {
-        return leasesExpiredBy() + callDelayBound + taskLease / 2;
+        return leasesExpiredBy() + callDelayBound;
     }
 
     [[nodiscard]] bool isStarted(const std::string &job) const
@@ -123,12 +122,61 @@
     CHECK(decodeLateStarts(sim.m_records.back().m_value).value().m_jobsByWorker.empty());
 }
 
+// Guards against a wait that each change of the owner starts anew: a job would start nothing while owners change, although its worker is long gone.
+TEST_CASE("a successor goes on with the wait of the former owner for a worker that did not answer it")
+{
+    Successor sim({{"w1", 7000}});
+    sim.goOnUntil(Sim::at(6999));
+    CHECK_FALSE(sim.isStarted(jobId));
+    SECTION("and ends it")
+    {
+        sim.goOnUntil(Sim::at(7000));
+        CHECK(sim.isStarted(jobId));
+    }
+    SECTION("and records what is left of it")
+    {
+        recordLateStartsIfChanged(sim.m_state, Sim::at(6999));
+        REQUIRE(sim.m_records.back().m_key == StoreKeys::lateStarts);
+        CHECK(decodeLateStarts(sim.m_records.back().m_value).value().m_runsOverInMs == std::map<std::string, std::int64_t>{{"w1", 1}});
+    }
+}
+
+// Guards against a record from which a successor cannot tell that the worker's leases are no longer renewed.
+TEST_CASE("the record of late starts says when the runs of a silent worker are over")
+{
+    Sim sim;
+    sim.configure(1, {"queue"});
+    sim.becomeOwner({Sim::worker("w1")});
+    sim.answer("w1", std::nullopt, {}, Sim::at(10));
+    sim.apply(JobSubmitted{.m_spec = Sim::job(jobId, "queue", Sim::policy(4))}, Sim::at(20));
+    sim.place(Sim::at(30));
+    sim.apply(StartOrderCompleted{.m_task = Sim::reference(jobId),
+                                  .m_runNumber = 1,
+                                  .m_checkpoint = {},
+                                  .m_incarnation = *sim.task(jobId)->m_assignedWorker,
+                                  .m_fence = Sim::fence,
+                                  .m_sentAt = Sim::at(30),
+                                  .m_reply = OrderReply{.m_answer = OrderAnswer::Unanswered, .m_workerClockMs = std::nullopt}},
+              Sim::at(530));
+    const auto recorded = [&sim](Instant now) {
+        recordLateStartsIfChanged(sim.m_state, now);
+        return decodeLateStarts(sim.m_records.back().m_value).value();
+    };
+    CHECK(recorded(Sim::at(540)).m_runsOverInMs.empty());
+    sim.missPoll("w1", Sim::at(700));
+    sim.missPoll("w1", Sim::at(950));
+    const auto lateRunsExpiredBy = sim.m_state.m_workers.at("w1").m_leasesExpiredBy + callDelayBound;
+    sim.review(Sim::at(3000));
+    CHECK(recorded(Sim::at(3000)).m_runsOverInMs.at("w1") == (lateRunsExpiredBy - Sim::at(3000)).count());
+    CHECK(recorded(Sim::at(5000)).m_runsOverInMs.at("w1") == (lateRunsExpiredBy - Sim::at(5000)).count());
+}
+
 TEST_CASE("a record of late starts is read as it was written, and another text is refused")
 {
-    const LateStartRecord record{.m_version = 7, .m_jobsByWorker = {{"w1", {jobId, otherJobId}}, {"w2", {jobId}}}};
+    const LateStartRecord record{.m_version = 7, .m_jobsByWorker = {{"w1", {jobId, otherJobId}}, {"w2", {jobId}}}, .m_runsOverInMs = {{"w1", 5000}}};
     CHECK(decodeLateStarts(encodeLateStarts(record)).value() == record);
     CHECK_FALSE(decodeLateStarts("{}").ok());
-    CHECK_FALSE(decodeLateStarts(R"({"version":1,"workers":{"w1":[1]}})").ok());
+    CHECK_FALSE(decodeLateStarts(R"({"version":1,"workers":{"w1":[1]},"runsOverInMs":{}})").ok());
 }
 
 } // namespace PrimroseBridge
