Treat a worker without an entry as gone when late starts are waited for

Cause: a start that is under way when its worker crashes is left unanswered, so that its task waited for the longest lease, 10 s there, and 12 s more, although nothing executes it. Change: only a worker whose entry is in the store is waited for that long: it may be cut off and restart behind the cut. Not covered: a worker that is cut off from the store as well, restarts there, and executes a late start.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -201,9 +201,8 @@
 static void addJobsWithLateStarts(const OwnerState &state, std::set<std::string> &jobs, Instant now)
 {
     for (const auto &[name, worker] : state.m_workers) {
-        const auto lateRunsExpiredBy = worker.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound;
         const bool reached = worker.m_fenceConfirmed && worker.m_missedPolls == 0;
-        if (reached || haveTaskLeasesExpired(authorityOf(state), lateRunsExpiredBy, now)) {
+        if (reached || haveTaskLeasesExpired(authorityOf(state), lateRunsExpiredBy(state, worker), now)) {
             continue;
         }
         for (const auto &[reference, sentAt] : worker.m_lateStarts) {
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -92,6 +92,11 @@
     return former != state.m_formerLateStarts.end() && former->second.contains(reference.m_job);
 }
 
+Instant lateRunsExpiredBy(const OwnerState &state, const TrackedWorker &worker)
+{
+    return worker.m_entryPresent ? worker.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound : worker.m_leasesExpiredBy;
+}
+
 bool hasLateStarts(const OwnerState &state, const TrackedWorker &worker)
 {
     return std::any_of(worker.m_lateStarts.begin(), worker.m_lateStarts.end(), [&](const auto &entry) { return mayStartLate(state, worker, entry.first); });
@@ -166,7 +171,7 @@
     const auto expiredBy = state.m_formerLateRunsExpiredBy.at(name);
     const auto worker = state.m_workers.find(name);
     const bool renewed = worker != state.m_workers.end() && worker->second.m_fenceConfirmed;
-    return renewed ? std::max(expiredBy, worker->second.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound) : expiredBy;
+    return renewed ? std::max(expiredBy, lateRunsExpiredBy(state, worker->second)) : expiredBy;
 }
 
 void forgetExpiredFormerLateStarts(OwnerState &state, Instant now)
@@ -174,7 +179,11 @@
     const auto startsOverBy = state.m_ownedSince + state.m_context.m_settings.m_callDelayBound;
     const auto forgotten = std::erase_if(state.m_formerLateStarts, [&](const auto &entry) {
         const auto worker = state.m_workers.find(entry.first);
-        const bool excluded = worker != state.m_workers.end() && worker->second.m_fenceConfirmed && worker->second.m_answerRequestedAt >= startsOverBy;
+        const bool gone = worker == state.m_workers.end() || !worker->second.m_entryPresent;
+        if (gone) {
+            return haveTaskLeasesExpired(authorityOf(state), state.m_jobsLockedUntil, now);
+        }
+        const bool excluded = worker->second.m_fenceConfirmed && worker->second.m_answerRequestedAt >= startsOverBy;
         return excluded || haveTaskLeasesExpired(authorityOf(state), formerLateRunsExpiredBy(state, entry.first), now);
     });
     if (forgotten > 0) {
@@ -196,7 +205,7 @@
         }
         auto expiredBy = state.m_formerLateStarts.contains(name) ? formerLateRunsExpiredBy(state, name) : now;
         if (tracked && !worker->second.m_lateStarts.empty()) {
-            expiredBy = std::max(expiredBy, worker->second.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound);
+            expiredBy = std::max(expiredBy, lateRunsExpiredBy(state, worker->second));
         }
         durations.emplace(name, (expiredBy - now).count());
     }
--- a/service/lib/Fleetservice/ownerreports.cpp
+++ b/service/lib/Fleetservice/ownerreports.cpp
@@ -557,9 +557,8 @@
             updateCordon(state, worker);
         }
         const auto authority = authorityOf(state);
-        const auto callDelayBound = state.m_context.m_settings.m_callDelayBound;
         const bool leasesExpired = worker.m_missedPolls > 0 && haveTaskLeasesExpired(authority, worker.m_leasesExpiredBy, now);
-        const bool lateRunsExpired = leasesExpired && haveTaskLeasesExpired(authority, worker.m_leasesExpiredBy + callDelayBound, now);
+        const bool lateRunsExpired = leasesExpired && haveTaskLeasesExpired(authority, lateRunsExpiredBy(state, worker), now);
         const auto tasks = worker.m_tasks.size();
         const bool lateStarts = !lateRunsExpired && hasLateStarts(state, worker);
         const bool idle = worker.m_missedPolls > 0 && worker.m_runsKnown && worker.m_tasks.empty() && worker.m_supersededRuns.empty() && !lateStarts;
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -259,9 +259,11 @@
 /// Remembers that a start order of the task was left unanswered that was sent to @p worker, or to an earlier process of it, at @p sentAt.
 void rememberLateStart(OwnerState &state, TrackedWorker &worker, const TaskReference &reference, Instant sentAt);
 /// Returns true if a later process of the silent worker, of which this owner knows nothing, may have executed a start order of the task, of this owner
-/// or of the previous one. Its run ends up to FleetSettings::m_callDelayBound after TrackedWorker::m_leasesExpiredBy, because unanswered polls may
-/// renew its lease for as long.
+/// or of the previous one. Its run ends by lateRunsExpiredBy().
 bool mayStartLate(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference);
+/// Returns when each run is over that a late start may have begun on the silent worker. Unanswered polls may renew its lease for as long as a call may
+/// be delayed. A worker without an entry in the store counts as gone, so that only its leases are waited for.
+Instant lateRunsExpiredBy(const OwnerState &state, const TrackedWorker &worker);
 /// Returns true if mayStartLate() holds for any task that this owner has started.
 bool hasLateStarts(const OwnerState &state, const TrackedWorker &worker);
 /// Gives the process its own fence if that was not possible when the owner learnt of it, in a lapse of the store lease.
@@ -366,7 +368,7 @@
 std::vector<std::string> lockedJobs(const OwnerState &state, Instant now);
 /// Queues the roster for the store if it has changed.
 void recordRosterIfChanged(OwnerState &state);
-/// Forgets the late starts of the previous owner once no run of theirs can go on, or the worker's answer excludes them.
+/// Forgets the late starts of the previous owner once no run of theirs can go on, the worker's answer excludes them, or the worker is gone.
 void forgetExpiredFormerLateStarts(OwnerState &state, Instant now);
 /// Queues the record of late starts for the store if it has changed, at most every lateStartRecordPeriod, or if it says when runs are over, every
 /// lateStartRefreshPeriod.
--- a/service/unittests/Fleetservice/laterprocesses.cpp
+++ b/service/unittests/Fleetservice/laterprocesses.cpp
@@ -147,6 +147,23 @@
     CHECK(sim.phase() == TaskPhase::Waiting);
 }
 
+// Guards against a job that starts nothing for the delay of a call although its worker has crashed for good: an entry that is missing means that the
+// worker is gone.
+TEST_CASE("a task whose start was left unanswered waits for the leases only if its worker has lost its entry")
+{
+    StartedOnWorker sim;
+    sim.leaveStartUnanswered(Sim::at(30), Sim::at(530));
+    sim.missPoll("w1", Sim::at(700));
+    sim.missPoll("w1", Sim::at(950));
+    sim.apply(WorkerEntryRemoved{.m_worker = "w1"}, Sim::at(2000));
+    sim.missPoll("w1", Sim::at(2010), true);
+    const auto leasesExpiredBy = sim.m_state.m_workers.at("w1").m_leasesExpiredBy;
+    sim.review(leasesExpiredBy - Duration(1));
+    CHECK(sim.phase() == TaskPhase::Starting);
+    sim.review(leasesExpiredBy);
+    CHECK(sim.phase() == TaskPhase::Waiting);
+}
+
 // Guards against the same run if a repetition of the start was answered: the first order may still be executed after a restart.
 TEST_CASE("a task whose first start was left unanswered waits for a late run's lease although it runs")
 {
--- a/service/unittests/Fleetservice/latestarts.cpp
+++ b/service/unittests/Fleetservice/latestarts.cpp
@@ -122,6 +122,15 @@
     CHECK(decodeLateStarts(sim.m_records.back().m_value).value().m_jobsByWorker.empty());
 }
 
+// Guards against jobs that start nothing after each change of the owner for workers that left or crashed for good.
+TEST_CASE("a successor does not wait for late starts of a worker that has lost its entry")
+{
+    Successor sim;
+    sim.apply(WorkerEntryRemoved{.m_worker = "w1"}, Sim::at(720));
+    sim.goOnUntil(sim.leasesExpiredBy());
+    CHECK(sim.isStarted(jobId));
+}
+
 // Guards against a wait that each change of the owner starts anew: a job would start nothing while owners change, although its worker is long gone.
 TEST_CASE("a successor goes on with the wait of the former owner for a worker that did not answer it")
 {
