Count a worker as gone only after its entry has been missing for 3 s

Cause: a worker that crashes and is back under its identifier may lose its entry and write it again. Change: the entry must have been missing for 3 s, in which a worker that reaches the store writes it.

--- a/service/lib/Fleetservice/ownerevents.cpp
+++ b/service/lib/Fleetservice/ownerevents.cpp
@@ -334,6 +334,7 @@
         return;
     }
     auto &worker = found->second;
+    worker.m_entryMissingSince = worker.m_entryPresent ? now : worker.m_entryMissingSince;
     worker.m_entryPresent = false;
     pollWorker(state, worker, true, now);
     logEvent(LogLevel::Info,
@@ -471,6 +472,7 @@
         }
         worker.m_entryPresent = std::any_of(
             present.begin(), present.end(), [&incarnation = *worker.m_incarnation](const auto &report) { return report->m_incarnation == incarnation; });
+        worker.m_entryMissingSince = now;
         // The previous owner may have renewed the worker's leases just before the takeover.
         worker.m_leasesExpiredBy = state.m_jobsLockedUntil;
     }
--- a/service/lib/Fleetservice/ownerincarnations.cpp
+++ b/service/lib/Fleetservice/ownerincarnations.cpp
@@ -94,7 +94,8 @@
 
 Instant lateRunsExpiredBy(const OwnerState &state, const TrackedWorker &worker)
 {
-    return worker.m_entryPresent ? worker.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound : worker.m_leasesExpiredBy;
+    const auto latest = worker.m_leasesExpiredBy + state.m_context.m_settings.m_callDelayBound;
+    return worker.m_entryPresent ? latest : std::clamp(worker.m_entryMissingSince + entryAbsenceBound, worker.m_leasesExpiredBy, latest);
 }
 
 bool hasLateStarts(const OwnerState &state, const TrackedWorker &worker)
@@ -179,9 +180,10 @@
     const auto startsOverBy = state.m_ownedSince + state.m_context.m_settings.m_callDelayBound;
     const auto forgotten = std::erase_if(state.m_formerLateStarts, [&](const auto &entry) {
         const auto worker = state.m_workers.find(entry.first);
-        const bool gone = worker == state.m_workers.end() || !worker->second.m_entryPresent;
-        if (gone) {
-            return haveTaskLeasesExpired(authorityOf(state), state.m_jobsLockedUntil, now);
+        const bool tracked = worker != state.m_workers.end();
+        if (!tracked || !worker->second.m_entryPresent) {
+            const auto goneBy = tracked ? lateRunsExpiredBy(state, worker->second) : state.m_jobsLockedUntil;
+            return haveTaskLeasesExpired(authorityOf(state), std::max(state.m_jobsLockedUntil, goneBy), now);
         }
         const bool excluded = worker->second.m_fenceConfirmed && worker->second.m_answerRequestedAt >= startsOverBy;
         return excluded || haveTaskLeasesExpired(authorityOf(state), formerLateRunsExpiredBy(state, entry.first), now);
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -88,6 +88,7 @@
     WorkerReportPointer m_report;
     std::shared_ptr<const WorkerIncarnation> m_incarnation;
     bool m_entryPresent = true; ///< The store holds the worker's entry.
+    Instant m_entryMissingSince; ///< Boot clock; while m_entryPresent is false.
     std::int64_t m_fence = 0; ///< Fence of the polls of this process, see workerProcessFence() and raiseFenceOfOtherStart().
     std::int64_t m_ordersFence = 0; ///< Fence of the orders to this process, and of its polls that renew leases or acknowledge ends.
     std::int64_t m_firstEntryRevision = 0; ///< WorkerReport::m_entryRevision of the report by which the owner learnt of this process.
@@ -140,6 +141,9 @@
 /// Shortest time between two records of late starts. A worker that leaves orders unanswered does so for many in a row.
 constexpr Duration lateStartRecordPeriod(100);
 
+/// A worker that starts, or reaches the store again, writes its entry within this time.
+constexpr Duration entryAbsenceBound(3000);
+
 /// A successor waits for as much longer as the record is old.
 constexpr Duration lateStartRefreshPeriod(2000);
 
@@ -262,7 +266,7 @@
 /// or of the previous one. Its run ends by lateRunsExpiredBy().
 bool mayStartLate(const OwnerState &state, const TrackedWorker &worker, const TaskReference &reference);
 /// Returns when each run is over that a late start may have begun on the silent worker. Unanswered polls may renew its lease for as long as a call may
-/// be delayed. A worker without an entry in the store counts as gone, so that only its leases are waited for.
+/// be delayed. A worker whose entry in the store stays missing for entryAbsenceBound counts as gone, so that only its leases are waited for.
 Instant lateRunsExpiredBy(const OwnerState &state, const TrackedWorker &worker);
 /// Returns true if mayStartLate() holds for any task that this owner has started.
 bool hasLateStarts(const OwnerState &state, const TrackedWorker &worker);
--- a/service/unittests/Fleetservice/laterprocesses.cpp
+++ b/service/unittests/Fleetservice/laterprocesses.cpp
@@ -155,12 +155,21 @@
     sim.leaveStartUnanswered(Sim::at(30), Sim::at(530));
     sim.missPoll("w1", Sim::at(700));
     sim.missPoll("w1", Sim::at(950));
-    sim.apply(WorkerEntryRemoved{.m_worker = "w1"}, Sim::at(2000));
-    sim.missPoll("w1", Sim::at(2010), true);
     const auto leasesExpiredBy = sim.m_state.m_workers.at("w1").m_leasesExpiredBy;
-    sim.review(leasesExpiredBy - Duration(1));
+    auto goneBy = leasesExpiredBy;
+    SECTION("long before its leases are over")
+    {
+        sim.apply(WorkerEntryRemoved{.m_worker = "w1"}, leasesExpiredBy - entryAbsenceBound);
+    }
+    SECTION("later, after which a restarted worker may still write it again")
+    {
+        sim.apply(WorkerEntryRemoved{.m_worker = "w1"}, leasesExpiredBy - Duration(500));
+        goneBy = leasesExpiredBy - Duration(500) + entryAbsenceBound;
+    }
+    sim.missPoll("w1", leasesExpiredBy - Duration(400), true);
+    sim.review(goneBy - Duration(1));
     CHECK(sim.phase() == TaskPhase::Starting);
-    sim.review(leasesExpiredBy);
+    sim.review(goneBy);
     CHECK(sim.phase() == TaskPhase::Waiting);
 }
 
