--- a/recovery/include/primrosebridge/Ownership/authority.h
+++ b/recovery/include/primrosebridge/Ownership/authority.h
@@ -41,8 +41,8 @@
 /// lease the owner cannot know that of leases that were in force until then, because a successor may have renewed them. Thread-safe.
 bool haveTaskLeasesExpired(const OwnerAuthority &authority, Instant expiredBy, Instant now);
 
-/// Returns the fence of all calls to a worker process that the owner has just learnt of. If the entry of the process was written after the owner had
-/// taken its ownership or had learnt of the worker's earlier process, the fence is higher than that of every call to an earlier process.
+/// Returns the fence of all calls to a worker process. While the owner is the sole one, the fence is higher than that of every call to an earlier process
+/// of the worker, if the entry of this one was written after the owner had taken its ownership. Otherwise it is that of the earlier process.
 ///
 /// A worker that restarts under its identifier takes calls that were meant for the earlier process, and the fence is all that it compares. A successor's
 /// fence is the revision at which its key was written, and is higher than any entry revision that the sole owner has read before. Thread-safe.
--- a/service/lib/Fleetservice/ownerstate.h
+++ b/service/lib/Fleetservice/ownerstate.h
@@ -138,7 +138,7 @@
     int m_lines = 0; ///< Log lines since m_periodStart.
 };
 
-/// Shortest time between two records of late starts. A worker that leaves orders unanswered does so for many in a row.
+/// Shortest time between two records of late starts, whose jobs may change with each unanswered order.
 constexpr Duration lateStartRecordPeriod(100);
 
 /// A worker that starts, or reaches the store again, writes its entry within this time.
@@ -194,7 +194,7 @@
     std::int64_t m_rosterVersion = 0; ///< Newest roster version that was queued for the store.
     std::int64_t m_recordedRosterVersion = 0; ///< Newest roster version that the store has acknowledged.
     bool m_rosterChanged = false; ///< The roster has changed since m_rosterVersion.
-    LateStartJobs m_formerLateStarts; ///< As the previous owner recorded them, until their time is over; see addJobsWithLateStarts().
+    LateStartJobs m_formerLateStarts; ///< As the previous owner recorded them, until forgetExpiredFormerLateStarts().
     std::map<std::string, Instant> m_formerLateRunsExpiredBy; ///< Boot clock; for each worker in m_formerLateStarts, see formerLateRunsExpiredBy().
     LateStartJobs m_queuedLateStarts; ///< Content of the newest record of late starts that was queued for the store.
     bool m_lateStartsExpire = false; ///< That record says when runs are over, so that it has to be written again as time passes.
@@ -272,7 +272,7 @@
 bool hasLateStarts(const OwnerState &state, const TrackedWorker &worker);
 /// Gives the process its own fence if that was not possible when the owner learnt of it, in a lapse of the store lease.
 void giveOwnFence(OwnerState &state, TrackedWorker &worker, Instant now);
-/// Raises the fence of the polls of a worker that answers under a later start, so that this process refuses calls that were meant for the earlier one
+/// Raises the fence of the polls of a worker that answers under another start, so that this process refuses calls that were meant for the known one
 /// although its entry has not been read yet. Returns false if it was raised before.
 bool raiseFenceOfOtherStart(TrackedWorker &worker);
 /// Forgets the late starts whose time was over when the worker's last answer was requested.
