--- a/review/standins3/platform3.py
+++ b/review/standins3/platform3.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the platform for the cases of review/11 and up: the metadata store, minions and entry VMs on loopback.
+"""Stand-ins of the platform for the cases of review/11 to review/15: the metadata store, minions and entry VMs on loopback.
 
 They follow PROTOCOL.md: the store of "The platform's metadata store", minions of "Running tasks" and "Service discovery".
 Standard library only.
@@ -220,19 +220,6 @@
         truncated = position < len(keys) and keys[position].startswith(prefix)
         return {"items": items, "truncated": truncated, "atRev": self._revision}
 
-    def copy_job(self, job, identifiers):
-        """On the loop: adds the records that the system keeps of @p job once more for each identifier, as if such jobs had come before."""
-        self._revision += 1
-        copies = {}
-        for key, item in self._items.items():
-            if job in key:
-                value = base64.b64decode(item["value"]).decode()
-                for identifier in identifiers:
-                    text = base64.b64encode(value.replace(job, identifier).encode()).decode()
-                    copies[key.replace(job, identifier)] = {**item, "key": key.replace(job, identifier), "value": text}
-        self._items.update(copies)
-        return len(copies)
-
     async def _watch(self, prefix, after, wait_s):
         until = time.monotonic() + wait_s
         while True:
@@ -489,15 +476,6 @@
                 env={"PATH": os.environ.get("PATH", ""), "PRIMROSEBRIDGE_CONFIG": str(self.settings)},
             )  # fmt: skip
 
-    def memory_mb(self):
-        """Memory of the process alone, without pages of files, which it may share; 0 if it has ended."""
-        try:
-            status = Path(f"/proc/{self.process.pid}/status").read_text()
-        except OSError:
-            return 0
-        found = re.search(r"RssAnon:\s+(\d+) kB", status)
-        return int(found[1]) / 1024 if found else 0
-
     def ready(self):
         answer = call(self.ready_port, "GET", "/readyz", timeout_s=1)
         return answer is not None and answer[0] == 200
