--- a/review/standins3/platform3.py
+++ b/review/standins3/platform3.py
@@ -507,7 +507,7 @@
 class Fleet:
     """A small deployment: store, minions and entry VMs. Use as a context manager."""
 
-    def __init__(self, folder, vms=8, minions=16, bounds=None, labels_of=None):
+    def __init__(self, folder, vms=8, minions=16, bounds=None, labels_of=None, other_tenants=None):
         if not (ROOT / "target/bin/primrosebridged").exists():
             raise CannotRun("target/bin/primrosebridged is not built")
         self.record = Record(folder)
@@ -517,6 +517,7 @@
         self.store = Store(self.loop)
         self.version = 5
         self.keys = ["key-a", "key-b"]
+        self.other_tenants = other_tenants or []  # Beside "org", which holds self.keys.
         self.vms = []
         self.write_configuration()
         label = labels_of or (lambda number: ["a", f"r{number // 6}"])
@@ -563,7 +564,7 @@
         self.store.put("op/config", {
             "version": self.version, "routes": routes,
             "services": [{"name": "pool", "healthPath": "/healthz", "maxConns": 64, "enforceCapacity": True, "standby": False}],
-            "limits": {"maxBodyBytes": 262144}, "tenants": [{"name": "org", "keys": list(self.keys), "guaranteed": {"gpu": 16}}],
+            "limits": {"maxBodyBytes": 262144}, "tenants": [{"name": "org", "keys": list(self.keys), "guaranteed": {"gpu": 16}}, *self.other_tenants],
         })  # fmt: skip
         self.record.write(f"operator: version {self.version} is acknowledged, keys {' '.join(self.keys)}")
         return self.record.now()
